--- /dev/null
+++ b/internal/cmds/node.go
@@ -0,0 +1,48 @@
+package cmds
+
+import (
+	"context"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"github.com/urfave/cli/v3"
+
+	"github.com/bambooproxy/bambooproxy/internal/conf"
+	"github.com/bambooproxy/bambooproxy/internal/hub"
+	"github.com/bambooproxy/bambooproxy/internal/node"
+	"github.com/bambooproxy/bambooproxy/platform"
+)
+
+// logQueue is how many log lines may wait to be written. Beyond it lines are
+// dropped, so that a reader that does not keep up never blocks a request.
+const logQueue = 4096
+
+// runNode runs one process of a site on the platform.
+func runNode(ctx context.Context, c *cli.Command) error {
+	if err := wantArgs(c, 1, 1, "one settings file"); err != nil {
+		return err
+	}
+	path := c.Args().First()
+	s, err := conf.LoadProcess(path)
+	if err != nil {
+		return errors.Mark(err, errFile)
+	}
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	// The settings file is looked at anyway; the signal must not end the process.
+	signal.Ignore(syscall.SIGHUP)
+	out := &log.AsyncWriter{Writer: &log.IOWriter{Writer: os.Stdout}, ChannelSize: logQueue, DiscardOnFull: true}
+	p := &node.Process{
+		Settings: s, Path: path, Dialect: platform.Dialect{}, Log: &log.Logger{Level: log.ParseLevel(s.Log), Writer: out},
+		Handlers: node.Handlers{
+			Control:   func(h *hub.Server) http.Handler { return platform.Control(h) },
+			Directory: func(h *hub.Server) http.Handler { return platform.Directory(h) },
+			Ready:     platform.Ready,
+		},
+	}
+	return errors.CombineErrors(p.Run(ctx), out.Close())
+}
--- /dev/null
+++ b/internal/gate/health.go
@@ -0,0 +1,79 @@
+package gate
+
+import (
+	"sync"
+	"time"
+)
+
+const (
+	// firstOut is how long a target that failed is left out here; it doubles with
+	// each failure in a row, up to maxOut.
+	firstOut = 300 * time.Millisecond
+	maxOut   = 5 * time.Second
+)
+
+// health remembers which targets failed requests of this instance, and how much
+// each has in progress.
+type health struct {
+	mu     sync.Mutex
+	byID   map[string]*condition
+	pruned time.Time
+}
+
+type condition struct {
+	failures int
+	out      time.Time
+	busy     int
+	used     time.Time
+}
+
+func (h *health) setup() { h.byID = make(map[string]*condition) }
+
+func (h *health) of(id string) *condition {
+	c := h.byID[id]
+	if c == nil {
+		c = &condition{}
+		h.byID[id] = c
+	}
+	c.used = time.Now()
+	return c
+}
+
+// begin and end count what is in progress.
+func (h *health) begin(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.of(id).busy++
+}
+
+func (h *health) end(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.of(id).busy--
+}
+
+// failed leaves a target out for a while.
+func (h *health) failed(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.of(id)
+	c.out = time.Now().Add(min(maxOut, firstOut<<min(c.failures, 6)))
+	c.failures++
+}
+
+func (h *health) worked(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.of(id).failures = 0
+}
+
+// state returns how much a target has in progress and whether it is left out.
+func (h *health) state(id string) (busy int, out bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := h.byID[id]
+	if c == nil {
+		return 0, false
+	}
+	return c.busy, time.Now().Before(c.out)
+}
--- /dev/null
+++ b/internal/gate/plain.go
@@ -0,0 +1,253 @@
+package gate
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooproxy/bambooproxy/internal/hop"
+	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/pkg/engine"
+)
+
+const (
+	// maxAnswer bounds the answer of a plain service in bytes: it is read whole
+	// before the caller gets any of it.
+	maxAnswer = 32 << 20
+	// minTry is the least time that a further target is worth trying with.
+	minTry = 20 * time.Millisecond
+	// farCost is what a target in another data centre counts as, in requests in
+	// progress: crossing costs bytes, queueing costs time.
+	farCost = 0.5
+)
+
+// servePlain sends a request to a plain service.
+func (x *exchange) servePlain(ctx context.Context) {
+	// fallback is a failure of a target that is passed on if no other does better.
+	var fallback *answer
+	reason, retry := "no target takes requests", soon
+	for x.left() > minTry && ctx.Err() == nil {
+		t, ok := x.pick()
+		if !ok {
+			break
+		}
+		if x.sends > 0 && !x.mayRepeatNow() {
+			break
+		}
+		a, o := x.send(ctx, t)
+		switch o := o.(type) {
+		case delivered:
+			x.deliver(a)
+			return
+		case failedAnswer:
+			fallback = a
+			reason = "targets failed the request"
+			x.ran = true
+		case notRun:
+			reason, retry = o.reason, later
+		case unknown:
+			reason = o.reason
+			x.ran = true
+		}
+		x.avoid = append(x.avoid, t.ID)
+		if x.ran && !x.route.MayRepeat() {
+			break
+		}
+	}
+	if fallback != nil && x.r.Context().Err() == nil {
+		x.deliver(fallback)
+		return
+	}
+	x.giveUp(ctx, reason, retry)
+}
+
+// mayRepeatNow says whether one more target may get the request.
+func (x *exchange) mayRepeatNow() bool {
+	if x.sends >= max(1, x.route.Attempts) {
+		return false
+	}
+	return x.server.Budget.take(x.pool.Name, int(x.server.others.Load()))
+}
+
+// pick chooses the target with the least in progress, those nearby first.
+func (x *exchange) pick() (site.Target, bool) {
+	v := x.server.world.view()
+	var best site.Target
+	score, found := 0.0, false
+	for _, wantHealthy := range [...]bool{true, false} {
+		for _, t := range v.pools[x.pool.Name] {
+			if slices.Contains(x.avoid, t.ID) {
+				continue
+			}
+			busy, out := x.server.health.state(t.ID)
+			if out && wantHealthy {
+				continue
+			}
+			c := float64(busy) + rand.Float64()/4
+			if t.DataCentre != x.server.DataCentre {
+				c += farCost
+			}
+			if !found || c < score {
+				best, score, found = t, c, true
+			}
+		}
+		if found {
+			break
+		}
+	}
+	return best, found
+}
+
+// outcome is what became of one send.
+type outcome interface{ outcome() }
+
+// delivered means that the answer is whole and good.
+type delivered struct{}
+
+// failedAnswer means that the target ran the request and answered a failure.
+type failedAnswer struct{}
+
+// notRun means that the request surely did not run.
+type notRun struct{ reason string }
+
+// unknown means that the request may have run.
+type unknown struct{ reason string }
+
+func (delivered) outcome()    {}
+func (failedAnswer) outcome() {}
+func (notRun) outcome()       {}
+func (unknown) outcome()      {}
+
+// answer is a whole answer of a target.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// send sends the request to one target and reads the whole answer.
+func (x *exchange) send(ctx context.Context, t site.Target) (*answer, outcome) {
+	s := x.server
+	s.health.begin(t.ID)
+	defer s.health.end(t.ID)
+	x.target = t.ID
+	resp, err := s.Targets.Do(ctx, t.Address, x.request(t, Send{Urgency: -1}))
+	if err != nil {
+		return nil, x.failed(t, err)
+	}
+	reuse := false
+	defer func() { resp.Close(reuse) }()
+	x.sends++
+	if o := x.judge(t, resp); o != nil {
+		_, ok := o.(notRun)
+		reuse = ok && drained(resp)
+		return nil, o
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		x.attemptFailed(t, "the answer broke off", err)
+		return nil, unknown{"the answer of a target broke off"}
+	}
+	reuse = true
+	a := &answer{status: resp.StatusCode, header: resp.Header, body: body}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return a, failedAnswer{}
+	}
+	s.health.worked(t.ID)
+	return a, delivered{}
+}
+
+// drained reads what is left of a refusal, so that the connection can be kept.
+func drained(resp *hop.Response) bool {
+	const most = 64 << 10
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, most))
+	return err == nil && n < most
+}
+
+// request makes what a target gets.
+func (x *exchange) request(t site.Target, s Send) *hop.Request {
+	s.Left, s.Target, s.Organisation = max(time.Millisecond, x.left()), t.ID, x.org
+	d := x.server.Dialect
+	id := x.call.ID
+	return &hop.Request{
+		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: d.Send(x.r.Header, s), Body: x.body,
+		Fresh: !x.route.MayRepeat(),
+		Mine: func(h http.Header) bool {
+			c := d.Reply(0, h).Call
+			return c == "" || c == id
+		},
+	}
+}
+
+// failed classifies a send without the head of an answer.
+func (x *exchange) failed(t site.Target, err error) outcome {
+	x.server.health.failed(t.ID)
+	var unreached *engine.Unreachable
+	if errors.As(err, &unreached) {
+		x.attemptFailed(t, "not reached", err)
+		return notRun{"a target could not be reached"}
+	}
+	x.sends++
+	x.attemptFailed(t, "no answer", err)
+	return unknown{"a target broke off"}
+}
+
+// judge classifies the head of an answer; nil means that it is to be read.
+func (x *exchange) judge(t site.Target, resp *hop.Response) outcome {
+	reply := x.server.Dialect.Reply(resp.StatusCode, resp.Header)
+	code := resp.StatusCode
+	switch {
+	case reply.NotRun || code == http.StatusMisdirectedRequest:
+		x.server.health.failed(t.ID)
+		x.attemptFailed(t, "refused with "+http.StatusText(code), nil)
+		return notRun{"targets refused the request"}
+	case isPromise(code):
+		// Without the target's word that it did not run, the status must not
+		// reach the caller, who would take it for that.
+		x.attemptFailed(t, "no promise with "+http.StatusText(code), nil)
+		return unknown{"a target answered that it is busy"}
+	case !reply.Sealed, resp.Header.Get("Content-Encoding") != "", reply.Call != x.call.ID:
+		x.server.health.failed(t.ID)
+		x.attemptFailed(t, "the answer is not a target's", nil)
+		return unknown{"the answer of a target is spoilt"}
+	}
+	return nil
+}
+
+// isPromise says whether callers take a status for a promise that the request
+// did not run.
+func isPromise(code int) bool {
+	switch code {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
+		return true
+	default:
+		return false
+	}
+}
+
+// attemptFailed logs one failed send.
+func (x *exchange) attemptFailed(t site.Target, what string, err error) {
+	x.server.Log.Warn().Str("id", x.call.ID).Str("target", t.ID).Str("address", t.Address).Int("sends", x.sends).
+		Dur("after", time.Since(x.start)).Str("what", what).Err(err).Msg("send failed")
+}
+
+// deliver passes a whole answer on.
+func (x *exchange) deliver(a *answer) {
+	h := x.w.Header()
+	for k, v := range x.server.Dialect.Answer(a.header) {
+		h[k] = v
+	}
+	x.status = a.status
+	h.Del("Transfer-Encoding")
+	h.Set("Content-Length", strconv.Itoa(len(a.body)))
+	x.w.WriteHeader(a.status)
+	// The caller's connection tells it if this fails.
+	_, _ = io.Copy(x.w, bytes.NewReader(a.body))
+}
--- /dev/null
+++ b/internal/gate/server.go
@@ -0,0 +1,313 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooproxy/bambooproxy/internal/hop"
+	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+const (
+	// defaultLeft is the time limit of a request that names none.
+	defaultLeft = time.Minute
+	// defaultBody bounds a body in bytes where the tables don't.
+	defaultBody = 16 << 20
+	// soon is when a caller may come back that met a passing state.
+	soon = 200 * time.Millisecond
+	// later is when a caller may come back that met a full fleet.
+	later = time.Second
+	// acceptAfterLeave is how long an instance that leaves takes new requests:
+	// until callers have learnt of it.
+	acceptAfterLeave = 2500 * time.Millisecond
+	// sweepEvery is how often idle connections are looked at.
+	sweepEvery = time.Second
+)
+
+// Server takes the requests of callers.
+type Server struct {
+	Name, DataCentre string
+	// Address is the one for callers.
+	Address string
+	Dialect Dialect
+	Targets *hop.Client
+	Link    *link.Client
+	Budget  *Budget
+	Log     *log.Logger
+	Metrics metrics.Registry
+
+	world  world
+	broker broker
+	health health
+	// others is the number of ready instances of the site.
+	others atomic.Int64
+	// left is when the instance began to leave, in nanoseconds of its run; 0
+	// while it serves.
+	left atomic.Int64
+	born time.Time
+
+	active sync.WaitGroup
+	count  atomic.Int64
+}
+
+// Setup prepares the server before Run.
+func (s *Server) Setup() {
+	s.born = time.Now()
+	s.broker.server = s
+	s.broker.setup()
+	s.health.setup()
+}
+
+// Run keeps the upkeep going until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	tick := time.NewTicker(sweepEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+			s.Targets.Sweep()
+		}
+	}
+}
+
+// IsReady says whether callers should come here.
+func (s *Server) IsReady() bool {
+	v := s.world.view()
+	return s.left.Load() == 0 && v != nil && v.index != nil
+}
+
+// Leave begins a planned stop: callers are no longer sent here.
+func (s *Server) Leave() { s.left.CompareAndSwap(0, int64(time.Since(s.born))+1) }
+
+// leaving returns since when the instance leaves; 0 while it serves.
+func (s *Server) leaving() time.Duration {
+	at := s.left.Load()
+	if at == 0 {
+		return 0
+	}
+	return max(1, time.Since(s.born)-time.Duration(at))
+}
+
+// Active returns the number of requests in progress.
+func (s *Server) Active() int64 { return s.count.Load() }
+
+// ServeHTTP answers a caller.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.count.Add(1)
+	defer s.count.Add(-1)
+	x := &exchange{server: s, w: w, r: r, start: time.Now(), view: s.world.view()}
+	defer x.finish()
+	if s.leaving() > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	if !x.prepare() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
+	defer cancel()
+	s.Budget.note(x.pool.Name)
+	if x.pool.Engine != nil {
+		x.serveEngine(ctx)
+		return
+	}
+	x.servePlain(ctx)
+}
+
+// exchange is one request of a caller on its way.
+type exchange struct {
+	server *Server
+	w      http.ResponseWriter
+	r      *http.Request
+	start  time.Time
+	view   *view
+
+	call     Call
+	route    *site.Route
+	pool     *site.Pool
+	org      string
+	rank     int
+	body     []byte
+	deadline time.Time
+
+	// sends counts the targets that the request was sent to, and ran says that one
+	// of them may have run it.
+	sends int
+	ran   bool
+	// avoid are the targets that failed the request.
+	avoid []string
+
+	// for the log
+	status int
+	reason string
+	target string
+	first  time.Duration
+	events int
+	waited time.Duration
+	parts  int
+}
+
+// prepare reads the request up to the point where a target is wanted. It
+// returns false if it has answered.
+func (x *exchange) prepare() bool {
+	s := x.server
+	call, err := s.Dialect.Call(x.r.Header)
+	if err != nil {
+		x.fail(http.StatusBadRequest, err.Error())
+		return false
+	}
+	x.call = call
+	if s.leaving() > acceptAfterLeave {
+		x.refuse("this instance stops", 0)
+		return false
+	}
+	if x.view == nil || x.view.index == nil {
+		x.refuse("this instance has no tables yet", soon)
+		return false
+	}
+	path, _, _ := strings.Cut(x.r.RequestURI, "?")
+	route, ok := x.view.index.Route(hostOf(x.r.Host), path)
+	if !ok {
+		x.fail(http.StatusNotFound, "no route for this host and path")
+		return false
+	}
+	x.route = route
+	if !x.authorise() {
+		return false
+	}
+	left := x.call.Left
+	if left <= 0 {
+		left = defaultLeft
+	}
+	x.deadline = x.start.Add(min(left, route.Limit))
+	pool, ok := x.view.index.Pool(route.Pick(rand.Float64()))
+	if !ok {
+		x.refuse("the route's pool is missing", later)
+		return false
+	}
+	x.pool = pool
+	return x.readBody()
+}
+
+// authorise finds the caller's organisation.
+func (x *exchange) authorise() bool {
+	x.rank = x.route.Rank
+	if x.route.Public || !x.view.index.Tables.Keyed {
+		return true
+	}
+	o, ok := x.view.index.Organisation(x.call.Key)
+	if !ok || x.call.Key == "" {
+		x.fail(http.StatusUnauthorized, "unknown key")
+		return false
+	}
+	x.org = o.Name
+	if o.Ranked {
+		x.rank = o.Rank
+	}
+	return true
+}
+
+func (x *exchange) readBody() bool {
+	limit := x.view.index.Tables.Bounds.Body
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	if err == nil {
+		x.body = b
+		return true
+	}
+	var large *http.MaxBytesError
+	if errors.As(err, &large) {
+		x.fail(http.StatusRequestEntityTooLarge, "the body is too large")
+		return false
+	}
+	x.reason = "the body was not received whole"
+	x.abort()
+	return false
+}
+
+// hostOf cuts off the port.
+func hostOf(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		return h
+	}
+	return host
+}
+
+// fail answers with a status that says that asking again does not help.
+func (x *exchange) fail(status int, reason string) {
+	x.status, x.reason = status, reason
+	http.Error(x.w, reason, status)
+}
+
+// refuse answers that the request did not run, and when to come back.
+func (x *exchange) refuse(reason string, retry time.Duration) {
+	x.status, x.reason = http.StatusServiceUnavailable, reason
+	x.w.Header().Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', -1, 64))
+	http.Error(x.w, reason, http.StatusServiceUnavailable)
+}
+
+// giveUp ends a request that got no answer: with a promise that it did not run
+// only if that is known.
+func (x *exchange) giveUp(ctx context.Context, reason string, retry time.Duration) {
+	switch {
+	case x.r.Context().Err() != nil:
+		x.reason = "the caller left"
+		x.abort()
+	case !x.ran:
+		x.refuse(reason, retry)
+	case ctx.Err() != nil:
+		x.fail(http.StatusGatewayTimeout, "the time limit was reached: "+reason)
+	default:
+		x.fail(http.StatusBadGateway, reason)
+	}
+}
+
+// abort ends the connection, so that the answer is seen to be broken off.
+func (x *exchange) abort() {
+	x.finish()
+	panic(http.ErrAbortHandler)
+}
+
+// left is the time that the request still has.
+func (x *exchange) left() time.Duration { return time.Until(x.deadline) }
+
+// finish logs the outcome, once.
+func (x *exchange) finish() {
+	if x.start.IsZero() {
+		return
+	}
+	took := time.Since(x.start)
+	x.start = time.Time{}
+	s := x.server
+	e := s.Log.Info()
+	if x.status >= http.StatusInternalServerError || x.status == 0 {
+		e = s.Log.Warn()
+	}
+	e.Str("id", x.call.ID)
+	if x.view != nil && x.view.index != nil {
+		e.Int64("version", x.view.index.Tables.Version).Uint64("revision", x.view.revision)
+	}
+	if x.route != nil {
+		e.Str("route", x.route.Name).Str("organisation", x.org)
+	}
+	e.Int("status", x.status).Str("reason", x.reason).Str("target", x.target).Int("sends", x.sends).
+		Int("parts", x.parts).Dur("waited", x.waited).Dur("first", x.first).Int("events", x.events).Dur("took", took).
+		Msg("request ended")
+	s.measure(x, took)
+}
--- /dev/null
+++ b/internal/gate/view.go
@@ -0,0 +1,89 @@
+package gate
+
+import (
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/reg"
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+// view is the newest picture of the site that this instance has.
+type view struct {
+	revision uint64
+	index    *site.Index
+	targets  map[string]site.Target
+	// pools are the targets that take work, by pool.
+	pools map[string][]site.Target
+	// since is when the picture came.
+	since time.Time
+}
+
+// world holds the view and replaces it by newer ones only.
+type world struct {
+	mu  sync.Mutex
+	now atomic.Pointer[view]
+}
+
+func (w *world) view() *view { return w.now.Load() }
+
+// apply takes in news; an older revision changes nothing.
+func (w *world) apply(u *reg.Update) (*view, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	old := w.now.Load()
+	if old == nil {
+		old = &view{}
+	}
+	if u.Revision <= old.revision {
+		return nil, nil
+	}
+	next := &view{revision: u.Revision, index: old.index, targets: make(map[string]site.Target, len(old.targets)), since: time.Now()}
+	if u.Packed != nil {
+		t, err := reg.Unpack(u.Packed)
+		if err != nil {
+			return nil, err
+		}
+		if next.index == nil || t.Version > next.index.Tables.Version {
+			next.index = site.NewIndex(t)
+		}
+	}
+	for id, t := range old.targets {
+		next.targets[id] = t
+	}
+	for _, t := range u.Targets {
+		if t.State == site.Gone {
+			delete(next.targets, t.ID)
+			continue
+		}
+		next.targets[t.ID] = t
+	}
+	next.group()
+	w.now.Store(next)
+	return next, nil
+}
+
+func (v *view) group() {
+	v.pools = make(map[string][]site.Target)
+	for _, t := range v.targets {
+		if t.State == site.Ready {
+			v.pools[t.Pool] = append(v.pools[t.Pool], t)
+		}
+	}
+	for _, list := range v.pools {
+		slices.SortFunc(list, func(a, b site.Target) int {
+			if a.ID < b.ID {
+				return -1
+			}
+			return 1
+		})
+	}
+}
+
+// takes returns a target if it takes work for the pool.
+func (v *view) takes(id, pool string) (site.Target, bool) {
+	t, ok := v.targets[id]
+	return t, ok && t.State == site.Ready && t.Pool == pool
+}
--- /dev/null
+++ b/internal/node/network.go
@@ -0,0 +1,52 @@
+package node
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// silentAfter is how long sent bytes may stay unacknowledged, and how long
+	// probes of an idle connection may go unanswered, before it is given up.
+	silentAfter = 1500 * time.Millisecond
+	// probeIdle and probeEvery are when an idle connection is probed: the least
+	// that sockets allow.
+	probeIdle  = time.Second
+	probeEvery = time.Second
+	probes     = 2
+)
+
+// network opens connections that notice a silent other end.
+type network struct{}
+
+func keepAlive() net.KeepAliveConfig {
+	return net.KeepAliveConfig{Enable: true, Idle: probeIdle, Interval: probeEvery, Count: probes}
+}
+
+// dial opens a connection to an IP and port.
+func (network) dial(ctx context.Context, addr string) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: keepAlive(), Control: limitSilence}
+	return d.DialContext(ctx, "tcp4", addr)
+}
+
+// listen opens a listener whose connections notice a silent other end.
+func (network) listen(ctx context.Context, addr string) (net.Listener, error) {
+	l := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: limitSilence}
+	return l.Listen(ctx, "tcp4", addr)
+}
+
+// limitSilence bounds the wait for acknowledgements on a socket.
+func limitSilence(_, _ string, c syscall.RawConn) error {
+	var fault error
+	err := c.Control(func(fd uintptr) {
+		fault = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(silentAfter.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return fault
+}
--- /dev/null
+++ b/internal/place/core.go
@@ -0,0 +1,288 @@
+package place
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+// Core places the requests of one pool. Start it with a Fleet event.
+type Core struct {
+	// Alone says that this core sees only a part of the pool's requests, so that
+	// it neither queues nor refuses.
+	Alone bool
+
+	model   model
+	engines []*engine
+	byID    map[string]*engine
+	jobs    map[string]*job
+	queue   []*job
+	demand  demand
+}
+
+// job is a request from its ask to its end.
+type job struct {
+	ask     Ask
+	arrived time.Time
+	// value is what an answer in time is worth, in tokens.
+	value float64
+
+	granted time.Time
+	lead    *engine
+	helpers []*engine
+	// part is the time that each engine reads.
+	part time.Duration
+	// first is when the first event is predicted, due when it is wanted.
+	first, due time.Time
+	begun      bool
+	// spoilt says that the answer is late already, so that nothing is lost by a
+	// further delay.
+	spoilt bool
+	// ends is when the answer is predicted to be written.
+	ends time.Time
+}
+
+// outputWeight is what a token of an answer is worth beside one of a prompt: it
+// costs about ten times as much of an engine's time.
+const outputWeight = 10
+
+// Step takes in one event and returns what follows from it.
+func (c *Core) Step(now time.Time, e Event) []Decision {
+	if c.byID == nil {
+		c.byID = make(map[string]*engine)
+		c.jobs = make(map[string]*job)
+	}
+	switch e := e.(type) {
+	case Arrive:
+		return c.arrive(now, e.Ask)
+	case Withdraw:
+		c.withdraw(e.ID)
+	case Begin:
+		c.begin(now, e)
+	case End:
+		c.end(now, e)
+	case Adopt:
+		c.adopt(now, e.Holding)
+	case Fleet:
+		c.fleet(now, e)
+	case Heard:
+		c.heard(now, e.Target)
+	case Tick:
+		c.tick(now)
+	}
+	return c.schedule(now)
+}
+
+// Waiting returns the number of requests without a grant.
+func (c *Core) Waiting() int { return len(c.queue) }
+
+// Granted returns the number of grants in use.
+func (c *Core) Granted() int { return len(c.jobs) - len(c.queue) }
+
+func (c *Core) arrive(now time.Time, a Ask) []Decision {
+	if c.jobs[a.ID] != nil {
+		return nil
+	}
+	j := &job{
+		ask: a, arrived: now, due: now.Add(a.Aim), spoilt: a.Aim <= 0,
+		value: float64(a.Prompt + outputWeight*a.Output),
+	}
+	c.demand.arrive(now, c.model.read(a.Prompt), j.isLong())
+	c.jobs[a.ID] = j
+	if d := c.try(now, j); d != nil {
+		return append([]Decision{d}, c.schedule(now)...)
+	}
+	c.enqueue(j)
+	return nil
+}
+
+// enqueue keeps the queue in the order of what is left until the due time.
+func (c *Core) enqueue(j *job) {
+	i, _ := slices.BinarySearchFunc(c.queue, j, before)
+	c.queue = slices.Insert(c.queue, i, j)
+}
+
+func before(a, b *job) int {
+	if a.spoilt != b.spoilt {
+		if a.spoilt {
+			return 1
+		}
+		return -1
+	}
+	return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.ask.Rank, b.ask.Rank), cmp.Compare(a.ask.ID, b.ask.ID))
+}
+
+// schedule grants what can be granted now. Each look is over the whole queue,
+// as a request that waits for one kind of engine doesn't block another kind.
+func (c *Core) schedule(now time.Time) []Decision {
+	var out []Decision
+	kept := c.queue[:0]
+	for _, j := range c.queue {
+		if d := c.try(now, j); d != nil {
+			out = append(out, d)
+			continue
+		}
+		kept = append(kept, j)
+	}
+	clear(c.queue[len(kept):])
+	c.queue = kept
+	return out
+}
+
+func (c *Core) withdraw(id string) {
+	j := c.jobs[id]
+	if j == nil {
+		return
+	}
+	if j.lead != nil {
+		c.release(j)
+		return
+	}
+	delete(c.jobs, id)
+	c.queue = slices.DeleteFunc(c.queue, func(o *job) bool { return o == j })
+}
+
+// begin takes in that an answer has started.
+func (c *Core) begin(now time.Time, b Begin) {
+	j := c.jobs[b.ID]
+	if j == nil || j.lead == nil || j.begun {
+		return
+	}
+	j.begun = true
+	j.spoilt = j.spoilt || now.After(j.due)
+	j.lead.failures = 0
+	if len(j.helpers) == 0 {
+		j.lead.observe(j.first.Sub(j.granted), b.After)
+	}
+	j.ends = now.Add(c.model.write(j.ask.Output, j.lead.writers, j.lead.context))
+}
+
+func (c *Core) end(now time.Time, e End) {
+	j := c.jobs[e.ID]
+	if j == nil {
+		return
+	}
+	if t := c.byID[e.Fault]; t != nil {
+		t.failed(now, e.Hard)
+	}
+	c.withdraw(e.ID)
+}
+
+// reserve takes what a grant needs of its engines.
+func (c *Core) reserve(now time.Time, j *job, p plan) {
+	j.lead, j.helpers, j.part = p.lead, p.helpers, p.part
+	j.granted, j.first = now, now.Add(p.first)
+	j.ends = j.first.Add(c.model.write(j.ask.Output, p.lead.writers+1, p.lead.context+j.ask.Prompt))
+	p.lead.held += j.size()
+	p.lead.writers++
+	p.lead.context += j.share()
+	p.lead.jobs[j.ask.ID] = j
+	p.lead.read(now, p.part)
+	for _, h := range p.helpers {
+		h.helping++
+		h.jobs[j.ask.ID] = j
+		h.read(now, p.part)
+	}
+}
+
+// read adds a part of a prompt to what the engine reads.
+func (e *engine) read(now time.Time, part time.Duration) {
+	if e.until.Before(now) {
+		e.until = now
+	}
+	e.until = e.until.Add(scale(part, e.pace))
+}
+
+// release frees what a grant took.
+func (c *Core) release(j *job) {
+	delete(c.jobs, j.ask.ID)
+	j.lead.held -= j.size()
+	j.lead.writers--
+	j.lead.context -= j.share()
+	delete(j.lead.jobs, j.ask.ID)
+	for _, h := range j.helpers {
+		h.helping--
+		delete(h.jobs, j.ask.ID)
+	}
+}
+
+// size is the memory of a request in tokens.
+func (j *job) size() int { return j.ask.Prompt + j.ask.Output }
+
+// share is the context that a step at the lead reads.
+func (j *job) share() int { return j.ask.Prompt / (len(j.helpers) + 1) }
+
+// adopt takes over a grant that an entry has from another scheduler.
+func (c *Core) adopt(now time.Time, h Holding) {
+	lead := c.byID[h.Lead]
+	if lead == nil || c.jobs[h.Ask.ID] != nil {
+		return
+	}
+	j := &job{
+		ask: h.Ask, arrived: now.Add(-h.Age), due: now.Add(h.Ask.Aim - h.Age),
+		value: float64(h.Ask.Prompt + outputWeight*h.Ask.Output),
+	}
+	j.spoilt = !h.Begun && j.due.Before(now)
+	p := plan{lead: lead}
+	for _, id := range h.Helpers {
+		if e := c.byID[id]; e != nil {
+			p.helpers = append(p.helpers, e)
+		}
+	}
+	if !h.Begun {
+		p.part = max(0, c.model.read(h.Ask.Prompt)/time.Duration(len(p.helpers)+1)-h.Age)
+		p.first = p.part
+	}
+	c.jobs[h.Ask.ID] = j
+	c.reserve(now, j, p)
+	j.begun = h.Begun
+}
+
+// fleet takes in which engines there are.
+func (c *Core) fleet(now time.Time, f Fleet) {
+	c.model = model{f.Engine}
+	for _, e := range c.byID {
+		e.State = site.Gone
+	}
+	for _, t := range f.Targets {
+		e := c.byID[t.ID]
+		switch {
+		case e == nil && t.State == site.Gone:
+			continue
+		case e == nil:
+			e = &engine{jobs: make(map[string]*job), pace: 1, heard: now}
+			c.byID[t.ID] = e
+		case e.Born != t.Born:
+			// A new process under the same ID has none of the old one's work.
+			e.pace, e.failures, e.until, e.heard = 1, 0, now, now
+		}
+		e.Target = t
+	}
+	c.engines = c.engines[:0]
+	for id, e := range c.byID {
+		if e.State == site.Gone && len(e.jobs) == 0 {
+			delete(c.byID, id)
+			continue
+		}
+		c.engines = append(c.engines, e)
+	}
+	slices.SortFunc(c.engines, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+func (c *Core) heard(now time.Time, id string) {
+	if e := c.byID[id]; e != nil {
+		e.heard = now
+	}
+}
+
+// tick marks what is late, as its delay costs no more.
+func (c *Core) tick(now time.Time) {
+	for _, j := range c.jobs {
+		if !j.begun && now.After(j.due) {
+			j.spoilt = true
+		}
+	}
+	slices.SortStableFunc(c.queue, before)
+}
--- /dev/null
+++ b/internal/place/engine.go
@@ -0,0 +1,94 @@
+package place
+
+import (
+	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+const (
+	// firstOut is how long a target that failed hard gets no work; it doubles
+	// with each further failure, up to maxOut.
+	firstOut = 500 * time.Millisecond
+	maxOut   = 8 * time.Second
+	// maxSilence is how long a target may say nothing of itself before it gets no
+	// more work: three and a half of the usual intervals of 1.2 s.
+	maxSilence = 4200 * time.Millisecond
+	// paceShare is the weight of a new observation in a target's pace.
+	paceShare = 0.2
+	// maxPace bounds what a target's pace is learnt to be.
+	maxPace = 12
+)
+
+// engine is one target of the pool and the work that it has.
+type engine struct {
+	site.Target
+	jobs map[string]*job
+	// until is when the prompts that it was given are predicted to be read.
+	until time.Time
+	// held is the memory that its answers take, in tokens.
+	held int
+	// writers is how many answers it writes, or will write.
+	writers int
+	// context is the sum of their contexts in tokens.
+	context int
+	// helping is how many prompts of other engines it reads parts of.
+	helping int
+	// pace is how much slower than declared it is, as learnt.
+	pace float64
+
+	// out is when it may get work again after failures.
+	out      time.Time
+	failures int
+	heard    time.Time
+}
+
+func (e *engine) free(now time.Time) bool {
+	return e.State == site.Ready && !now.Before(e.out) && now.Sub(e.heard) < maxSilence
+}
+
+// backlog is the time until the prompts at the engine are read.
+func (e *engine) backlog(now time.Time) time.Duration { return max(0, e.until.Sub(now)) }
+
+// failed takes an engine out for a while.
+func (e *engine) failed(now time.Time, hard bool) {
+	e.failures++
+	wait := firstOut << min(e.failures-1, 8)
+	if !hard {
+		wait /= 4
+	}
+	e.out = now.Add(min(wait, maxOut))
+}
+
+// observe learns the pace from a predicted and an observed time.
+func (e *engine) observe(expect, took time.Duration) {
+	if expect <= 0 || took <= 0 {
+		return
+	}
+	ratio := min(maxPace, e.pace*float64(took)/float64(expect))
+	e.pace = max(1, e.pace*(1-paceShare)+ratio*paceShare)
+}
+
+// model is what the operator declared of the engines, in use.
+type model struct{ site.Engine }
+
+// read is the time to read a prompt on one engine.
+func (m model) read(prompt int) time.Duration {
+	n := float64(prompt)
+	plain := n / m.Rate * float64(time.Second)
+	const million = 1e6
+	return time.Duration(plain + n*n/2/million*float64(m.Pairs))
+}
+
+// pass is the time of a pass in which answers are written and nothing is read.
+func (m model) pass(writers, context int) time.Duration {
+	step := m.Step + time.Duration(writers)*m.PerAnswer + time.Duration(context/1000)*m.PerContext
+	return time.Duration(m.Stride) * step
+}
+
+// write is the time to write an answer of some tokens.
+func (m model) write(output, writers, context int) time.Duration {
+	return m.pass(writers, context) * time.Duration(max(1, output/m.Stride))
+}
+
+func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -10,6 +10,13 @@
 // maxBehind is how many entries a learner may lack when it becomes a voter.
 const maxBehind = 64
 
+// A voter that was silent for replaceAfter elections is replaced if a learner is
+// at hand; a learner that was silent for forgetAfter elections is let go.
+const (
+	replaceAfter = 2
+	forgetAfter  = 10
+)
+
 // Errors of a change of the configuration.
 var (
 	// ErrNotLeader says that another replica must be asked.
@@ -107,12 +114,18 @@
 	if c.configIndex > c.commit || !c.log.matches(c.commit, c.term) {
 		return
 	}
+	if c.tend() {
+		return
+	}
 	for _, r := range c.config.Replicas {
 		p := c.peers[r.ID]
 		ready := r.ID == c.id || p != nil && c.caughtUp(p)
 		if !ready || r.Voter && r.Replaces == 0 {
 			continue
 		}
+		if !r.Voter && r.Replaces == 0 && c.Voters > 0 && c.config.Voters() >= c.Voters {
+			continue
+		}
 		_, old := c.config.Find(r.Replaces)
 		if r.Voter && old && r.Replaces == c.id {
 			c.Transfer(c.now)
@@ -133,6 +146,41 @@
 	}
 }
 
+// tend keeps the number of voters where the group does so by itself: a learner
+// at hand takes the place of a silent voter, and a silent learner is let go. It
+// returns whether it changed anything.
+func (c *Core) tend() bool {
+	if c.Voters == 0 {
+		return false
+	}
+	var spare, dead *Replica
+	for i := range c.config.Replicas {
+		r := &c.config.Replicas[i]
+		p := c.peers[r.ID]
+		if r.ID == c.id || p == nil {
+			continue
+		}
+		silent := c.now - p.heard
+		switch {
+		case r.Voter && silent > replaceAfter*c.timing.Election:
+			dead = r
+		case !r.Voter && silent > forgetAfter*c.timing.Election:
+			_, _ = c.reconfigure(c.config.without(r.ID))
+			return true
+		case !r.Voter && r.Replaces == 0 && c.caughtUp(p):
+			spare = r
+		}
+	}
+	if spare == nil || dead == nil {
+		return false
+	}
+	next := *spare
+	next.Replaces = dead.ID
+	// The members encode as they did when they were decoded.
+	_, _ = c.reconfigure(c.config.with(next))
+	return true
+}
+
 // caughtUp says whether a learner is at hand and has nearly the whole log.
 func (c *Core) caughtUp(p *progress) bool {
 	return p.match > 0 && p.match+maxBehind >= c.log.last() && c.now-p.heard < c.timing.Election
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -88,6 +88,9 @@
 // messages come out. It does no I/O and is not safe for concurrent use. All
 // times are of a monotonic clock of the replica's own.
 type Core struct {
+	// Voters is how many replicas vote; 0 means all that have caught up.
+	Voters int
+
 	id     ID
 	timing Timing
 	rand   *rand.Rand
--- a/internal/quorum/found.go
+++ b/internal/quorum/found.go
@@ -42,14 +42,14 @@
 }
 
 // onJoin takes the place of the member at the address. An address that is new
-// is for the operator to add.
+// is for the operator to add, unless the group takes members in by itself.
 func (n *Node) onJoin(ctx context.Context, in any) (any, error) {
 	j := in.(*Join)
 	cfg := n.Status().Config
 	if _, ok := cfg.Find(j.ID); ok {
 		return &Done{}, nil
 	}
-	if _, ok := cfg.At(j.Addr); !ok {
+	if _, ok := cfg.At(j.Addr); !ok && n.Voters == 0 {
 		return nil, verd.New(verd.NotRun, verd.Denied, "%s is no replica's address", j.Addr)
 	}
 	return &Done{}, n.changeHere(ctx, AddReplica{Replica{ID: j.ID, Addr: j.Addr}})
@@ -58,12 +58,12 @@
 // found starts a new group, or waits until there is one. It returns what the
 // replica starts from.
 func (n *Node) found(ctx context.Context) (Durable, error) {
-	if len(n.Founders) == 0 || len(n.Founders) == 1 && n.Founders[0] == n.Self {
+	if !n.Join && (len(n.Founders) == 0 || len(n.Founders) == 1 && n.Founders[0] == n.Self) {
 		return n.create([]Replica{{ID: n.disk.id, Addr: n.Self}})
 	}
 	tick := time.NewTicker(helloEvery)
 	defer tick.Stop()
-	for slices.Contains(n.Founders, n.Self) {
+	for !n.Join && slices.Contains(n.Founders, n.Self) {
 		replicas, exists := n.greet(ctx)
 		if exists {
 			break
@@ -135,3 +135,35 @@
 		}
 	}
 }
+
+// rejoin asks to be taken in again when no leader was heard for long: a replica
+// that was away may have been replaced.
+func (n *Node) rejoin(ctx context.Context) {
+	tick := time.NewTicker(2 * n.Timing.Election)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		st := n.status.Load()
+		if st.blank || st.Leader != 0 {
+			continue
+		}
+		addrs := slices.Clone(n.Founders)
+		for _, r := range st.Config.Replicas {
+			addrs = append(addrs, r.Addr)
+		}
+		slices.Sort(addrs)
+		for _, addr := range slices.Compact(addrs) {
+			if addr == n.Self {
+				continue
+			}
+			cctx, cancel := context.WithTimeout(ctx, n.Timing.Heartbeat)
+			// All but the leader refuse; the next round asks again.
+			_ = n.Calls.Call(cctx, addr, joinMethod, &Join{ID: st.ID, Addr: n.Self}, &Done{})
+			cancel()
+		}
+	}
+}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -39,7 +39,13 @@
 	// that Self founds it alone; without Self this replica waits to be added.
 	Founders []string
 	// Folder is where FS keeps the log.
-	Folder  string
+	Folder string
+	// Join says that the group exists: this replica never founds one.
+	Join bool
+	// Voters is how many replicas vote. With it, replicas at new addresses are
+	// taken in by themselves: they vote while there are fewer, and in the place
+	// of a voter that fell silent. 0 leaves the members to the operator.
+	Voters  int
 	FS      store.FS
 	Machine Machine
 	Calls   wire.Caller
@@ -134,6 +140,9 @@
 		return err
 	}
 	defer n.abandon()
+	if n.Voters > 0 {
+		n.links.wg.Go(func() { n.rejoin(lctx) })
+	}
 	return n.loop(ctx)
 }
 
@@ -148,6 +157,7 @@
 	if err != nil {
 		return errors.Wrap(err, "replica")
 	}
+	core.Voters = n.Voters
 	n.core = core
 	if err := n.restore(d.Snapshot); err != nil {
 		return err
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -27,6 +27,8 @@
 type Server struct {
 	// Methods are the calls to answer.
 	Methods []Method
+	// Streams are the calls that carry messages both ways.
+	Streams []StreamMethod
 }
 
 // request is what crosses the wire for a call.
@@ -70,6 +72,9 @@
 
 // HandleRPC answers one call; drpc calls it.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
+	if ok, err := s.serveStream(stream, rpc); ok {
+		return err
+	}
 	var req request
 	if err := stream.MsgRecv(&req, codec{}); err != nil {
 		return err
--- /dev/null
+++ b/internal/wire/stream.go
@@ -0,0 +1,62 @@
+package wire
+
+import (
+	"context"
+
+	"storj.io/drpc"
+	"storj.io/drpc/drpcconn"
+
+	"github.com/bambooproxy/bambooproxy/pkg/verd"
+)
+
+// StreamMethod is a call in which both sides send messages until one ends it.
+type StreamMethod struct {
+	Name string
+	// Run serves one stream; it ends when Run returns.
+	Run func(ctx context.Context, s *Stream) error
+}
+
+// Stream carries messages both ways over a connection of its own. One goroutine
+// may send while another receives.
+type Stream struct {
+	stream drpc.Stream
+	close  func()
+}
+
+// Send sends one message.
+func (s *Stream) Send(v any) error { return s.stream.MsgSend(v, codec{}) }
+
+// Receive waits for the next message and decodes it into v.
+func (s *Stream) Receive(v any) error { return s.stream.MsgRecv(v, codec{}) }
+
+// Close ends the stream and its connection without waiting for the other side.
+func (s *Stream) Close() { s.close() }
+
+// Open starts a stream to the method at addr. It lives until it is closed or
+// ctx ends.
+func (p *Pool) Open(ctx context.Context, addr, method string) (*Stream, error) {
+	dctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.Dial(dctx, addr)
+	if err != nil {
+		return nil, verd.Wrap(err, verd.NotRun, verd.Unreached, "dial %s", addr)
+	}
+	c := drpcconn.New(conn)
+	st, err := c.NewStream(ctx, method, codec{})
+	if err != nil {
+		conn.Close()
+		return nil, verd.Wrap(err, verd.NotRun, verd.Unreached, "stream %s at %s", method, addr)
+	}
+	return &Stream{stream: st, close: func() { conn.Close() }}, nil
+}
+
+// serveStream runs the stream method with the name; ok is false if there is
+// none.
+func (s *Server) serveStream(stream drpc.Stream, name string) (ok bool, err error) {
+	for _, m := range s.Streams {
+		if m.Name == name {
+			return true, m.Run(stream.Context(), &Stream{stream: stream, close: func() { stream.Close() }})
+		}
+	}
+	return false, nil
+}
