Pack short answers, and let long prompts wait longer before they harm others

Cause: short answers lay on all engines, so that any long prompt stretched the passes of some, past pauses of 1.6 s; long prompts accepted such harm after 0.2 s. Late requests also held places that others could use in time.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -21,10 +21,9 @@
 	callerGap = 2 * time.Second
 	aimGaps   = 4
 	pauseGaps = 8
-	// movePauses is how many wanted pauses an engine may be silent in the middle
-	// of an answer before the answer goes on at another one; at least moveAfter.
-	movePauses = 4
-	moveAfter  = 1200 * time.Millisecond
+	// moveShare is the part of the caller's patience for which an engine may be
+	// silent in the middle of an answer before the answer goes on at another one.
+	moveShare = 0.8
 	// maxRefusals bounds the engines that refuse one request.
 	maxRefusals = 4
 )
@@ -106,7 +105,7 @@
 		s.refused++
 		return false, "the engine has left"
 	}
-	s.target, s.parts = lead.ID, len(helpers)+1
+	s.target, s.parts, s.expect = lead.ID, len(helpers)+1, g.Expect
 	send := Send{Urgency: g.Urgency, Helpers: helpers, Last: s.last, Resumes: s.has}
 	s.server.health.begin(lead.ID)
 	defer s.server.health.end(lead.ID)
@@ -230,7 +229,7 @@
 			return "", true
 		}
 		if err != nil {
-			return "the events of an engine broke off", false
+			return "the events of an engine broke off: " + err.Error(), false
 		}
 		if first {
 			first = false
@@ -268,7 +267,7 @@
 		return time.Now().Add(s.gap())
 	}
 	if s.route.MayRepeat() {
-		return time.Now().Add(max(moveAfter, movePauses*s.route.Pause))
+		return time.Now().Add(time.Duration(moveShare * float64(s.gap())))
 	}
 	return time.Now().Add(s.gap())
 }
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -158,6 +158,7 @@
 	first  time.Duration
 	events int
 	waited time.Duration
+	expect time.Duration
 	parts  int
 }
 
@@ -307,7 +308,7 @@
 		e.Str("route", x.route.Name).Str("organisation", x.org)
 	}
 	e.Int("status", x.status).Str("reason", x.reason).Str("target", x.target).Int("sends", x.sends).
-		Int("parts", x.parts).Dur("waited", x.waited).Dur("first", x.first).Int("events", x.events).Dur("took", took).
+		Int("parts", x.parts).Dur("waited", x.waited).Dur("expect", x.expect).Dur("first", x.first).Int("events", x.events).Dur("took", took).
 		Msg("request ended")
 	s.measure(x, took)
 }
--- a/internal/hub/sched.go
+++ b/internal/hub/sched.go
@@ -163,10 +163,15 @@
 	for _, x := range c.Step(time.Now(), e) {
 		switch x := x.(type) {
 		case place.Grant:
+			d.server.Log.Info().Str("ask", x.ID).Str("lead", x.Lead).Strs("helpers", x.Helpers).Dur("expect", x.Expect).
+				Dur("waited", x.Waited).Float64("own", x.Loss.Own).Float64("others", x.Loss.Others).
+				Int("waiting", c.Waiting()).Int("granted", c.Granted()).Uint64("revision", d.revision).Msg("granted")
 			if o := d.owner[x.ID]; o != nil {
 				o.Add(func(m *link.Down) { m.Grants = append(m.Grants, x) })
 			}
 		case place.Refuse:
+			d.server.Log.Info().Str("ask", x.ID).Str("reason", x.Reason).Dur("retry", x.Retry).Int("waiting", c.Waiting()).
+				Int("granted", c.Granted()).Uint64("revision", d.revision).Msg("refused")
 			if o := d.owner[x.ID]; o != nil {
 				o.Add(func(m *link.Down) { m.Refusals = append(m.Refusals, x) })
 			}
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -20,6 +20,8 @@
 	jobs    map[string]*job
 	queue   []*job
 	demand  demand
+	// refused counts refusals, to spread those who come back.
+	refused int
 }
 
 // job is a request from its ask to its end.
@@ -37,6 +39,10 @@
 	// first is when the first event is predicted, due when it is wanted.
 	first, due time.Time
 	begun      bool
+	// load is the count of the lead's prompts when it was granted, if the lead had
+	// none to read before: what is seen then tells how fast the lead is.
+	load  int
+	clean bool
 	// spoilt says that the answer is late already, so that nothing is lost by a
 	// further delay.
 	spoilt bool
@@ -58,7 +64,7 @@
 	case Arrive:
 		return c.arrive(now, e.Ask)
 	case Withdraw:
-		c.withdraw(e.ID)
+		c.withdraw(now, e.ID)
 	case Begin:
 		c.begin(now, e)
 	case End:
@@ -131,13 +137,13 @@
 	return out
 }
 
-func (c *Core) withdraw(id string) {
+func (c *Core) withdraw(now time.Time, id string) {
 	j := c.jobs[id]
 	if j == nil {
 		return
 	}
 	if j.lead != nil {
-		c.release(j)
+		c.release(now, j)
 		return
 	}
 	delete(c.jobs, id)
@@ -153,9 +159,10 @@
 	j.begun = true
 	j.spoilt = j.spoilt || now.After(j.due)
 	j.lead.failures = 0
-	if len(j.helpers) == 0 {
-		j.lead.observe(j.first.Sub(j.granted), b.After)
+	if j.clean && j.lead.prompts == j.load {
+		j.lead.observe(now, j.first.Sub(j.granted), b.After)
 	}
+	c.wasRead(now, j)
 	j.ends = now.Add(c.model.write(j.ask.Output, j.lead.writers, j.lead.context))
 }
 
@@ -167,7 +174,15 @@
 	if t := c.byID[e.Fault]; t != nil {
 		t.failed(now, e.Hard)
 	}
-	c.withdraw(e.ID)
+	c.withdraw(now, e.ID)
+}
+
+// wasRead corrects what the engines of a request are taken to have to read.
+func (c *Core) wasRead(now time.Time, j *job) {
+	j.lead.wasRead(now)
+	for _, h := range j.helpers {
+		h.wasRead(now)
+	}
 }
 
 // reserve takes what a grant needs of its engines.
@@ -175,11 +190,13 @@
 	j.lead, j.helpers, j.part = p.lead, p.helpers, p.part
 	j.granted, j.first = now, now.Add(p.first)
 	j.ends = j.first.Add(c.model.write(j.ask.Output, p.lead.writers+1, p.lead.context+j.ask.Prompt))
+	j.clean = len(p.helpers) == 0 && p.lead.unread == 0
 	p.lead.held += j.size()
 	p.lead.writers++
 	p.lead.context += j.share()
 	p.lead.jobs[j.ask.ID] = j
 	p.lead.read(now, p.part)
+	j.load = p.lead.prompts
 	for _, h := range p.helpers {
 		h.helping++
 		h.jobs[j.ask.ID] = j
@@ -192,12 +209,25 @@
 	if e.until.Before(now) {
 		e.until = now
 	}
-	e.until = e.until.Add(scale(part, e.pace))
+	e.until = e.until.Add(scale(part, e.speed(now)))
+	e.unread++
+	e.prompts++
+}
+
+// wasRead notes that a part has been read.
+func (e *engine) wasRead(now time.Time) {
+	e.unread--
+	if e.unread <= 0 && e.until.After(now) {
+		e.until = now
+	}
 }
 
 // release frees what a grant took.
-func (c *Core) release(j *job) {
+func (c *Core) release(now time.Time, j *job) {
 	delete(c.jobs, j.ask.ID)
+	if !j.begun {
+		c.wasRead(now, j)
+	}
 	j.lead.held -= j.size()
 	j.lead.writers--
 	j.lead.context -= j.share()
@@ -237,7 +267,9 @@
 	}
 	c.jobs[h.Ask.ID] = j
 	c.reserve(now, j, p)
-	j.begun = h.Begun
+	if j.begun = h.Begun; j.begun {
+		c.wasRead(now, j)
+	}
 }
 
 // fleet takes in which engines there are.
@@ -256,7 +288,7 @@
 			c.byID[t.ID] = e
 		case e.Born != t.Born:
 			// A new process under the same ID has none of the old one's work.
-			e.pace, e.failures, e.until, e.heard = 1, 0, now, now
+			e.pace, e.failures, e.until, e.unread, e.heard = 1, 0, now, 0, now
 		}
 		e.Target = t
 	}
@@ -277,12 +309,16 @@
 	}
 }
 
-// tick marks what is late, as its delay costs no more.
+// tick marks what is late, as its delay costs no more, and what can't come in
+// time any more, which then waits behind what can.
 func (c *Core) tick(now time.Time) {
 	for _, j := range c.jobs {
 		if !j.begun && now.After(j.due) {
 			j.spoilt = true
 		}
 	}
+	for _, j := range c.queue {
+		j.spoilt = j.spoilt || j.due.Sub(now) < c.least(j)
+	}
 	slices.SortStableFunc(c.queue, before)
 }
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"math"
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -15,7 +16,9 @@
 	// more work: three and a half of the usual intervals of 1.2 s.
 	maxSilence = 4200 * time.Millisecond
 	// paceShare is the weight of a new observation in a target's pace.
-	paceShare = 0.2
+	paceShare = 0.4
+	// paceFade is how fast a learnt pace is forgotten.
+	paceFade = 5 * time.Second
 	// maxPace bounds what a target's pace is learnt to be.
 	maxPace = 12
 )
@@ -24,8 +27,11 @@
 type engine struct {
 	site.Target
 	jobs map[string]*job
-	// until is when the prompts that it was given are predicted to be read.
-	until time.Time
+	// until is when the prompts that it was given are predicted to be read, unread
+	// how many there are, and prompts how many it was ever given.
+	until   time.Time
+	unread  int
+	prompts int
 	// held is the memory that its answers take, in tokens.
 	held int
 	// writers is how many answers it writes, or will write.
@@ -34,8 +40,9 @@
 	context int
 	// helping is how many prompts of other engines it reads parts of.
 	helping int
-	// pace is how much slower than declared it is, as learnt.
+	// pace is how much slower than declared it was when that was last seen.
 	pace float64
+	seen time.Time
 
 	// out is when it may get work again after failures.
 	out      time.Time
@@ -61,12 +68,24 @@
 }
 
 // observe learns the pace from a predicted and an observed time.
-func (e *engine) observe(expect, took time.Duration) {
+func (e *engine) observe(now time.Time, expect, took time.Duration) {
 	if expect <= 0 || took <= 0 {
 		return
 	}
-	ratio := min(maxPace, e.pace*float64(took)/float64(expect))
-	e.pace = max(1, e.pace*(1-paceShare)+ratio*paceShare)
+	was := e.speed(now)
+	ratio := was * float64(took) / float64(expect)
+	e.pace = min(maxPace, max(1, was*(1-paceShare)+ratio*paceShare))
+	e.seen = now
+}
+
+// speed is the pace that is reckoned with: what was learnt fades, so that an
+// engine that was slow gets work again.
+func (e *engine) speed(now time.Time) float64 {
+	if e.pace <= 1 {
+		return 1
+	}
+	age := now.Sub(e.seen)
+	return 1 + (e.pace-1)*math.Exp(-float64(age)/float64(paceFade))
 }
 
 // model is what the operator declared of the engines, in use.
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -108,8 +108,14 @@
 	Expect time.Duration `cbor:"5,keyasint"`
 	// Waited is the time between the ask and the grant.
 	Waited time.Duration `cbor:"6,keyasint"`
+	// Loss is what is predicted to be lost by it, in parts of the request's value:
+	// by the request itself and by others.
+	Loss Loss `cbor:"-"`
 }
 
+// Loss is the cost of a placement.
+type Loss struct{ Own, Others float64 }
+
 // Refuse turns a request away; it did not run.
 type Refuse struct {
 	ID     string `cbor:"1,keyasint"`
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -33,8 +33,27 @@
 	besideCost = 0.5
 	// partCost is the cost of each further engine, in parts of the value.
 	partCost = 0.002
+	// delayCost is the cost of a second until the first event, in parts of the
+	// value: between equals the sooner engine is better.
+	delayCost = 0.01
 	// patience is the part of the value that may be lost at once, before waiting.
 	patience = 0.03
+	// crowdedShare is the part of all slots in use from which late answers are
+	// refused.
+	crowdedShare = 0.85
+	// comeBackLeast is the shortest time until a refused caller may come back;
+	// comeBackSteps steps of comeBackStep spread them.
+	comeBackLeast = 400 * time.Millisecond
+	comeBackStep  = 100 * time.Millisecond
+	comeBackSteps = 10
+	// leastMargin is kept over the shortest time to the first event.
+	leastMargin = 1.3
+	// packCost is what a short answer costs on an engine without answers, in parts
+	// of its value; a full engine costs nothing. Packed answers leave engines for
+	// long prompts.
+	packCost = 0.04
+	// usualParts is the number of engines that a long prompt can count on.
+	usualParts = 6
 	// hopeless is what is left of a caller's time when its request is refused.
 	hopeless = 50 * time.Millisecond
 )
@@ -67,21 +86,52 @@
 	if left < hopeless {
 		return c.refuse(j, "its time is nearly over", time.Second)
 	}
-	p, ok := c.best(now, j)
-	if !ok {
-		return nil
+	if j.spoilt && !c.Alone && c.crowded(now) {
+		return c.refuse(j, "no engine can answer in time", c.comeBack(left))
 	}
-	if !c.Alone && p.harm+p.own > c.limit(now, j) {
+	p, ok := c.best(now, j)
+	if !ok || !c.Alone && p.harm+p.own > c.limit(now, j) {
 		return nil
 	}
 	c.reserve(now, j, p)
 	g := Grant{ID: j.ask.ID, Lead: p.lead.ID, Urgency: j.urgency(), Expect: p.first, Waited: now.Sub(j.arrived)}
+	g.Loss = Loss{Own: p.own / j.value, Others: p.harm / j.value}
 	for _, h := range p.helpers {
 		g.Helpers = append(g.Helpers, h.ID)
 	}
 	return g
 }
 
+// crowded says whether so much of the fleet is in use that an answer that comes
+// late would make others late.
+func (c *Core) crowded(now time.Time) bool {
+	slots, used := 0, 0
+	for _, e := range c.engines {
+		if e.free(now) {
+			slots += e.Slots
+			used += min(e.writers, e.Slots)
+		}
+	}
+	return float64(used) >= crowdedShare*float64(slots)
+}
+
+// comeBack is when a refused caller may find room: it spreads the callers over
+// the time in which the answers that are written now end.
+func (c *Core) comeBack(left time.Duration) time.Duration {
+	c.refused++
+	step := time.Duration(c.refused%comeBackSteps) * comeBackStep
+	return min(comeBackLeast+step, left/3)
+}
+
+// least is the shortest time in which a request can get its first event.
+func (c *Core) least(j *job) time.Duration {
+	parts := time.Duration(1)
+	if j.isLong() {
+		parts = usualParts
+	}
+	return network + c.model.pass(1, 0) + c.model.read(j.ask.Prompt)/parts
+}
+
 func (c *Core) refuse(j *job, reason string, retry time.Duration) Decision {
 	delete(c.jobs, j.ask.ID)
 	return Refuse{ID: j.ask.ID, Reason: reason, Retry: retry}
@@ -95,12 +145,12 @@
 		rest := 1 - lateShare
 		return j.value * rest * (0.2 + waited.Seconds())
 	}
-	slack := j.ask.Aim/2 - c.model.read(j.ask.Prompt)/4
+	slack := j.due.Sub(j.arrived) - scale(c.least(j), leastMargin)
 	if slack <= 0 {
-		return j.value
+		return lateShare * j.value
 	}
-	u := float64(waited) / float64(slack)
-	return j.value * (patience + u*u)
+	u := math.Min(1, float64(waited)/float64(slack))
+	return j.value * (patience + (lateShare-patience)*u*u*u)
 }
 
 func (j *job) urgency() int {
@@ -134,6 +184,7 @@
 	harm  float64
 	first time.Duration
 	lead  bool
+	score float64
 }
 
 // spread returns the best plan with a number of parts.
@@ -147,13 +198,19 @@
 		if !canLead && (parts == 1 || e.helping >= e.Slots) {
 			continue
 		}
-		opts = append(opts, option{e: e, harm: c.harm(now, j, e, scale(part, e.pace)), first: c.first(now, e, part), lead: canLead})
+		o := option{e: e, harm: c.harm(now, j, e, scale(part, e.speed(now))), first: c.first(now, e, part), lead: canLead}
+		// The harm done there and the request's own delay.
+		o.score = o.harm + c.late(now, j, o.first) + delayCost*o.first.Seconds()*j.value
+		if parts == 1 {
+			o.score += c.writing(now, j, e)
+		}
+		opts = append(opts, o)
 	}
 	if len(opts) < parts {
 		return plan{}, false
 	}
 	slices.SortFunc(opts, func(a, b option) int {
-		return cmp.Or(cmp.Compare(a.score(j), b.score(j)), cmp.Compare(a.e.ID, b.e.ID))
+		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.e.ID, b.e.ID))
 	})
 	lead := slices.IndexFunc(opts, func(o option) bool { return o.lead })
 	if lead < 0 {
@@ -175,20 +232,18 @@
 		return plan{}, false
 	}
 	p.own = partCost * float64(parts-1) * j.value
-	if !j.spoilt {
-		p.own += lateShare * j.value * risk(p.first, j.due.Sub(now))
-	}
+	p.own += c.late(now, j, p.first)
 	return p, true
 }
 
-// score orders engines for a part: by the harm done there and by the request's
-// own delay.
-func (o *option) score(j *job) float64 {
-	own := 0.0
+// late is what a request loses by a first event after some time: by being late,
+// and by its caller giving up.
+func (c *Core) late(now time.Time, j *job, first time.Duration) float64 {
+	sum := (1 - lateShare) * j.value * risk(first, j.arrived.Add(j.ask.Left).Sub(now))
 	if !j.spoilt {
-		own = lateShare * j.value * risk(o.first, j.ask.Aim)
+		sum += lateShare * j.value * risk(first, j.due.Sub(now))
 	}
-	return o.harm + own + 1e-3*o.first.Seconds()*j.value
+	return sum
 }
 
 // first predicts when an engine has read a part and written the first event.
@@ -198,12 +253,12 @@
 	if e.writers > 0 {
 		wait += scale(pass, passWait)
 	}
-	return network + wait + scale(part+pass, e.pace)
+	return network + wait + scale(part+pass, e.speed(now))
 }
 
 // harm is what the work of an engine loses by a further part of a prompt.
 func (c *Core) harm(now time.Time, j *job, e *engine, part time.Duration) float64 {
-	pass := scale(c.model.pass(e.writers, e.context), e.pace)
+	pass := scale(c.model.pass(e.writers, e.context), e.speed(now))
 	old := pass + e.backlog(now)
 	next := old + part
 	sum := 0.0
@@ -233,17 +288,23 @@
 
 // writing is what it costs to write an answer on an engine.
 func (c *Core) writing(now time.Time, j *job, e *engine) float64 {
-	if j.isLong() || e.writers > 0 {
+	if j.isLong() {
 		return 0
 	}
-	free := 0
+	cost := packCost * float64(e.Slots-e.writers) / float64(e.Slots)
+	if e.writers == 0 && c.idle(now) <= c.demand.engines(now)+1 {
+		cost += openCost
+	}
+	return cost * j.value
+}
+
+// idle is how many engines write nothing.
+func (c *Core) idle(now time.Time) float64 {
+	n := 0.0
 	for _, o := range c.engines {
 		if o.writers == 0 && o.free(now) {
-			free++
+			n++
 		}
 	}
-	if float64(free) > c.demand.engines(now)+1 {
-		return openCost / 10 * j.value
-	}
-	return openCost * j.value
+	return n
 }
