Serve prompts larger than an engine's memory

Cause: prompts of over 405,000 tokens never fitted an engine and were held to the end; they are the dearest.

--- a/internal/gate/broker.go
+++ b/internal/gate/broker.go
@@ -137,7 +137,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	delete(b.pending, a.ID)
-	h := &hold{Holding: place.Holding{Ask: a, Lead: g.Lead, Helpers: g.Helpers}, at: time.Now()}
+	h := &hold{Holding: place.Holding{Ask: a, Lead: g.Lead, Helpers: g.Helpers, Memory: g.Memory}, at: time.Now()}
 	b.held[a.ID] = h
 	if c := b.core(a.Pool); c != nil && adopt {
 		c.Step(h.at, place.Adopt{Holding: h.Holding})
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -5,6 +5,9 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/hop"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // Call is what a request says of itself.
@@ -36,13 +39,22 @@
 	// Urgency orders requests in an engine, from 0, the first, to 9; below 0 none
 	// is sent.
 	Urgency int
-	// Helpers are the addresses of engines that read parts of the prompt.
-	Helpers []string
+	// Helpers are the engines that read parts of the prompt.
+	Helpers []Helper
 	// Last is the number of the last event that the caller has, if Resumes.
 	Last    int64
 	Resumes bool
 }
 
+// Helper is an engine that reads a part of a prompt.
+type Helper struct {
+	Target site.Target
+	// Ticket names the memory that it has set aside; "" if none.
+	Ticket string
+	// Tokens is that memory.
+	Tokens int
+}
+
 // Reply is what the head of a target's answer says.
 type Reply struct {
 	// Call is the ID of the request that it answers; "" if it does not say.
@@ -65,4 +77,8 @@
 	Reply(status int, h http.Header) Reply
 	// Answer returns the headers of an answer that the caller gets.
 	Answer(h http.Header) http.Header
+	// Reserve makes the call that sets memory aside on an engine for a while, or
+	// keeps it longer, and Release the one that ends this.
+	Reserve(h Helper, hold time.Duration) *hop.Request
+	Release(h Helper) *hop.Request
 }
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,6 +108,12 @@
 		return false, "the engine has left"
 	}
 	s.target, s.parts, s.expect = lead.ID, len(helpers)+1, g.Expect
+	held, err := s.server.reserve(ctx, s.call.ID, helpers)
+	if err != nil {
+		s.refused++
+		return false, "engines have no memory for the prompt"
+	}
+	defer held.release()
 	send := Send{Urgency: g.Urgency, Helpers: helpers, Last: s.last, Resumes: s.has}
 	s.server.health.begin(lead.ID)
 	defer s.server.health.end(lead.ID)
@@ -154,20 +162,24 @@
 
 // resolve finds the engines of a grant in the newest view: one that leaves gets
 // nothing, whoever granted it.
-func (s *stream) resolve(g place.Grant) (lead site.Target, helpers []string, ok bool) {
+func (s *stream) resolve(g place.Grant) (lead site.Target, helpers []Helper, ok bool) {
 	v := s.server.world.view()
 	lead, ok = v.takes(g.Lead, s.pool.Name)
 	if !ok {
 		s.avoid = append(s.avoid, g.Lead)
 		return lead, nil, false
 	}
-	for _, id := range g.Helpers {
-		h, ok := v.takes(id, s.pool.Name)
+	for i, id := range g.Helpers {
+		t, ok := v.takes(id, s.pool.Name)
 		if !ok {
 			s.avoid = append(s.avoid, id)
 			return lead, nil, false
 		}
-		helpers = append(helpers, h.Address)
+		h := Helper{Target: t}
+		if i < len(g.Memory) && g.Memory[i] > 0 {
+			h.Tokens, h.Ticket = g.Memory[i], fmt.Sprintf("%s-%d", strings.ReplaceAll(g.ID, "/", "-"), i)
+		}
+		helpers = append(helpers, h)
 	}
 	return lead, helpers, true
 }
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -34,6 +34,9 @@
 	granted time.Time
 	lead    *engine
 	helpers []*engine
+	// memory is what each helper keeps of the prompt, in tokens; nil if the lead
+	// keeps all.
+	memory []int
 	// part is the time that each engine reads.
 	part time.Duration
 	// first is when the first event is predicted, due when it is wanted.
@@ -187,18 +190,19 @@
 
 // reserve takes what a grant needs of its engines.
 func (c *Core) reserve(now time.Time, j *job, p plan) {
-	j.lead, j.helpers, j.part = p.lead, p.helpers, p.part
+	j.lead, j.helpers, j.memory, j.part = p.lead, p.helpers, p.memory, p.part
 	j.granted, j.first = now, now.Add(p.first)
 	j.ends = j.first.Add(c.model.write(j.ask.Output, p.lead.writers+1, p.lead.context+j.ask.Prompt))
 	j.clean = len(p.helpers) == 0 && p.lead.unread == 0
-	p.lead.held += j.size()
+	p.lead.held += j.kept()
 	p.lead.writers++
 	p.lead.context += j.share()
 	p.lead.jobs[j.ask.ID] = j
 	p.lead.read(now, p.part)
 	j.load = p.lead.prompts
-	for _, h := range p.helpers {
+	for i, h := range p.helpers {
 		h.helping++
+		h.held += j.heldBy(i)
 		h.jobs[j.ask.ID] = j
 		h.read(now, p.part)
 	}
@@ -228,12 +232,13 @@
 	if !j.begun {
 		c.wasRead(now, j)
 	}
-	j.lead.held -= j.size()
+	j.lead.held -= j.kept()
 	j.lead.writers--
 	j.lead.context -= j.share()
 	delete(j.lead.jobs, j.ask.ID)
-	for _, h := range j.helpers {
+	for i, h := range j.helpers {
 		h.helping--
+		h.held -= j.heldBy(i)
 		delete(h.jobs, j.ask.ID)
 	}
 }
@@ -241,6 +246,23 @@
 // size is the memory of a request in tokens.
 func (j *job) size() int { return j.ask.Prompt + j.ask.Output }
 
+// heldBy is what helper i keeps in tokens.
+func (j *job) heldBy(i int) int {
+	if i >= len(j.memory) {
+		return 0
+	}
+	return j.memory[i]
+}
+
+// kept is what the lead keeps in tokens.
+func (j *job) kept() int {
+	n := j.size()
+	for _, m := range j.memory {
+		n -= m
+	}
+	return n
+}
+
 // share is the context that a step at the lead reads.
 func (j *job) share() int { return j.ask.Prompt / (len(j.helpers) + 1) }
 
@@ -256,9 +278,12 @@
 	}
 	j.spoilt = !h.Begun && j.due.Before(now)
 	p := plan{lead: lead}
-	for _, id := range h.Helpers {
+	for i, id := range h.Helpers {
 		if e := c.byID[id]; e != nil {
 			p.helpers = append(p.helpers, e)
+			if i < len(h.Memory) {
+				p.memory = append(p.memory, h.Memory[i])
+			}
 		}
 	}
 	if !h.Begun {
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -87,6 +87,7 @@
 	Ask     Ask      `cbor:"1,keyasint"`
 	Lead    string   `cbor:"2,keyasint"`
 	Helpers []string `cbor:"3,keyasint,omitempty"`
+	Memory  []int    `cbor:"6,keyasint,omitempty"`
 	// Begun says that the first event has come.
 	Begun bool `cbor:"4,keyasint,omitempty"`
 	// Age is the time since the grant.
@@ -102,6 +103,9 @@
 	ID      string   `cbor:"1,keyasint"`
 	Lead    string   `cbor:"2,keyasint"`
 	Helpers []string `cbor:"3,keyasint,omitempty"`
+	// Memory is what is set aside on each helper, in tokens, where the prompt is
+	// larger than what the lead has free.
+	Memory []int `cbor:"7,keyasint,omitempty"`
 	// Urgency orders requests in the engine, from 0, the first, to 9.
 	Urgency int `cbor:"4,keyasint"`
 	// Expect is the predicted time to the first event.
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -23,6 +23,9 @@
 	longAim = time.Second
 	// maxParts is the number of engines that read one prompt at most.
 	maxParts = 16
+	// memoryMargin is the room in tokens that is left for rounding to blocks, and
+	// the least that is worth setting aside.
+	memoryMargin = 2000
 	// minPart is the shortest part of a prompt worth a further engine.
 	minPart = 25 * time.Millisecond
 	// openCost is what it costs to write a short answer on an engine that is kept
@@ -62,7 +65,9 @@
 type plan struct {
 	lead    *engine
 	helpers []*engine
-	part    time.Duration
+	// memory is what the helpers keep of the prompt; nil if the lead keeps all.
+	memory []int
+	part   time.Duration
 	// first is the predicted time to the first event.
 	first time.Duration
 	// own is what the request itself loses, harm what others lose, in tokens.
@@ -99,6 +104,7 @@
 	for _, h := range p.helpers {
 		g.Helpers = append(g.Helpers, h.ID)
 	}
+	g.Memory = p.memory
 	return g
 }
 
@@ -189,12 +195,38 @@
 
 // spread returns the best plan with a number of parts.
 func (c *Core) spread(now time.Time, j *job, parts int, part time.Duration) (plan, bool) {
+	opts := c.options(now, j, parts, part)
+	lead := c.lead(j, opts)
+	if lead < 0 || len(opts) < parts {
+		return plan{}, false
+	}
+	p := plan{lead: opts[lead].e, part: part, first: opts[lead].first, harm: opts[lead].harm + c.writing(now, j, opts[lead].e)}
+	for i, o := range opts {
+		if len(p.helpers) == parts-1 {
+			break
+		}
+		if i == lead || o.e.helping >= o.e.Slots {
+			continue
+		}
+		p.helpers = append(p.helpers, o.e)
+		p.harm += o.harm
+		p.first = max(p.first, o.first)
+	}
+	if len(p.helpers) < parts-1 || !c.setAside(j, &p) {
+		return plan{}, false
+	}
+	p.own = partCost*float64(parts-1)*j.value + c.late(now, j, p.first)
+	return p, true
+}
+
+// options lists the engines that could read a part, the best first.
+func (c *Core) options(now time.Time, j *job, parts int, part time.Duration) []option {
 	var opts []option
 	for _, e := range c.engines {
 		if !e.free(now) || slices.Contains(j.ask.Avoid, e.ID) {
 			continue
 		}
-		canLead := e.writers < e.Slots && e.held+j.size() <= c.model.Memory
+		canLead := e.writers < e.Slots && (parts > 1 || e.held+j.size() <= c.model.Memory)
 		if !canLead && (parts == 1 || e.helping >= e.Slots) {
 			continue
 		}
@@ -206,34 +238,51 @@
 		}
 		opts = append(opts, o)
 	}
-	if len(opts) < parts {
-		return plan{}, false
-	}
 	slices.SortFunc(opts, func(a, b option) int {
 		return cmp.Or(cmp.Compare(a.score, b.score), cmp.Compare(a.e.ID, b.e.ID))
 	})
-	lead := slices.IndexFunc(opts, func(o option) bool { return o.lead })
-	if lead < 0 {
-		return plan{}, false
-	}
-	p := plan{lead: opts[lead].e, part: part, first: opts[lead].first, harm: opts[lead].harm + c.writing(now, j, opts[lead].e)}
+	return opts
+}
+
+// lead returns the first option that has room for the whole request, or the one
+// with most room if none has; -1 if none can lead.
+func (c *Core) lead(j *job, opts []option) int {
+	best := -1
 	for i, o := range opts {
-		if len(p.helpers) == parts-1 {
-			break
-		}
-		if i == lead || o.e.helping >= o.e.Slots {
+		if !o.lead {
 			continue
 		}
-		p.helpers = append(p.helpers, o.e)
-		p.harm += o.harm
-		p.first = max(p.first, o.first)
+		if o.e.held+j.size() <= c.model.Memory {
+			return i
+		}
+		if best < 0 || o.e.held < opts[best].e.held {
+			best = i
+		}
 	}
-	if len(p.helpers) < parts-1 {
-		return plan{}, false
+	return best
+}
+
+// setAside plans which helpers keep what of a prompt that is larger than the
+// room at the lead. It returns false if they have no room either.
+func (c *Core) setAside(j *job, p *plan) bool {
+	need := j.size() - (c.model.Memory - p.lead.held)
+	if need <= 0 {
+		return true
 	}
-	p.own = partCost * float64(parts-1) * j.value
-	p.own += c.late(now, j, p.first)
-	return p, true
+	need += memoryMargin
+	slices.SortFunc(p.helpers, func(a, b *engine) int {
+		return cmp.Or(cmp.Compare(a.held, b.held), cmp.Compare(a.ID, b.ID))
+	})
+	p.memory = make([]int, 0, len(p.helpers))
+	for _, h := range p.helpers {
+		n := min(need, c.model.Memory-h.held-memoryMargin)
+		if need <= 0 || n < memoryMargin {
+			break
+		}
+		p.memory = append(p.memory, n)
+		need -= n
+	}
+	return need <= 0
 }
 
 // late is what a request loses by a first event after some time: by being late,
