--- a/internal/hub/sched.go
+++ b/internal/hub/sched.go
@@ -241,6 +241,21 @@
 	return out
 }
 
+// report logs the state of the pools that have work.
+func (d *scheduler) report() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name, c := range d.pools {
+		p := c.Picture(time.Now())
+		if p.Writers+p.Waiting == 0 {
+			continue
+		}
+		d.server.Log.Info().Str("pool", name).Int("engines", p.Engines).Int("free", p.Free).Int("idle", p.Idle).
+			Int("slots", p.Slots).Int("writers", p.Writers).Int("reads", p.Reads).Int("waiting", p.Waiting).
+			Int("slow", p.Slow).Float64("demand", p.Demand).Msg("pool")
+	}
+}
+
 // sweep takes targets that fell silent out of the registry, until ctx ends.
 func (s *Server) sweep(ctx context.Context) error {
 	tick := time.NewTicker(sweepEvery)
@@ -251,6 +266,7 @@
 			return nil
 		case <-tick.C:
 		}
+		s.sched.report()
 		for _, t := range s.sched.silent() {
 			_, err := s.propose(ctx, reg.Command{Depart: &reg.Depart{ID: t.ID, Born: t.Born, Silent: true}})
 			s.Log.Warn().Str("target", t.ID).Str("pool", t.Pool).Err(err).Msg("target silent; taken out")
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -64,7 +64,7 @@
 	s.sched.server = s
 	s.client = &link.Client{
 		Self:  link.Hello{Name: s.Name, Peers: s.Peers, Control: true},
-		Calls: s.Pool, Follower: &follower{s}, Log: s.Log,
+		Calls: s.Pool, Follower: &follower{s}, Idle: s.isLeader, Log: s.Log,
 	}
 	s.client.SetSeeds(s.Seeds)
 	s.node = s.newNode()
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -56,7 +56,10 @@
 	Calls *wire.Pool
 	// Follower gets what comes down.
 	Follower Follower
-	Log      *log.Logger
+	// Idle says that no link is wanted, as this instance leads itself; nil means
+	// that one always is.
+	Idle func() bool
+	Log  *log.Logger
 
 	mu      sync.Mutex
 	seeds   []string
@@ -92,7 +95,7 @@
 func (c *Client) Run(ctx context.Context) error {
 	for i := 0; ctx.Err() == nil; i++ {
 		addrs := c.candidates(i)
-		if len(addrs) == 0 {
+		if len(addrs) == 0 || c.Idle != nil && c.Idle() {
 			pause(ctx, retryEvery)
 			continue
 		}
