Give an engine's time a price when much is wanted, and bound what a prompt blocks

Cause: prompts of 500,000 tokens and more took seven engines for seven seconds to come late, while short answers found no place; all engines read parts at once and blocked the short prompts to come.

--- a/internal/gate/ticket.go
+++ b/internal/gate/ticket.go
@@ -10,12 +10,13 @@
 )
 
 const (
-	// reserveHold is how long memory is set aside without being renewed. It is
-	// below the longest that engines allow unused memory, so that an order that
+	// reserveHold is how long memory is set aside without being renewed: it ends by
+	// itself when this process dies, within the 4 s that engines allow. It is also
+	// below the 9 s that they allow unused memory, so that an order that
 	// is carried out late does no harm.
-	reserveHold = 8 * time.Second
+	reserveHold = 3500 * time.Millisecond
 	// renewAfter is when memory in use is set aside for longer.
-	renewAfter = 5 * time.Second
+	renewAfter = 1200 * time.Millisecond
 	// orderTimeout bounds the wait for the answer to an order.
 	orderTimeout = 400 * time.Millisecond
 	// releaseTries is how often a release is sent until it is answered, each after
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -20,6 +20,7 @@
 	jobs    map[string]*job
 	queue   []*job
 	demand  demand
+	worth   worth
 	// refused counts refusals, to spread those who come back.
 	refused int
 }
@@ -49,14 +50,12 @@
 	// spoilt says that the answer is late already, so that nothing is lost by a
 	// further delay.
 	spoilt bool
+	// gone is when it was found to come late, while it waited.
+	gone time.Time
 	// ends is when the answer is predicted to be written.
 	ends time.Time
 }
 
-// outputWeight is what a token of an answer is worth beside one of a prompt: it
-// costs about ten times as much of an engine's time.
-const outputWeight = 10
-
 // Step takes in one event and returns what follows from it.
 func (c *Core) Step(now time.Time, e Event) []Decision {
 	if c.byID == nil {
@@ -94,11 +93,9 @@
 	if c.jobs[a.ID] != nil {
 		return nil
 	}
-	j := &job{
-		ask: a, arrived: now, due: now.Add(a.Aim), spoilt: a.Aim <= 0,
-		value: float64(a.Prompt + outputWeight*a.Output),
-	}
-	c.demand.arrive(now, c.model.read(a.Prompt), j.isLong())
+	j := &job{ask: a, arrived: now, due: now.Add(a.Aim), value: c.worth.of(a)}
+	j.spoilt = a.Aim <= c.least(j)
+	c.demand.arrive(now, j, c.model.read(a.Prompt), c.work(j))
 	c.jobs[a.ID] = j
 	if d := c.try(now, j); d != nil {
 		return append([]Decision{d}, c.schedule(now)...)
@@ -273,8 +270,7 @@
 		return
 	}
 	j := &job{
-		ask: h.Ask, arrived: now.Add(-h.Age), due: now.Add(h.Ask.Aim - h.Age),
-		value: float64(h.Ask.Prompt + outputWeight*h.Ask.Output),
+		ask: h.Ask, arrived: now.Add(-h.Age), due: now.Add(h.Ask.Aim - h.Age), value: c.worth.of(h.Ask),
 	}
 	j.spoilt = !h.Begun && j.due.Before(now)
 	p := plan{lead: lead}
@@ -344,6 +340,9 @@
 	}
 	for _, j := range c.queue {
 		j.spoilt = j.spoilt || j.due.Sub(now) < c.least(j)
+		if j.spoilt && j.gone.IsZero() {
+			j.gone = now
+		}
 	}
 	slices.SortStableFunc(c.queue, before)
 }
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -31,9 +31,17 @@
 	// openCost is what it costs to write a short answer on an engine that is kept
 	// free for long prompts, in parts of the answer's value.
 	openCost = 0.3
-	// besideCost is what it costs to read beside short answers, which delays the
-	// next short prompt there, in parts of a short prompt's value.
-	besideCost = 0.5
+	// blockFree is how long an engine may be busy reading without making the next
+	// short prompt late.
+	blockFree = 100 * time.Millisecond
+	// bindFree is how long engines may be bound by a part without a cost; bindCost
+	// is that of more, in parts of the mean worth of an engine's time.
+	bindFree = 2 * time.Second
+	bindCost = 0.4
+	// lateWait is how long a request that comes late in any case waits for room.
+	lateWait = 200 * time.Millisecond
+	// fill is the part of an engine's slots that short answers fill well.
+	fill = 0.75
 	// partCost is the cost of each further engine, in parts of the value.
 	partCost = 0.002
 	// delayCost is the cost of a second until the first event, in parts of the
@@ -72,8 +80,12 @@
 	first time.Duration
 	// own is what the request itself loses, harm what others lose, in tokens.
 	own, harm float64
+	// wish is a cost that decides between plans, but is no loss.
+	wish float64
 }
 
+func (p *plan) total() float64 { return p.own + p.harm + p.wish }
+
 func (j *job) isLong() bool { return j.ask.Whole >= longAim }
 
 // risk is how likely a time is to be over its limit.
@@ -95,7 +107,10 @@
 		return c.refuse(j, "no engine can answer in time", c.comeBack(left))
 	}
 	p, ok := c.best(now, j)
-	if !ok || !c.Alone && p.harm+p.own > c.limit(now, j) {
+	if !ok || !c.Alone && (p.harm+p.own > c.limit(now, j) || !c.pays(now, j, &p)) {
+		if !c.Alone && !j.gone.IsZero() && now.Sub(j.gone) > lateWait {
+			return c.refuse(j, "the engines have more urgent work", c.comeBack(left))
+		}
 		return nil
 	}
 	c.reserve(now, j, p)
@@ -121,6 +136,15 @@
 	return float64(used) >= crowdedShare*float64(slots)
 }
 
+// pays says whether a request earns what its engines could earn otherwise.
+func (c *Core) pays(now time.Time, j *job, p *plan) bool {
+	gain := j.value
+	if j.spoilt {
+		gain *= 1 - lateShare
+	}
+	return gain-p.own-p.harm >= c.demand.price(now, len(c.engines))*c.work(j).Seconds()
+}
+
 // comeBack is when a refused caller may find room: it spreads the callers over
 // the time in which the answers that are written now end.
 func (c *Core) comeBack(left time.Duration) time.Duration {
@@ -148,8 +172,7 @@
 func (c *Core) limit(now time.Time, j *job) float64 {
 	waited := now.Sub(j.arrived)
 	if j.spoilt {
-		rest := 1 - lateShare
-		return j.value * rest * (0.2 + waited.Seconds())
+		return j.value * (1 - lateShare)
 	}
 	slack := j.due.Sub(j.arrived) - scale(c.least(j), leastMargin)
 	if slack <= 0 {
@@ -177,7 +200,7 @@
 			break
 		}
 		p, ok := c.spread(now, j, parts, part)
-		if ok && (!found || p.own+p.harm < best.own+best.harm) {
+		if ok && (!found || p.total() < best.total()) {
 			best, found = p, true
 		}
 	}
@@ -200,7 +223,7 @@
 	if lead < 0 || len(opts) < parts {
 		return plan{}, false
 	}
-	p := plan{lead: opts[lead].e, part: part, first: opts[lead].first, harm: opts[lead].harm + c.writing(now, j, opts[lead].e)}
+	p := plan{lead: opts[lead].e, part: part, first: opts[lead].first, harm: opts[lead].harm, wish: c.writing(now, j, opts[lead].e)}
 	for i, o := range opts {
 		if len(p.helpers) == parts-1 {
 			break
@@ -215,7 +238,11 @@
 	if len(p.helpers) < parts-1 || !c.setAside(j, &p) {
 		return plan{}, false
 	}
-	p.own = partCost*float64(parts-1)*j.value + c.late(now, j, p.first)
+	p.wish += partCost * float64(parts-1) * j.value
+	p.own = c.late(now, j, p.first)
+	if j.isLong() {
+		p.harm += c.block(now, &p) + c.occupy(now, &p)
+	}
 	return p, true
 }
 
@@ -311,12 +338,8 @@
 	old := pass + e.backlog(now)
 	next := old + part
 	sum := 0.0
-	short := 0
 	for _, o := range e.jobs {
 		if o.begun && o.lead == e {
-			if !o.isLong() {
-				short++
-			}
 			if !o.spoilt && o.ends.After(now) {
 				sum += lateShare * o.value * (risk(next, o.ask.Pause) - risk(old, o.ask.Pause))
 			}
@@ -329,12 +352,49 @@
 		t := o.first.Sub(now)
 		sum += lateShare * o.value * (risk(t+part, limit) - risk(t, limit))
 	}
-	if j.isLong() && short > 0 {
-		sum += besideCost * j.value * part.Seconds() * float64(short) / float64(e.Slots)
-	}
 	return sum
 }
 
+// work is the time of engines that a request takes.
+func (c *Core) work(j *job) time.Duration {
+	slots := max(1, c.model.Slots)
+	share := float64(slots) * fill
+	return c.model.read(j.ask.Prompt) + scale(c.model.write(j.ask.Output, slots, 0), 1/share)
+}
+
+// occupy is what it costs to bind engines for long, while demand may flip.
+func (c *Core) occupy(now time.Time, p *plan) float64 {
+	over := p.part - bindFree
+	if over <= 0 {
+		return 0
+	}
+	return bindCost * c.demand.density(now) * over.Seconds() * float64(len(p.helpers)+1)
+}
+
+// block is what short prompts to come lose while engines read the parts of a long
+// one: those that find no engine free to read them come late.
+func (c *Core) block(now time.Time, p *plan) float64 {
+	busy := p.part - blockFree
+	if busy <= 0 {
+		return 0
+	}
+	used := 0
+	open := 0
+	for _, e := range c.engines {
+		for _, o := range e.jobs {
+			if o.lead == e && !o.isLong() {
+				used++
+			}
+		}
+		if e.free(now) && e.backlog(now) < blockFree && e != p.lead && !slices.Contains(p.helpers, e) {
+			open++
+		}
+	}
+	need := float64(used)/(fill*float64(c.model.Slots)) + 1
+	lack := math.Max(0, need-float64(open)) / need
+	return lateShare * lack * c.demand.shorts(now) * busy.Seconds()
+}
+
 // writing is what it costs to write an answer on an engine.
 func (c *Core) writing(now time.Time, j *job, e *engine) float64 {
 	if j.isLong() {
