Look at waiting requests on ticks only; place by the own view without heartbeats

Cause 1: each event looked at the whole queue, so that a full queue took all of the leader's processor for two seconds and entries placed by their own views.

--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -79,8 +79,9 @@
 		c.heard(now, e.Target)
 	case Tick:
 		c.tick(now)
+		return c.schedule(now)
 	}
-	return c.schedule(now)
+	return nil
 }
 
 // Waiting returns the number of requests without a grant.
@@ -98,12 +99,15 @@
 	c.demand.arrive(now, j, c.model.read(a.Prompt), c.work(j))
 	c.jobs[a.ID] = j
 	if d := c.try(now, j); d != nil {
-		return append([]Decision{d}, c.schedule(now)...)
+		return []Decision{d}
 	}
 	c.enqueue(j)
 	return nil
 }
 
+// maxLooks bounds the waiting requests that one tick looks at.
+const maxLooks = 64
+
 // enqueue keeps the queue in the order of what is left until the due time.
 func (c *Core) enqueue(j *job) {
 	i, _ := slices.BinarySearchFunc(c.queue, j, before)
@@ -120,12 +124,17 @@
 	return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.ask.Rank, b.ask.Rank), cmp.Compare(a.ask.ID, b.ask.ID))
 }
 
-// schedule grants what can be granted now. Each look is over the whole queue,
-// as a request that waits for one kind of engine doesn't block another kind.
+// schedule grants what can be granted now. A request that waits for one kind of
+// engine doesn't block another kind, so all are looked at, up to maxLooks; what
+// stands behind them has no prospect now.
 func (c *Core) schedule(now time.Time) []Decision {
 	var out []Decision
 	kept := c.queue[:0]
-	for _, j := range c.queue {
+	for i, j := range c.queue {
+		if i >= maxLooks {
+			kept = append(kept, c.queue[i:]...)
+			break
+		}
 		if d := c.try(now, j); d != nil {
 			out = append(out, d)
 			continue
@@ -195,12 +204,17 @@
 	p.lead.writers++
 	p.lead.context += j.share()
 	p.lead.jobs[j.ask.ID] = j
+	if !j.isLong() {
+		p.lead.shorts++
+	}
+	p.lead.changed()
 	p.lead.read(now, p.part)
 	j.load = p.lead.prompts
 	for i, h := range p.helpers {
 		h.helping++
 		h.held += j.heldBy(i)
 		h.jobs[j.ask.ID] = j
+		h.changed()
 		h.read(now, p.part)
 	}
 }
@@ -233,10 +247,15 @@
 	j.lead.writers--
 	j.lead.context -= j.share()
 	delete(j.lead.jobs, j.ask.ID)
+	if !j.isLong() {
+		j.lead.shorts--
+	}
+	j.lead.changed()
 	for i, h := range j.helpers {
 		h.helping--
 		h.held -= j.heldBy(i)
 		delete(h.jobs, j.ask.ID)
+		h.changed()
 	}
 }
 
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -36,6 +36,11 @@
 	held int
 	// writers is how many answers it writes, or will write.
 	writers int
+	// shorts is how many of them are short answers.
+	shorts int
+	// pause is the shortest pause that one of its answers may have, if known.
+	pause time.Duration
+	known bool
 	// context is the sum of their contexts in tokens.
 	context int
 	// helping is how many prompts of other engines it reads parts of.
@@ -50,8 +55,27 @@
 	heard    time.Time
 }
 
-func (e *engine) free(now time.Time) bool {
-	return e.State == site.Ready && !now.Before(e.out) && now.Sub(e.heard) < maxSilence
+// free says whether an engine takes work. A core that stands alone hears nothing
+// of targets, so their silence tells it nothing.
+func (c *Core) free(now time.Time, e *engine) bool {
+	return e.State == site.Ready && !now.Before(e.out) && (c.Alone || now.Sub(e.heard) < maxSilence)
+}
+
+// changed says that the work of the engine is not what it was.
+func (e *engine) changed() { e.known = false }
+
+// shortest returns the shortest pause that one of its answers may have.
+func (e *engine) shortest() time.Duration {
+	if e.known {
+		return e.pause
+	}
+	e.pause, e.known = math.MaxInt64, true
+	for _, j := range e.jobs {
+		if j.begun && j.lead == e {
+			e.pause = min(e.pause, j.ask.Pause)
+		}
+	}
+	return e.pause
 }
 
 // backlog is the time until the prompts at the engine are read.
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -128,7 +128,7 @@
 func (c *Core) crowded(now time.Time) bool {
 	slots, used := 0, 0
 	for _, e := range c.engines {
-		if e.free(now) {
+		if c.free(now, e) {
 			slots += e.Slots
 			used += min(e.writers, e.Slots)
 		}
@@ -194,7 +194,7 @@
 	read := c.model.read(j.ask.Prompt)
 	var best plan
 	found := false
-	for parts := 1; parts <= maxParts; parts++ {
+	for _, parts := range [...]int{1, 2, 3, 4, 6, 8, 11, maxParts} {
 		part := read / time.Duration(parts)
 		if parts > 1 && (part < minPart || parts > len(c.engines)) {
 			break
@@ -250,7 +250,7 @@
 func (c *Core) options(now time.Time, j *job, parts int, part time.Duration) []option {
 	var opts []option
 	for _, e := range c.engines {
-		if !e.free(now) || slices.Contains(j.ask.Avoid, e.ID) {
+		if !c.free(now, e) || slices.Contains(j.ask.Avoid, e.ID) {
 			continue
 		}
 		canLead := e.writers < e.Slots && (parts > 1 || e.held+j.size() <= c.model.Memory)
@@ -337,6 +337,9 @@
 	pass := scale(c.model.pass(e.writers, e.context), e.speed(now))
 	old := pass + e.backlog(now)
 	next := old + part
+	if e.unread <= 0 && next < scale(e.shortest(), onTime) {
+		return 0
+	}
 	sum := 0.0
 	for _, o := range e.jobs {
 		if o.begun && o.lead == e {
@@ -381,12 +384,8 @@
 	used := 0
 	open := 0
 	for _, e := range c.engines {
-		for _, o := range e.jobs {
-			if o.lead == e && !o.isLong() {
-				used++
-			}
-		}
-		if e.free(now) && e.backlog(now) < blockFree && e != p.lead && !slices.Contains(p.helpers, e) {
+		used += e.shorts
+		if c.free(now, e) && e.backlog(now) < blockFree && e != p.lead && !slices.Contains(p.helpers, e) {
 			open++
 		}
 	}
@@ -411,7 +410,7 @@
 func (c *Core) idle(now time.Time) float64 {
 	n := 0.0
 	for _, o := range c.engines {
-		if o.writers == 0 && o.free(now) {
+		if o.writers == 0 && c.free(now, o) {
 			n++
 		}
 	}
--- a/internal/place/picture.go
+++ b/internal/place/picture.go
@@ -25,7 +25,7 @@
 		if e.speed(now) > slowPace {
 			p.Slow++
 		}
-		if !e.free(now) {
+		if !c.free(now, e) {
 			continue
 		}
 		p.Free++
