--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -43,10 +43,14 @@
 	// first is when the first event is predicted, due when it is wanted.
 	first, due time.Time
 	begun      bool
-	// load is the count of the lead's prompts when it was granted, if the lead had
-	// none to read before: what is seen then tells how fast the lead is.
-	load  int
-	clean bool
+	// parts is how many parts are not yet read by the shadows of the engines; read
+	// says that all are, and ended that the request needs no engine any more.
+	parts       int
+	read, ended bool
+	// grants is the count of the lead's prompts when it was granted, if the lead
+	// had none to read: what is seen then tells how fast the lead is.
+	grants int
+	clean  bool
 	// spoilt says that the answer is late already, so that nothing is lost by a
 	// further delay.
 	spoilt bool
@@ -168,13 +172,31 @@
 	j.begun = true
 	j.spoilt = j.spoilt || now.After(j.due)
 	j.lead.failures = 0
-	if j.clean && j.lead.prompts == j.load {
+	if j.clean && j.lead.grants == j.grants {
 		j.lead.observe(now, j.first.Sub(j.granted), b.After)
 	}
 	c.wasRead(now, j)
+	c.sync(now, j.lead)
 	j.ends = now.Add(c.model.write(j.ask.Output, j.lead.writers, j.lead.context))
 }
 
+// wasRead takes in that a prompt has been read, whatever the shadows say.
+func (c *Core) wasRead(now time.Time, j *job) {
+	c.advance(now, j.lead)
+	if j.read {
+		return
+	}
+	j.read, j.parts = true, 0
+	for _, e := range j.engines() {
+		e.forget(j)
+	}
+	j.lead.live++
+	j.lead.changed()
+}
+
+// engines are all that read parts of the prompt, the lead first.
+func (j *job) engines() []*engine { return append([]*engine{j.lead}, j.helpers...) }
+
 func (c *Core) end(now time.Time, e End) {
 	j := c.jobs[e.ID]
 	if j == nil {
@@ -182,81 +204,73 @@
 	}
 	if t := c.byID[e.Fault]; t != nil {
 		t.failed(now, e.Hard)
+	} else if j.begun {
+		c.sync(now, j.lead)
 	}
 	c.withdraw(now, e.ID)
 }
 
-// wasRead corrects what the engines of a request are taken to have to read.
-func (c *Core) wasRead(now time.Time, j *job) {
-	j.lead.wasRead(now)
-	for _, h := range j.helpers {
-		h.wasRead(now)
-	}
-}
-
 // reserve takes what a grant needs of its engines.
 func (c *Core) reserve(now time.Time, j *job, p plan) {
 	j.lead, j.helpers, j.memory, j.part = p.lead, p.helpers, p.memory, p.part
 	j.granted, j.first = now, now.Add(p.first)
 	j.ends = j.first.Add(c.model.write(j.ask.Output, p.lead.writers+1, p.lead.context+j.ask.Prompt))
-	j.clean = len(p.helpers) == 0 && p.lead.unread == 0
+	j.clean = len(p.helpers) == 0 && len(p.lead.reads)+len(p.lead.reading) == 0
 	p.lead.held += j.kept()
 	p.lead.writers++
 	p.lead.context += j.share()
-	p.lead.jobs[j.ask.ID] = j
 	if !j.isLong() {
 		p.lead.shorts++
 	}
-	p.lead.changed()
-	p.lead.read(now, p.part)
-	j.load = p.lead.prompts
-	for i, h := range p.helpers {
-		h.helping++
-		h.held += j.heldBy(i)
-		h.jobs[j.ask.ID] = j
-		h.changed()
-		h.read(now, p.part)
+	list := j.engines()
+	j.parts = len(list)
+	tokens := float64(j.ask.Prompt) / float64(len(list))
+	for i, e := range list {
+		if i > 0 {
+			e.helping++
+			e.held += j.heldBy(i - 1)
+		}
+		c.delay(now, e, scale(p.part, e.speed(now)))
+		e.jobs[j.ask.ID] = j
+		e.changed()
+		c.give(now, e, &part{job: j, tokens: tokens, cost: float64(p.part) / max(1, tokens), helper: i > 0})
 	}
+	j.grants = p.lead.grants
 }
 
-// read adds a part of a prompt to what the engine reads.
-func (e *engine) read(now time.Time, part time.Duration) {
-	if e.until.Before(now) {
-		e.until = now
-	}
-	e.until = e.until.Add(scale(part, e.speed(now)))
-	e.unread++
-	e.prompts++
-}
-
-// wasRead notes that a part has been read.
-func (e *engine) wasRead(now time.Time) {
-	e.unread--
-	if e.unread <= 0 && e.until.After(now) {
-		e.until = now
+// delay puts the first events off that come after a further part on an engine.
+func (c *Core) delay(_ time.Time, e *engine, by time.Duration) {
+	for _, o := range e.jobs {
+		if !o.begun {
+			o.first = o.first.Add(by)
+		}
 	}
 }
 
 // release frees what a grant took.
 func (c *Core) release(now time.Time, j *job) {
 	delete(c.jobs, j.ask.ID)
-	if !j.begun {
-		c.wasRead(now, j)
+	j.ended = true
+	list := j.engines()
+	for i, e := range list {
+		c.advance(now, e)
+		e.forget(j)
+		if i > 0 {
+			e.helping--
+			e.held -= j.heldBy(i - 1)
+		}
+		delete(e.jobs, j.ask.ID)
+		e.changed()
+	}
+	if j.read {
+		j.lead.live--
 	}
 	j.lead.held -= j.kept()
 	j.lead.writers--
 	j.lead.context -= j.share()
-	delete(j.lead.jobs, j.ask.ID)
 	if !j.isLong() {
 		j.lead.shorts--
 	}
-	j.lead.changed()
-	for i, h := range j.helpers {
-		h.helping--
-		h.held -= j.heldBy(i)
-		delete(h.jobs, j.ask.ID)
-		h.changed()
-	}
 }
 
 // size is the memory of a request in tokens.
@@ -328,7 +342,7 @@
 			c.byID[t.ID] = e
 		case e.Born != t.Born:
 			// A new process under the same ID has none of the old one's work.
-			e.pace, e.failures, e.until, e.unread, e.heard = 1, 0, now, 0, now
+			e.pace, e.failures, e.heard, e.shadow = 1, 0, now, shadow{}
 		}
 		e.Target = t
 	}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -12,6 +12,8 @@
 	// with each further failure, up to maxOut.
 	firstOut = 500 * time.Millisecond
 	maxOut   = 8 * time.Second
+	// softPart is the part of that time for a target that only refused.
+	softPart = 4
 	// maxSilence is how long a target may say nothing of itself before it gets no
 	// more work: three and a half of the usual intervals of 1.2 s.
 	maxSilence = 4200 * time.Millisecond
@@ -23,31 +25,32 @@
 	maxPace = 12
 )
 
-// engine is one target of the pool and the work that it has.
+// engine is one target of the pool, the work that it has, and a shadow of what
+// it does with it by the declared model.
 type engine struct {
 	site.Target
 	jobs map[string]*job
-	// until is when the prompts that it was given are predicted to be read, unread
-	// how many there are, and prompts how many it was ever given.
-	until   time.Time
-	unread  int
-	prompts int
 	// held is the memory that its answers take, in tokens.
 	held int
-	// writers is how many answers it writes, or will write.
-	writers int
-	// shorts is how many of them are short answers.
-	shorts int
-	// pause is the shortest pause that one of its answers may have, if known.
-	pause time.Duration
-	known bool
+	// writers is how many answers it writes, or will write, and shorts how many of
+	// them are short.
+	writers, shorts int
 	// context is the sum of their contexts in tokens.
 	context int
 	// helping is how many prompts of other engines it reads parts of.
 	helping int
+
+	shadow
+
+	// pause is the shortest pause that one of its answers may have, if known.
+	pause time.Duration
+	known bool
+
 	// pace is how much slower than declared it was when that was last seen.
 	pace float64
 	seen time.Time
+	// grants counts the prompts that it was ever given.
+	grants int
 
 	// out is when it may get work again after failures.
 	out      time.Time
@@ -71,22 +74,19 @@
 	}
 	e.pause, e.known = math.MaxInt64, true
 	for _, j := range e.jobs {
-		if j.begun && j.lead == e {
+		if j.read && j.lead == e {
 			e.pause = min(e.pause, j.ask.Pause)
 		}
 	}
 	return e.pause
 }
 
-// backlog is the time until the prompts at the engine are read.
-func (e *engine) backlog(now time.Time) time.Duration { return max(0, e.until.Sub(now)) }
-
 // failed takes an engine out for a while.
 func (e *engine) failed(now time.Time, hard bool) {
 	e.failures++
 	wait := firstOut << min(e.failures-1, 8)
 	if !hard {
-		wait /= 4
+		wait /= softPart
 	}
 	e.out = now.Add(min(wait, maxOut))
 }
@@ -123,12 +123,19 @@
 	return time.Duration(plain + n*n/2/million*float64(m.Pairs))
 }
 
+// step is the time of one token step of so many answers.
+func (m model) step(writers, context int) time.Duration {
+	return m.Step + time.Duration(writers)*m.PerAnswer + time.Duration(context/1000)*m.PerContext
+}
+
 // pass is the time of a pass in which answers are written and nothing is read.
 func (m model) pass(writers, context int) time.Duration {
-	step := m.Step + time.Duration(writers)*m.PerAnswer + time.Duration(context/1000)*m.PerContext
-	return time.Duration(m.Stride) * step
+	return time.Duration(m.Stride) * m.step(writers, context)
 }
 
+// room is how many prompt tokens a pass with answers reads at most.
+func (m model) room() float64 { return float64(m.Stride * m.Chunk) }
+
 // write is the time to write an answer of some tokens.
 func (m model) write(output, writers, context int) time.Duration {
 	return m.pass(writers, context) * time.Duration(max(1, output/m.Stride))
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -249,6 +249,7 @@
 // options lists the engines that could read a part, the best first.
 func (c *Core) options(now time.Time, j *job, parts int, part time.Duration) []option {
 	var opts []option
+	tokens := float64(j.ask.Prompt) / float64(parts)
 	for _, e := range c.engines {
 		if !c.free(now, e) || slices.Contains(j.ask.Avoid, e.ID) {
 			continue
@@ -257,7 +258,7 @@
 		if !canLead && (parts == 1 || e.helping >= e.Slots) {
 			continue
 		}
-		o := option{e: e, harm: c.harm(now, j, e, scale(part, e.speed(now))), first: c.first(now, e, part), lead: canLead}
+		o := option{e: e, harm: c.harm(now, e, tokens, part), first: c.first(now, e, tokens, part), lead: canLead}
 		// The harm done there and the request's own delay.
 		o.score = o.harm + c.late(now, j, o.first) + delayCost*o.first.Seconds()*j.value
 		if parts == 1 {
@@ -322,38 +323,36 @@
 	return sum
 }
 
-// first predicts when an engine has read a part and written the first event.
-func (c *Core) first(now time.Time, e *engine, part time.Duration) time.Duration {
-	pass := c.model.pass(e.writers+1, e.context)
-	wait := e.backlog(now)
-	if e.writers > 0 {
-		wait += scale(pass, passWait)
-	}
-	return network + wait + scale(part+pass, e.speed(now))
+// first predicts when an engine has read a part and written the first event: the
+// pass in progress ends, and the event comes at the end of the pass that reads
+// the part.
+func (c *Core) first(now time.Time, e *engine, tokens float64, part time.Duration) time.Duration {
+	c.advance(now, e)
+	length, passes := c.next(e, tokens, part)
+	return network + e.rest(now) + scale(time.Duration(passes)*length, e.speed(now))
 }
 
 // harm is what the work of an engine loses by a further part of a prompt.
-func (c *Core) harm(now time.Time, j *job, e *engine, part time.Duration) float64 {
-	pass := scale(c.model.pass(e.writers, e.context), e.speed(now))
-	old := pass + e.backlog(now)
-	next := old + part
-	if e.unread <= 0 && next < scale(e.shortest(), onTime) {
+func (c *Core) harm(now time.Time, e *engine, tokens float64, part time.Duration) float64 {
+	c.advance(now, e)
+	old, _ := c.next(e, 0, 0)
+	next, _ := c.next(e, tokens, part)
+	old, next = scale(old, e.speed(now)), scale(next, e.speed(now))
+	if len(e.reads)+len(e.reading) == 0 && next < scale(e.shortest(), onTime) {
 		return 0
 	}
 	sum := 0.0
 	for _, o := range e.jobs {
-		if o.begun && o.lead == e {
-			if !o.spoilt && o.ends.After(now) {
+		switch {
+		case o.spoilt:
+		case o.begun && o.lead == e:
+			if o.ends.After(now) {
 				sum += lateShare * o.value * (risk(next, o.ask.Pause) - risk(old, o.ask.Pause))
 			}
-			continue
-		}
-		if o.begun || o.spoilt {
-			continue
+		case !o.begun:
+			limit, t := o.due.Sub(now), o.first.Sub(now)
+			sum += lateShare * o.value * (risk(t+next-old, limit) - risk(t, limit))
 		}
-		limit := o.due.Sub(now)
-		t := o.first.Sub(now)
-		sum += lateShare * o.value * (risk(t+part, limit) - risk(t, limit))
 	}
 	return sum
 }
--- a/internal/place/picture.go
+++ b/internal/place/picture.go
@@ -21,7 +21,7 @@
 func (c *Core) Picture(now time.Time) Picture {
 	p := Picture{Engines: len(c.engines), Waiting: len(c.queue), Demand: c.demand.engines(now)}
 	for _, e := range c.engines {
-		p.Reads += e.unread
+		p.Reads += len(e.reads) + len(e.reading)
 		if e.speed(now) > slowPace {
 			p.Slow++
 		}
