--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -79,6 +79,7 @@
 		Aim: s.route.Aim - age, Whole: s.route.Aim, Pause: s.route.Pause, Left: s.patience() - age, Rank: s.rank,
 		DataCentre: s.server.DataCentre, Avoid: s.avoid,
 	}
+	s.grant = a.ID
 	if s.call.Guess > 0 {
 		a.Output = min(a.Output, s.call.Guess)
 	}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -155,6 +155,8 @@
 	status int
 	reason string
 	target string
+	// grant is the ID of the last ask.
+	grant  string
 	first  time.Duration
 	events int
 	waited time.Duration
@@ -307,7 +309,7 @@
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("organisation", x.org)
 	}
-	e.Int("status", x.status).Str("reason", x.reason).Str("target", x.target).Int("sends", x.sends).
+	e.Int("prompt", x.call.Prompt).Int("status", x.status).Str("reason", x.reason).Str("ask", x.grant).Str("target", x.target).Int("sends", x.sends).
 		Int("parts", x.parts).Dur("waited", x.waited).Dur("expect", x.expect).Dur("first", x.first).Int("events", x.events).Dur("took", took).
 		Msg("request ended")
 	s.measure(x, took)
