--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -58,7 +58,7 @@
 	comeBackStep  = 100 * time.Millisecond
 	comeBackSteps = 10
 	// leastMargin is kept over the shortest time to the first event.
-	leastMargin = 1.3
+	leastMargin = 1.8
 	// packCost is what a short answer costs on an engine without answers, in parts
 	// of its value; a full engine costs nothing. Packed answers leave engines for
 	// long prompts.
