Reckon with engines that read parts of prompts newest first

The shadow now puts parts first, newest first, and each part has its own predicted end, so that what overtakes it is a cost.

--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -230,23 +230,13 @@
 			e.helping++
 			e.held += j.heldBy(i - 1)
 		}
-		c.delay(now, e, scale(p.part, e.speed(now)))
 		e.jobs[j.ask.ID] = j
 		e.changed()
-		c.give(now, e, &part{job: j, tokens: tokens, cost: float64(p.part) / max(1, tokens), helper: i > 0})
+		c.give(now, e, &part{job: j, tokens: tokens, cost: float64(p.part) / max(1, tokens), apart: len(list) > 1})
 	}
 	j.grants = p.lead.grants
 }
 
-// delay puts the first events off that come after a further part on an engine.
-func (c *Core) delay(_ time.Time, e *engine, by time.Duration) {
-	for _, o := range e.jobs {
-		if !o.begun {
-			o.first = o.first.Add(by)
-		}
-	}
-}
-
 // release frees what a grant took.
 func (c *Core) release(now time.Time, j *job) {
 	delete(c.jobs, j.ask.ID)
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -44,9 +44,9 @@
 	fill = 0.75
 	// partCost is the cost of each further engine, in parts of the value.
 	partCost = 0.002
-	// delayCost is the cost of a second until the first event, in parts of the
-	// value: between equals the sooner engine is better.
-	delayCost = 0.01
+	// tardyCost is the cost of a second until the first event, in parts of the
+	// value: what comes late must not come later and later.
+	tardyCost = 0.1
 	// patience is the part of the value that may be lost at once, before waiting.
 	patience = 0.03
 	// crowdedShare is the part of all slots in use from which late answers are
@@ -260,7 +260,7 @@
 		}
 		o := option{e: e, harm: c.harm(now, e, tokens, part), first: c.first(now, e, tokens, part), lead: canLead}
 		// The harm done there and the request's own delay.
-		o.score = o.harm + c.late(now, j, o.first) + delayCost*o.first.Seconds()*j.value
+		o.score = o.harm + c.late(now, j, o.first)
 		if parts == 1 {
 			o.score += c.writing(now, j, e)
 		}
@@ -317,6 +317,7 @@
 // and by its caller giving up.
 func (c *Core) late(now time.Time, j *job, first time.Duration) float64 {
 	sum := (1 - lateShare) * j.value * risk(first, j.arrived.Add(j.ask.Left).Sub(now))
+	sum += tardyCost * first.Seconds() * j.value
 	if !j.spoilt {
 		sum += lateShare * j.value * risk(first, j.due.Sub(now))
 	}
@@ -338,20 +339,19 @@
 	old, _ := c.next(e, 0, 0)
 	next, _ := c.next(e, tokens, part)
 	old, next = scale(old, e.speed(now)), scale(next, e.speed(now))
-	if len(e.reads)+len(e.reading) == 0 && next < scale(e.shortest(), onTime) {
-		return 0
-	}
 	sum := 0.0
-	for _, o := range e.jobs {
-		switch {
-		case o.spoilt:
-		case o.begun && o.lead == e:
-			if o.ends.After(now) {
+	if next >= scale(e.shortest(), onTime) {
+		for _, o := range e.jobs {
+			if o.begun && !o.spoilt && o.lead == e && o.ends.After(now) {
 				sum += lateShare * o.value * (risk(next, o.ask.Pause) - risk(old, o.ask.Pause))
 			}
-		case !o.begun:
-			limit, t := o.due.Sub(now), o.first.Sub(now)
-			sum += lateShare * o.value * (risk(t+next-old, limit) - risk(t, limit))
+		}
+	}
+	for _, p := range e.reads {
+		if o := p.job; !o.begun {
+			t := o.first.Sub(now)
+			then := max(t, p.finish.Sub(now)+next-old)
+			sum += c.late(now, o, then) - c.late(now, o, t)
 		}
 	}
 	return sum
--- a/internal/place/shadow.go
+++ b/internal/place/shadow.go
@@ -25,28 +25,43 @@
 	job    *job
 	tokens float64
 	// cost is the time of a token in nanoseconds.
-	cost   float64
-	helper bool
+	cost float64
+	// apart says that other engines read parts of the same prompt.
+	apart bool
+	// finish is when the pass that reads it is predicted to end.
+	finish time.Time
 }
 
 func (p *part) time() time.Duration { return time.Duration(p.tokens * p.cost) }
 
-// give adds a part to an engine's work. Parts of other engines' prompts go first.
+// give adds a part to an engine's work. Engines read parts of prompts that are
+// read apart ahead of all else, the newest first.
 func (c *Core) give(now time.Time, e *engine, p *part) {
 	c.advance(now, e)
-	at := len(e.reads)
-	if p.helper {
-		if i := slices.IndexFunc(e.reads, func(o *part) bool { return !o.helper }); i >= 0 {
-			at = i
-		}
+	p.put(now.Add(c.first(now, e, p.tokens, p.time())))
+	for _, o := range e.reads {
+		// The pass that reads it reads the new part too, or comes later.
+		o.put(o.finish.Add(scale(p.time(), e.speed(now))))
+	}
+	if p.apart {
+		e.reads = slices.Insert(e.reads, 0, p)
+	} else {
+		e.reads = append(e.reads, p)
 	}
-	e.reads = slices.Insert(e.reads, at, p)
 	e.pending += p.time()
 	e.tokens += p.tokens
 	e.grants++
 	c.begins(now, e)
 }
 
+// put sets when a part is read, and with the last one the first event comes.
+func (p *part) put(at time.Time) {
+	p.finish = at
+	if at.After(p.job.first) {
+		p.job.first = at
+	}
+}
+
 // advance lets the passes end that have ended by now.
 func (c *Core) advance(now time.Time, e *engine) {
 	for !e.ends.IsZero() && !e.ends.After(now) {
--- a/internal/place/sim_test.go
+++ b/internal/place/sim_test.go
@@ -34,8 +34,8 @@
 	job    *simJob
 	tokens float64
 	// cost is the time that a token takes to read.
-	cost   float64
-	helper bool
+	cost  float64
+	apart bool
 }
 
 // simJob is one request from its arrival to its end.
@@ -220,23 +220,20 @@
 	each := n / float64(len(list))
 	m := j.lead.model
 	cost := float64(m.read(j.prompt)) / n
-	for i, e := range list {
-		e.add(&simPart{job: j, tokens: each, cost: cost, helper: i > 0})
+	for _, e := range list {
+		e.add(&simPart{job: j, tokens: each, cost: cost, apart: len(list) > 1})
 		s.kick(e)
 	}
 }
 
-// add queues a part: those of other engines' prompts go first.
+// add queues a part: those of prompts that several engines read go ahead of all
+// other reads, the newest first.
 func (e *simEngine) add(p *simPart) {
-	if !p.helper {
-		e.reads = append(e.reads, p)
+	if p.apart {
+		e.reads = slices.Insert(e.reads, 0, p)
 		return
 	}
-	i := slices.IndexFunc(e.reads, func(o *simPart) bool { return !o.helper })
-	if i < 0 {
-		i = len(e.reads)
-	}
-	e.reads = slices.Insert(e.reads, i, p)
+	e.reads = append(e.reads, p)
 }
 
 func (s *sim) engine(id string) *simEngine {
