Count an answer until it ends, and the largest prompts on all engines

Cause: pauses of answers that took longer than predicted counted for nothing, so that long parts were read beside them; prompts of 400,000 tokens were refused as too late although sixteen engines read them in time.

--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -56,8 +56,6 @@
 	spoilt bool
 	// gone is when it was found to come late, while it waited.
 	gone time.Time
-	// ends is when the answer is predicted to be written.
-	ends time.Time
 }
 
 // Step takes in one event and returns what follows from it.
@@ -99,7 +97,7 @@
 		return nil
 	}
 	j := &job{ask: a, arrived: now, due: now.Add(a.Aim), value: c.worth.of(a)}
-	j.spoilt = a.Aim <= c.least(j)
+	j.spoilt = a.Aim <= c.least(j, maxParts)
 	c.demand.arrive(now, j, c.model.read(a.Prompt), c.work(j))
 	c.jobs[a.ID] = j
 	if d := c.try(now, j); d != nil {
@@ -177,7 +175,6 @@
 	}
 	c.wasRead(now, j)
 	c.sync(now, j.lead)
-	j.ends = now.Add(c.model.write(j.ask.Output, j.lead.writers, j.lead.context))
 }
 
 // wasRead takes in that a prompt has been read, whatever the shadows say.
@@ -214,7 +211,6 @@
 func (c *Core) reserve(now time.Time, j *job, p plan) {
 	j.lead, j.helpers, j.memory, j.part = p.lead, p.helpers, p.memory, p.part
 	j.granted, j.first = now, now.Add(p.first)
-	j.ends = j.first.Add(c.model.write(j.ask.Output, p.lead.writers+1, p.lead.context+j.ask.Prompt))
 	j.clean = len(p.helpers) == 0 && len(p.lead.reads)+len(p.lead.reading) == 0
 	p.lead.held += j.kept()
 	p.lead.writers++
@@ -362,7 +358,7 @@
 		}
 	}
 	for _, j := range c.queue {
-		j.spoilt = j.spoilt || j.due.Sub(now) < c.least(j)
+		j.spoilt = j.spoilt || j.due.Sub(now) < c.least(j, maxParts)
 		if j.spoilt && j.gone.IsZero() {
 			j.gone = now
 		}
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -153,13 +153,14 @@
 	return min(comeBackLeast+step, left/3)
 }
 
-// least is the shortest time in which a request can get its first event.
-func (c *Core) least(j *job) time.Duration {
-	parts := time.Duration(1)
-	if j.isLong() {
-		parts = usualParts
+// least is the shortest time in which a request can get its first event when so
+// many engines read it.
+func (c *Core) least(j *job, parts int) time.Duration {
+	if !j.isLong() {
+		parts = 1
 	}
-	return network + c.model.pass(1, 0) + c.model.read(j.ask.Prompt)/parts
+	parts = max(1, min(parts, len(c.engines)))
+	return network + c.model.pass(1, 0) + c.model.read(j.ask.Prompt)/time.Duration(parts)
 }
 
 func (c *Core) refuse(j *job, reason string, retry time.Duration) Decision {
@@ -174,7 +175,7 @@
 	if j.spoilt {
 		return j.value * (1 - lateShare)
 	}
-	slack := j.due.Sub(j.arrived) - scale(c.least(j), leastMargin)
+	slack := j.due.Sub(j.arrived) - scale(c.least(j, usualParts), leastMargin)
 	if slack <= 0 {
 		return lateShare * j.value
 	}
@@ -342,7 +343,7 @@
 	sum := 0.0
 	if next >= scale(e.shortest(), onTime) {
 		for _, o := range e.jobs {
-			if o.begun && !o.spoilt && o.lead == e && o.ends.After(now) {
+			if o.begun && !o.spoilt && o.lead == e {
 				sum += lateShare * o.value * (risk(next, o.ask.Pause) - risk(old, o.ask.Pause))
 			}
 		}
--- a/internal/place/sim_test.go
+++ b/internal/place/sim_test.go
@@ -44,6 +44,7 @@
 	class   *simClass
 	prompt  int
 	output  int
+	guess   int
 	arrived time.Duration
 	grant   Grant
 	granted bool
@@ -168,7 +169,9 @@
 		sigma := math.Sqrt(math.Log(1 + c.spread*c.spread))
 		prompt := min(c.maxPrompt, int(c.prompt*math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2)))
 		output := max(published().Stride, int(c.output*math.Exp(0.6*s.rng.NormFloat64()-0.18)))
-		j := &simJob{class: c, prompt: max(50, prompt), output: output, arrived: at}
+		// Callers' estimates are right at the median, and often far off.
+		guess := max(published().Stride, int(float64(output)*math.Exp(0.5*s.rng.NormFloat64())))
+		j := &simJob{class: c, prompt: max(50, prompt), output: output, guess: guess, arrived: at}
 		s.events.add(at, func() { s.arrive(j) })
 	}
 }
@@ -179,7 +182,7 @@
 	s.jobs[j.id] = j
 	c := j.class
 	s.decide(Arrive{Ask{
-		ID: j.id, Pool: "p", Prompt: j.prompt, Output: j.output, Aim: c.aim, Whole: c.aim, Pause: c.pause,
+		ID: j.id, Pool: "p", Prompt: j.prompt, Output: j.guess, Aim: c.aim, Whole: c.aim, Pause: c.pause,
 		Left: min(c.limit, c.patience()),
 	}})
 	s.events.add(s.now+c.patience(), func() {
