Learn the pace of an engine from every prompt that it reads alone

Cause: samples beside other prompts were passed over, so that slow engines were found late; delays of a pass or two are noise.

--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -47,10 +47,6 @@
 	// says that all are, and ended that the request needs no engine any more.
 	parts       int
 	read, ended bool
-	// grants is the count of the lead's prompts when it was granted, if the lead
-	// had none to read: what is seen then tells how fast the lead is.
-	grants int
-	clean  bool
 	// spoilt says that the answer is late already, so that nothing is lost by a
 	// further delay.
 	spoilt bool
@@ -170,7 +166,7 @@
 	j.begun = true
 	j.spoilt = j.spoilt || now.After(j.due)
 	j.lead.failures = 0
-	if j.clean && j.lead.grants == j.grants {
+	if len(j.helpers) == 0 {
 		j.lead.observe(now, j.first.Sub(j.granted), b.After)
 	}
 	c.wasRead(now, j)
@@ -211,7 +207,6 @@
 func (c *Core) reserve(now time.Time, j *job, p plan) {
 	j.lead, j.helpers, j.memory, j.part = p.lead, p.helpers, p.memory, p.part
 	j.granted, j.first = now, now.Add(p.first)
-	j.clean = len(p.helpers) == 0 && len(p.lead.reads)+len(p.lead.reading) == 0
 	p.lead.held += j.kept()
 	p.lead.writers++
 	p.lead.context += j.share()
@@ -230,7 +225,6 @@
 		e.changed()
 		c.give(now, e, &part{job: j, tokens: tokens, cost: float64(p.part) / max(1, tokens), apart: len(list) > 1})
 	}
-	j.grants = p.lead.grants
 }
 
 // release frees what a grant took.
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -18,9 +18,11 @@
 	// more work: three and a half of the usual intervals of 1.2 s.
 	maxSilence = 4200 * time.Millisecond
 	// paceShare is the weight of a new observation in a target's pace.
-	paceShare = 0.4
+	paceShare = 0.6
 	// paceFade is how fast a learnt pace is forgotten.
-	paceFade = 5 * time.Second
+	paceFade = 10 * time.Second
+	// paceNoise is the delay that says nothing of an engine's pace: a pass or two.
+	paceNoise = 100 * time.Millisecond
 	// maxPace bounds what a target's pace is learnt to be.
 	maxPace = 12
 )
@@ -49,8 +51,6 @@
 	// pace is how much slower than declared it was when that was last seen.
 	pace float64
 	seen time.Time
-	// grants counts the prompts that it was ever given.
-	grants int
 
 	// out is when it may get work again after failures.
 	out      time.Time
@@ -98,6 +98,9 @@
 	}
 	was := e.speed(now)
 	ratio := was * float64(took) / float64(expect)
+	if took-expect < paceNoise {
+		ratio = min(ratio, 1)
+	}
 	e.pace = min(maxPace, max(1, was*(1-paceShare)+ratio*paceShare))
 	e.seen = now
 }
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -46,7 +46,7 @@
 	partCost = 0.002
 	// tardyCost is the cost of a second until the first event, in parts of the
 	// value: what comes late must not come later and later.
-	tardyCost = 0.1
+	tardyCost = 0.05
 	// patience is the part of the value that may be lost at once, before waiting.
 	patience = 0.03
 	// crowdedShare is the part of all slots in use from which late answers are
--- a/internal/place/shadow.go
+++ b/internal/place/shadow.go
@@ -50,7 +50,6 @@
 	}
 	e.pending += p.time()
 	e.tokens += p.tokens
-	e.grants++
 	c.begins(now, e)
 }
 
