--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 test: fmt lint tidy unit
 
 fmt:
-	@out="$$($(TOOL) gofumpt -l cmd internal pkg)"; \
+	@out="$$($(TOOL) gofumpt -l cmd internal pkg platform)"; \
 	if [ -n "$$out" ]; then echo "not formatted (gofumpt):"; echo "$$out"; exit 1; fi
 
 lint:
@@ -35,7 +35,7 @@
 # make unit tries the fixed corpora of all fuzz targets; make fuzz searches on
 # from them, with a chance that CI must not have. Each target runs alone.
 fuzz:
-	@for f in $$(grep -rlE '^func Fuzz' --include='*_test.go' cmd internal pkg); do \
+	@for f in $$(grep -rlE '^func Fuzz' --include='*_test.go' cmd internal pkg platform); do \
 		for n in $$(sed -nE 's/^func (Fuzz[A-Za-z0-9_]+)\(.*/\1/p' $$f); do \
 			echo "fuzz $$n"; \
 			$(GO) test -run '^$$' -fuzz "^$$n\$$" -fuzztime $(FUZZTIME) -parallel 2 ./$$(dirname $$f) || exit 1; \
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -115,21 +115,12 @@
 		return false, "engines have no memory for the prompt"
 	}
 	defer held.release()
-	send := Send{Urgency: g.Urgency, Helpers: helpers, Last: s.last, Resumes: s.has}
-	s.server.health.begin(lead.ID)
-	defer s.server.health.end(lead.ID)
+	defer s.server.health.busy(lead.ID)()
 	sent := time.Now()
+	send := Send{Urgency: g.Urgency, Helpers: helpers, Last: s.last, Resumes: s.has}
 	resp, err := s.server.Targets.Do(ctx, lead.Address, s.request(lead, send))
 	if err != nil {
-		if ctx.Err() != nil {
-			s.sends++
-			s.ran = true
-			return false, "the time limit was reached"
-		}
-		o := s.failed(lead, err)
-		var unreached *engine.Unreachable
-		end.Fault, end.Hard = lead.ID, errors.As(err, &unreached)
-		return s.missed(lead, o)
+		return s.unanswered(ctx, lead, err, &end)
 	}
 	reuse := false
 	defer func() { resp.Close(reuse) }()
@@ -138,17 +129,13 @@
 		end.Fault = s.blame(lead, resp)
 		_, refused := o.(notRun)
 		reuse = refused && drained(resp)
-		if refused {
-			s.refused++
-			s.sends--
-		}
 		return s.missed(lead, o)
 	}
 	if resp.StatusCode != http.StatusOK {
 		return s.passFailure(lead, resp, &end)
 	}
-	reason, reuse = s.carry(ctx, resp, g.ID, sent)
-	if reason == "" {
+	if reason = s.carry(ctx, resp, g.ID, sent); reason == "" {
+		reuse = true
 		s.server.health.worked(lead.ID)
 		return true, ""
 	}
@@ -161,6 +148,18 @@
 	return false, reason
 }
 
+// unanswered notes a send without the head of an answer.
+func (s *stream) unanswered(ctx context.Context, lead site.Target, err error, end *place.End) (done bool, reason string) {
+	if ctx.Err() != nil {
+		s.sends++
+		s.ran = true
+		return false, "the time limit was reached"
+	}
+	var unreached *engine.Unreachable
+	end.Fault, end.Hard = lead.ID, errors.As(err, &unreached)
+	return s.missed(lead, s.failed(lead, err))
+}
+
 // resolve finds the engines of a grant in the newest view: one that leaves gets
 // nothing, whoever granted it.
 func (s *stream) resolve(g place.Grant) (lead site.Target, helpers []Helper, ok bool) {
@@ -190,6 +189,7 @@
 	switch o := o.(type) {
 	case notRun:
 		reason = o.reason
+		s.refused++
 	case unknown:
 		reason = o.reason
 		s.ran = true
@@ -229,49 +229,58 @@
 
 // carry passes the events of an answer on. It returns why the answer broke off,
 // or "" at its end.
-func (s *stream) carry(ctx context.Context, resp *hop.Response, id string, sent time.Time) (reason string, reuse bool) {
+func (s *stream) carry(ctx context.Context, resp *hop.Response, id string, sent time.Time) (reason string) {
 	events := hop.NewEvents(resp.Body)
-	first := true
-	for {
-		resp.SetReadDeadline(s.silence(first))
+	for count := 0; ; count++ {
+		resp.SetReadDeadline(s.silence(count == 0))
 		ev, err := events.Next()
-		if errors.Is(err, io.EOF) {
+		switch {
+		case errors.Is(err, io.EOF):
 			if !s.begun {
 				s.head(resp)
 			}
-			return "", true
-		}
-		if err != nil {
-			return "the events of an engine broke off: " + err.Error(), false
+			return ""
+		case err != nil:
+			return "the events of an engine broke off: " + err.Error()
 		}
-		if first {
-			first = false
+		if count == 0 {
 			s.server.broker.begun(id, time.Since(sent))
 		}
-		if ev.HasID && s.has && ev.ID <= s.last {
-			continue // The caller has it.
+		if reason := s.pass(resp, ev); reason != "" {
+			return reason
 		}
-		if ev.HasID && s.has && s.events > 0 && ev.ID != s.last+1 {
-			return "an event is missing", false
-		}
-		if !s.begun {
-			s.head(resp)
-			s.first = time.Since(s.start)
-		}
-		if ev.HasID {
-			s.last, s.has = ev.ID, true
+		if ctx.Err() != nil {
+			return "the time limit was reached"
 		}
-		s.events++
-		if _, err := s.w.Write(ev.Raw); err != nil {
-			return "the caller left", false
+	}
+}
+
+// pass passes one event on, unless the caller has it. It returns why that can't
+// be, or "".
+func (s *stream) pass(resp *hop.Response, ev hop.Event) (reason string) {
+	if ev.HasID && s.has {
+		if ev.ID <= s.last {
+			return ""
 		}
-		if err := http.NewResponseController(s.w).Flush(); err != nil {
-			return "the caller left", false
-		}
-		if ctx.Err() != nil {
-			return "the time limit was reached", false
+		if s.events > 0 && ev.ID != s.last+1 {
+			return "an event is missing"
 		}
 	}
+	if !s.begun {
+		s.head(resp)
+		s.first = time.Since(s.start)
+	}
+	if ev.HasID {
+		s.last, s.has = ev.ID, true
+	}
+	s.events++
+	if _, err := s.w.Write(ev.Raw); err != nil {
+		return "the caller left"
+	}
+	if err := http.NewResponseController(s.w).Flush(); err != nil {
+		return "the caller left"
+	}
+	return ""
 }
 
 // silence is until when an engine may say nothing.
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -15,9 +15,8 @@
 // health remembers which targets failed requests of this instance, and how much
 // each has in progress.
 type health struct {
-	mu     sync.Mutex
-	byID   map[string]*condition
-	pruned time.Time
+	mu   sync.Mutex
+	byID map[string]*condition
 }
 
 type condition struct {
@@ -39,17 +38,17 @@
 	return c
 }
 
-// begin and end count what is in progress.
-func (h *health) begin(id string) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.of(id).busy++
+// busy counts a request in progress at a target until the returned function is
+// called.
+func (h *health) busy(id string) (done func()) {
+	h.add(id, 1)
+	return func() { h.add(id, -1) }
 }
 
-func (h *health) end(id string) {
+func (h *health) add(id string, n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.of(id).busy--
+	h.of(id).busy += n
 }
 
 // failed leaves a target out for a while.
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -135,8 +135,7 @@
 // send sends the request to one target and reads the whole answer.
 func (x *exchange) send(ctx context.Context, t site.Target) (*answer, outcome) {
 	s := x.server
-	s.health.begin(t.ID)
-	defer s.health.end(t.ID)
+	defer s.health.busy(t.ID)()
 	x.target = t.ID
 	resp, err := s.Targets.Do(ctx, t.Address, x.request(t, Send{Urgency: -1}))
 	if err != nil {
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -59,8 +58,8 @@
 	left atomic.Int64
 	born time.Time
 
-	active sync.WaitGroup
-	count  atomic.Int64
+	// count is the number of requests in progress.
+	count atomic.Int64
 }
 
 // Setup prepares the server before Run.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -42,6 +42,8 @@
 	memoryShare = 0.6
 	// lastPart is the part of the grace that is left for the end of the process.
 	lastPart = 10
+	// closeTimeout bounds the wait for calls in progress when the process ends.
+	closeTimeout = 300 * time.Millisecond
 	// controlStay is how long a control instance that stops answers calls after it
 	// has handed over.
 	controlStay = 300 * time.Millisecond
@@ -209,6 +211,11 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
+		last, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
+		defer stop()
+		if srv.Shutdown(last) == nil {
+			return nil
+		}
 		return srv.Close()
 	})
 	return nil
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -16,8 +16,6 @@
 	tooLate = 1.05
 	// network is the time that a request and its first event are on their way.
 	network = 4 * time.Millisecond
-	// passWait is the part of a pass that a new prompt waits for on average.
-	passWait = 0.6
 	// longAim is the wanted time to the first event from which a prompt counts as
 	// long: it may wait for engines that write no short answers.
 	longAim = time.Second
--- a/internal/place/sim_test.go
+++ b/internal/place/sim_test.go
@@ -20,13 +20,10 @@
 	pace    float64
 	reads   []*simPart
 	writers []*simJob
-	// until is the end of the pass in progress.
-	until time.Duration
+	// busy says that a pass is in progress, which reads done and writes wrote.
 	busy  bool
 	done  []*simPart
 	wrote []*simJob
-	// queue holds requests beyond its slots.
-	queue []*simJob
 }
 
 // simPart is what one engine reads of a prompt.
@@ -63,7 +60,6 @@
 // simClass is a kind of request.
 type simClass struct {
 	name       string
-	rate       float64
 	prompt     float64
 	spread     float64
 	maxPrompt  int
--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -118,12 +118,7 @@
 		return
 	}
 	for _, r := range c.config.Replicas {
-		p := c.peers[r.ID]
-		ready := r.ID == c.id || p != nil && c.caughtUp(p)
-		if !ready || r.Voter && r.Replaces == 0 {
-			continue
-		}
-		if !r.Voter && r.Replaces == 0 && c.Voters > 0 && c.config.Voters() >= c.Voters {
+		if !c.isPromotable(r) {
 			continue
 		}
 		_, old := c.config.Find(r.Replaces)
@@ -146,6 +141,19 @@
 	}
 }
 
+// isPromotable says whether a member is at hand that is to vote, or that has
+// taken the place of another.
+func (c *Core) isPromotable(r Replica) bool {
+	p := c.peers[r.ID]
+	if r.ID != c.id && (p == nil || !c.caughtUp(p)) {
+		return false
+	}
+	if r.Replaces != 0 {
+		return true
+	}
+	return !r.Voter && (c.Voters == 0 || c.config.Voters() < c.Voters)
+}
+
 // tend keeps the number of voters where the group does so by itself: a learner
 // at hand takes the place of a silent voter, and a silent learner is let go. It
 // returns whether it changed anything.
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -26,8 +26,13 @@
 func layers() [][]string {
 	return [][]string{
 		{"pkg/verd", "pkg/table", "internal/lease", "internal/certs", "internal/memnet", "internal/meter", "internal/mutate", "internal/red", "internal/store", "internal/rules"},
+		{"internal/site"},
 		{"pkg/engine", "pkg/caller", "internal/member", "internal/auth", "internal/trace", "internal/wire", "internal/prompt"},
-		{"internal/conf", "internal/policy", "internal/ledger", "internal/quorum", "internal/quota", "internal/httpx", "internal/plan"},
+		{"internal/conf", "internal/policy", "internal/ledger", "internal/quorum", "internal/quota", "internal/httpx", "internal/plan", "internal/hop", "internal/place"},
+		{"internal/reg"},
+		{"internal/link"},
+		{"internal/hub", "internal/gate"},
+		{"platform", "internal/node"},
 		{"internal/ctrl", "internal/sched", "internal/fake", "internal/trial"},
 		{"internal/entry"},
 		{"internal/admin", "internal/load"},
