--- /dev/null
+++ b/internal/reg/machine_test.go
@@ -0,0 +1,87 @@
+package reg
+
+import (
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+func apply(t testing.TB, m *Machine, c Command) Result {
+	t.Helper()
+	b, err := Encode(c)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	r, err := Decode(m.Apply(0, b))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return r
+}
+
+// TestSinceIsEnough follows a registry by updates from any earlier revision and
+// wants the same picture as the whole.
+func TestSinceIsEnough(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		var m Machine
+		known := make(map[string]site.Target)
+		have := uint64(0)
+		for range rapid.IntRange(1, 25).Draw(r, "steps") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(r, "id")
+			if rapid.Bool().Draw(r, "announce") {
+				w := target(id, "", int64(rapid.IntRange(1, 5).Draw(r, "born")), uint64(rapid.IntRange(1, 5).Draw(r, "seq")), site.Ready)
+				w.Address = map[string]string{"a": "10.0.0.1:1", "b": "10.0.0.2:1", "c": "10.0.0.3:1"}[id]
+				apply(t, &m, Command{Announce: &w})
+			} else {
+				apply(t, &m, Command{Depart: &Depart{ID: id}})
+			}
+			if !rapid.Bool().Draw(r, "read") {
+				continue
+			}
+			u, err := m.Since(have)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			for _, x := range u.Targets {
+				known[x.ID] = x
+			}
+			have = u.Revision
+			whole, err := m.Since(0)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			for _, x := range whole.Targets {
+				if known[x.ID] != x {
+					r.Fatalf("follower knows %+v, registry %+v", known[x.ID], x)
+				}
+			}
+		}
+	})
+}
+
+func TestSnapshotRestores(t *testing.T) {
+	var m, n Machine
+	tables := site.Tables{Version: 3, Routes: []site.Route{{Name: "r", Host: "h", Prefix: "/"}}}
+	apply(t, &m, Command{Publish: &Publish{Tables: tables, Source: []byte("source")}})
+	w := target("i", "10.0.0.1:1", 1, 1, site.Ready)
+	apply(t, &m, Command{Announce: &w})
+	b, err := m.Snapshot()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	_, changed := n.Revision()
+	quicktest.Assert(t, n.Restore(b), quicktest.IsNil)
+	<-changed
+	got, source := n.Tables()
+	quicktest.Assert(t, got.Version, quicktest.Equals, int64(3))
+	quicktest.Assert(t, string(source), quicktest.Equals, "source")
+	u, err := n.Since(0)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	unpacked, err := Unpack(u.Packed)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, *unpacked, quicktest.DeepEquals, *got)
+	quicktest.Assert(t, u.Targets, quicktest.DeepEquals, []site.Target{w})
+}
+
+// TestBadCommandChangesNothing feeds bytes that are no command.
+func TestBadCommandChangesNothing(t *testing.T) {
+	var m Machine
+	r, err := Decode(m.Apply(1, []byte("no command")))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, r.Fault != "", quicktest.IsTrue)
+	revision, _ := m.Revision()
+	quicktest.Assert(t, revision, quicktest.Equals, uint64(0))
+}
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -129,6 +129,9 @@
 	if t.Born != old.Born {
 		return t.Born > old.Born
 	}
+	if old.State == site.Draining && t.State == site.Ready {
+		return false // Whoever said that it leaves gets no work until it restarts.
+	}
 	return (old.State != site.Gone || r.Silent) && t.Seq > old.Seq
 }
 
--- /dev/null
+++ b/internal/site/tables_test.go
@@ -0,0 +1,128 @@
+package site_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/pkg/table"
+)
+
+func good() site.Tables {
+	return site.Tables{
+		Version: 7,
+		Pools:   []site.Pool{{Name: "engines"}, {Name: "orders"}},
+		Routes: []site.Route{
+			{Name: "a", Host: "h", Prefix: "/a/", Kind: site.Stream, Limit: time.Second, Split: []site.Share{{Pool: "engines", Weight: 9}, {Pool: "orders", Weight: 1}}},
+			{Name: "b", Host: "h", Prefix: "/a/b/", Kind: site.Once, Limit: time.Second, Split: []site.Share{{Pool: "orders", Weight: 1}}},
+		},
+		Organisations: []site.Organisation{{Name: "o", Keys: []string{"k1", "k2"}}, {Name: "p", Keys: []string{"k3"}}},
+	}
+}
+
+func TestCheck(t *testing.T) {
+	ok := good()
+	quicktest.Assert(t, ok.Check(), quicktest.IsNil)
+	for name, spoil := range map[string]func(*site.Tables){
+		"unknown pool":    func(t *site.Tables) { t.Routes[0].Split[0].Pool = "x" },
+		"same place":      func(t *site.Tables) { t.Routes[1].Prefix = "/a/" },
+		"no weight":       func(t *site.Tables) { t.Routes[1].Split[0].Weight = 0 },
+		"negative weight": func(t *site.Tables) { t.Routes[0].Split[1].Weight = -1 },
+		"no time limit":   func(t *site.Tables) { t.Routes[0].Limit = 0 },
+		"no kind":         func(t *site.Tables) { t.Routes[0].Kind = 0 },
+		"no host":         func(t *site.Tables) { t.Routes[0].Host = "" },
+		"open prefix":     func(t *site.Tables) { t.Routes[0].Prefix = "/a" },
+		"shared key":      func(t *site.Tables) { t.Organisations[1].Keys = []string{"k1"} },
+		"pool twice":      func(t *site.Tables) { t.Pools[1].Name = "engines" },
+		"empty engine":    func(t *site.Tables) { t.Pools[0].Engine = &site.Engine{} },
+	} {
+		t.Run(name, func(t *testing.T) {
+			bad := good()
+			spoil(&bad)
+			var field *table.FieldError
+			quicktest.Assert(t, errors.As(bad.Check(), &field), quicktest.IsTrue)
+		})
+	}
+}
+
+func TestLongestPrefix(t *testing.T) {
+	tables := good()
+	x := site.NewIndex(&tables)
+	for path, want := range map[string]string{"/a/x": "a", "/a/b/x": "b", "/a/b": "a", "/a/b/": "b", "/c/": "", "/a": ""} {
+		r, ok := x.Route("h", path)
+		name := ""
+		if ok {
+			name = r.Name
+		}
+		quicktest.Assert(t, name, quicktest.Equals, want, quicktest.Commentf("%s", path))
+	}
+	_, ok := x.Route("other", "/a/x")
+	quicktest.Assert(t, ok, quicktest.IsFalse)
+	o, ok := x.Organisation("k2")
+	quicktest.Assert(t, ok && o.Name == "o", quicktest.IsTrue)
+}
+
+// TestPickFollowsWeights draws evenly: each pool gets its part, and one without
+// weight nothing.
+func TestPickFollowsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.IntRange(0, 9), 1, 5).Draw(t, "weights")
+		var r site.Route
+		sum := 0
+		for i, w := range weights {
+			r.Split = append(r.Split, site.Share{Pool: fmt.Sprint(i), Weight: w})
+			sum += w
+		}
+		if sum == 0 {
+			t.Skip("no weight")
+		}
+		got := make(map[string]int)
+		for i := range sum {
+			got[r.Pick((float64(i)+0.5)/float64(sum))]++
+		}
+		for i, w := range weights {
+			if got[fmt.Sprint(i)] != w {
+				t.Fatalf("pool %d got %d of %d, weight %d", i, got[fmt.Sprint(i)], sum, w)
+			}
+		}
+	})
+}
+
+func TestMayRepeat(t *testing.T) {
+	for _, c := range []struct {
+		kind      site.Kind
+		resumable bool
+		want      bool
+	}{
+		{site.Repeatable, false, true},
+		{site.Once, false, false},
+		{site.Once, true, false},
+		{site.Stream, false, false},
+		{site.Stream, true, true},
+	} {
+		r := site.Route{Kind: c.kind, Resumable: c.resumable}
+		quicktest.Assert(t, r.MayRepeat(), quicktest.Equals, c.want)
+	}
+}
+
+func TestTargetCheck(t *testing.T) {
+	ok := site.Target{ID: "i", Pool: "p", Address: "10.0.0.1:80", Slots: 1, State: site.Ready}
+	quicktest.Assert(t, ok.Check(), quicktest.IsNil)
+	for name, spoil := range map[string]func(*site.Target){
+		"no id":      func(t *site.Target) { t.ID = "" },
+		"no pool":    func(t *site.Target) { t.Pool = "" },
+		"host name":  func(t *site.Target) { t.Address = "host:80" },
+		"no port":    func(t *site.Target) { t.Address = "10.0.0.1" },
+		"no slots":   func(t *site.Target) { t.Slots = 0 },
+		"state gone": func(t *site.Target) { t.State = site.Gone },
+	} {
+		bad := ok
+		spoil(&bad)
+		quicktest.Assert(t, bad.Check(), quicktest.IsNotNil, quicktest.Commentf("%s", name))
+	}
+}
