--- /dev/null
+++ b/internal/hop/event_test.go
@@ -0,0 +1,81 @@
+package hop
+
+import (
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	"github.com/bambooproxy/bambooproxy/internal/mutate"
+)
+
+func TestEvents(t *testing.T) {
+	e := NewEvents(strings.NewReader("id: 1\ndata: a\n\nversion: 2\nid: 2\r\ndata: b\r\n\r\ndata: c\n\n"))
+	for _, want := range []Event{
+		{Raw: []byte("id: 1\ndata: a\n\n"), ID: 1, HasID: true},
+		{Raw: []byte("version: 2\nid: 2\r\ndata: b\r\n\r\n"), ID: 2, HasID: true},
+		{Raw: []byte("data: c\n\n")},
+	} {
+		got, err := e.Next()
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, got, quicktest.DeepEquals, want)
+	}
+	_, err := e.Next()
+	quicktest.Assert(t, err, quicktest.Equals, io.EOF)
+}
+
+func TestEventCutOff(t *testing.T) {
+	for _, s := range []string{"id: 1", "id: 1\n", "id: 1\ndata: half\n", "id: 1\ndata: ha"} {
+		_, err := NewEvents(strings.NewReader(s)).Next()
+		quicktest.Assert(t, err, quicktest.Equals, io.ErrUnexpectedEOF, quicktest.Commentf("%q", s))
+	}
+	_, err := NewEvents(strings.NewReader("id: x\n\n")).Next()
+	quicktest.Assert(t, errors.Is(err, ErrEvent), quicktest.IsTrue)
+}
+
+// TestEventsKeepBytes cuts a stream anywhere: what is returned as whole events
+// is a prefix of it, byte by byte.
+func TestEventsKeepBytes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b strings.Builder
+		for range rapid.IntRange(1, 5).Draw(t, "events") {
+			b.WriteString("id: 7\ndata: " + strings.Repeat("x", rapid.IntRange(0, 9000).Draw(t, "data")) + "\n\n")
+		}
+		whole := b.String()
+		cut := whole[:rapid.IntRange(0, len(whole)).Draw(t, "cut")]
+		e, got := NewEvents(strings.NewReader(cut)), ""
+		for {
+			ev, err := e.Next()
+			if err != nil {
+				if errors.Is(err, io.EOF) && got != cut {
+					t.Fatalf("%d of %d bytes and a clean end", len(got), len(cut))
+				}
+				break
+			}
+			got += string(ev.Raw)
+		}
+		if !strings.HasPrefix(whole, got) {
+			t.Fatal("bytes changed")
+		}
+	})
+}
+
+func FuzzEvents(f *testing.F) {
+	mutate.Add(f, []byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n"), []byte("\n\n\nid:\n\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		e := NewEvents(strings.NewReader(string(b)))
+		size := 0
+		for {
+			ev, err := e.Next()
+			if err != nil {
+				return
+			}
+			if size += len(ev.Raw); len(ev.Raw) == 0 || size > len(b) {
+				t.Fatalf("event of %d bytes, %d of %d", len(ev.Raw), size, len(b))
+			}
+		}
+	})
+}
