--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -77,6 +77,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			s.Targets.Close()
 			return nil
 		case <-tick.C:
 			s.Targets.Sweep()
--- a/internal/hop/idle.go
+++ b/internal/hop/idle.go
@@ -86,6 +86,19 @@
 	}
 }
 
+// Close closes all idle connections.
+func (c *Client) Close() {
+	c.idle.mu.Lock()
+	all := c.idle.byAddr
+	c.idle.byAddr = nil
+	c.idle.mu.Unlock()
+	for _, list := range all {
+		for _, cn := range list {
+			cn.Close()
+		}
+	}
+}
+
 // Sweep closes connections whose time is over.
 func (c *Client) Sweep() {
 	now := time.Now()
