Test control instances, and never renew memory after it was given back

The race run of TestMemoryIsGivenBack found a renewal that overtook the release and set the memory aside again; the release now waits for it.

--- a/internal/gate/ticket.go
+++ b/internal/gate/ticket.go
@@ -33,28 +33,29 @@
 	server *Server
 	id     string
 	list   []Helper
-	stop   context.CancelFunc
+	// stop ends the renewal, which closes done when none is under way.
+	stop, done chan struct{}
 }
 
 // reserve sets memory aside on all helpers that are to keep a part of the
 // prompt. All or none are held when it returns.
 func (s *Server) reserve(ctx context.Context, id string, helpers []Helper) (*tickets, error) {
-	t := &tickets{server: s, id: id}
+	t := &tickets{server: s, id: id, stop: make(chan struct{}), done: make(chan struct{})}
 	for _, h := range helpers {
 		if h.Ticket != "" {
 			t.list = append(t.list, h)
 		}
 	}
 	if len(t.list) == 0 {
+		close(t.done)
 		return t, nil
 	}
 	if err := t.all(ctx, reserveHold); err != nil {
+		close(t.done)
 		t.release()
 		return nil, err
 	}
-	rctx, stop := context.WithCancel(context.WithoutCancel(ctx))
-	t.stop = stop
-	go t.renew(rctx)
+	go t.renew(context.WithoutCancel(ctx))
 	return t, nil
 }
 
@@ -93,27 +94,30 @@
 
 // renew keeps the memory until the request ends.
 func (t *tickets) renew(ctx context.Context) {
+	defer close(t.done)
 	tick := time.NewTicker(renewAfter)
 	defer tick.Stop()
 	for {
 		select {
-		case <-ctx.Done():
+		case <-t.stop:
 			return
 		case <-tick.C:
 		}
-		if err := t.all(ctx, reserveHold); err != nil && ctx.Err() == nil {
+		if err := t.all(ctx, reserveHold); err != nil {
 			t.server.Log.Warn().Str("id", t.id).Err(err).Msg("memory not kept longer")
 		}
 	}
 }
 
-// release ends what was set aside, in the background.
+// release ends what was set aside, in the background. It waits for a renewal
+// under way, which would set the memory aside again if it came later.
 func (t *tickets) release() {
-	if t.stop != nil {
-		t.stop()
-	}
+	close(t.stop)
 	for _, h := range t.list {
-		go t.releaseOne(h)
+		go func() {
+			<-t.done
+			t.releaseOne(h)
+		}()
 	}
 }
 
--- a/internal/quorum/node_test.go
+++ b/internal/quorum/node_test.go
@@ -89,6 +89,9 @@
 	net  *memnet.Network
 	all  map[string]*member
 	addr []string
+	// voters and join are those of the nodes that are started.
+	voters int
+	join   bool
 }
 
 // member is a node with what outlives its process.
@@ -127,7 +130,7 @@
 	m.node = &Node{
 		Seed: 1,
 		Self: addr, Founders: m.founders, Folder: "/data", FS: m.stall, Machine: m.machine, Calls: pool,
-		Log: &log.Logger{Level: log.PanicLevel}, SnapshotBytes: 64 << 10,
+		Log: &log.Logger{Level: log.PanicLevel}, SnapshotBytes: 64 << 10, Voters: g.voters, Join: g.join,
 	}
 	local.Methods = m.node.Methods()
 	ln, err := g.net.Listen(addr)
