--- /dev/null
+++ b/internal/conf/process_test.go
@@ -0,0 +1,90 @@
+package conf_test
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/conf"
+	"github.com/bambooproxy/bambooproxy/pkg/table"
+)
+
+const process = `// a comment
+{
+  "name": "edge-a-1",
+  "data_centre": "a",
+  "callers": "10.1.0.40:8227",
+  "peers": "10.1.0.40:7340",
+  "seeds": ["10.1.0.43:8229"],
+  "grace": "8s"
+}`
+
+func load(t *testing.T, text string) (conf.Process, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "settings")
+	quicktest.Assert(t, os.WriteFile(path, []byte(text), 0o600), quicktest.IsNil)
+	return conf.LoadProcess(path)
+}
+
+func TestLoadProcess(t *testing.T) {
+	p, err := load(t, process)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, p.Callers, quicktest.Equals, "10.1.0.40:8227")
+	quicktest.Assert(t, time.Duration(p.Grace), quicktest.Equals, 8*time.Second)
+	quicktest.Assert(t, p.Log, quicktest.Equals, "info")
+}
+
+func TestProcessFaults(t *testing.T) {
+	for name, c := range map[string]struct{ old, spoilt, field string }{
+		"no name":        {`"edge-a-1"`, `""`, "name"},
+		"no seeds":       {`["10.1.0.43:8229"]`, `[]`, "seeds"},
+		"bad address":    {`"10.1.0.40:8227"`, `"edge:8227"`, "callers"},
+		"no peers":       {`"10.1.0.40:7340"`, `""`, "peers"},
+		"no grace":       {`"8s"`, `"0s"`, "grace"},
+		"no folder":      {`"callers"`, `"control": "10.1.0.40:1", "callers"`, "data"},
+		"unknown level":  {`"grace"`, `"log": "loud", "grace"`, "log"},
+		"negative share": {`"grace"`, `"repeats": {"ratio": -1, "slack": 1, "window": "1s"}, "grace"`, "repeats.ratio"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			text := strings.Replace(process, c.old, c.spoilt, 1)
+			quicktest.Assert(t, text != process, quicktest.IsTrue)
+			_, err := load(t, text)
+			var field *table.FieldError
+			quicktest.Assert(t, errors.As(err, &field), quicktest.IsTrue, quicktest.Commentf("%v", err))
+			quicktest.Assert(t, field.Field, quicktest.Equals, c.field)
+		})
+	}
+	_, err := conf.LoadProcess("no such file")
+	quicktest.Assert(t, err, quicktest.IsNotNil)
+	_, err = load(t, `{"nmae": "x"}`)
+	quicktest.Assert(t, err, quicktest.IsNotNil)
+}
+
+// TestTemplate fills the template of the deployment with one value everywhere
+// and wants settings that can be read.
+func TestTemplate(t *testing.T) {
+	b, err := os.ReadFile("../../deploy/settings.jsonc")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	values := map[string]string{
+		"nodeName": "n", "zone": "z", "listen.front": "10.0.0.1:1", "listen.ready": "10.0.0.1:2", "listen.control": "",
+		"listen.directory": "", "ip": "10.0.0.1", "internalPorts.0": "7", "internalPorts.1": "8", "seeds|json": `["10.0.0.2:1"]`,
+		"bootstrap|json": "true", "tolerate.machines": "1", "dataDir": "", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2",
+		"bounds.retryBudgetSlack": "106", "bounds.budgetWindowS": "10", "limits.memoryMb": "284",
+	}
+	text := regexp.MustCompile(`\{\{[^}]*\}\}`).ReplaceAllStringFunc(string(b), func(s string) string {
+		name := strings.Trim(s, "{}")
+		v, ok := values[name]
+		quicktest.Assert(t, ok, quicktest.IsTrue, quicktest.Commentf("%s", name))
+		return v
+	})
+	p, err := load(t, text)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, p.First, quicktest.IsTrue)
+	quicktest.Assert(t, p.Repeats.Slack, quicktest.Equals, 106.0)
+}
