--- a/internal/hub/site_test.go
+++ b/internal/hub/site_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,23 +43,44 @@
 
 // entry follows control as an instance for callers does.
 type entry struct {
-	name    string
+	name string
+
+	mu      sync.Mutex
 	client  *link.Client
 	stop    context.CancelFunc
 	done    chan struct{}
 	have    uint64
 	version int64
 	states  map[string]site.State
-	count   int
 	grants  chan place.Grant
 	refused chan place.Refuse
 	ready   bool
 	held    []place.Holding
 }
 
-func (e *entry) Have() uint64 { return e.have }
+func (e *entry) Have() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.have
+}
+
+// state returns what the entry knows of a target.
+func (e *entry) state(id string) site.State {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.states[id]
+}
+
+// change changes what the entry tells of itself.
+func (e *entry) change(f func()) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	f()
+}
 
 func (e *entry) Update(u *reg.Update) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if u.Revision <= e.have {
 		return
 	}
@@ -78,16 +100,22 @@
 	}
 }
 
-func (e *entry) Granted(g place.Grant)     { e.grants <- g }
-func (e *entry) Refused(r place.Refuse)    { e.refused <- r }
-func (*entry) Waiting(string)              {}
-func (e *entry) Holdings() []place.Holding { return e.held }
-func (*entry) Listed([]link.Entry)         {}
-func (e *entry) Counted(n int)             { e.count = n }
-func (*entry) Linked(bool)                 {}
-func (*entry) Lost()                       {}
+func (e *entry) Granted(g place.Grant)  { e.grants <- g }
+func (e *entry) Refused(r place.Refuse) { e.refused <- r }
+func (*entry) Waiting(string)           {}
+func (e *entry) Holdings() []place.Holding {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.held
+}
+func (*entry) Listed([]link.Entry) {}
+func (*entry) Counted(int)         {}
+func (*entry) Linked(bool)         {}
+func (*entry) Lost()               {}
 
 func (e *entry) Pulse(u *link.Up) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	u.Listed = true
 	if e.ready {
 		u.Entries = []link.Entry{{Name: e.name, DataCentre: "dc-" + e.name[:1], Address: e.name}}
@@ -281,7 +309,10 @@
 // followed says whether every entry has a version.
 func (m *mini) followed(version int64) bool {
 	for _, e := range m.entries {
-		if e.version != version {
+		e.mu.Lock()
+		got := e.version
+		e.mu.Unlock()
+		if got != version {
 			return false
 		}
 	}
@@ -413,13 +444,13 @@
 		quicktest.Assert(t, m.announce("1", 2, site.Draining), quicktest.IsNil)
 		time.Sleep(time.Second)
 		for _, e := range m.entries {
-			quicktest.Assert(t, e.states["1"], quicktest.Equals, site.Draining)
+			quicktest.Assert(t, e.state("1"), quicktest.Equals, site.Draining)
 		}
 		m.kill(m.leader().Peers)
 		quicktest.Assert(t, m.announce("2", 2, site.Draining), quicktest.IsNil)
 		time.Sleep(2 * time.Second)
 		for _, e := range m.entries {
-			quicktest.Assert(t, e.states["2"], quicktest.Equals, site.Draining)
+			quicktest.Assert(t, e.state("2"), quicktest.Equals, site.Draining)
 		}
 	})
 }
@@ -446,7 +477,8 @@
 			quicktest.Assert(t, names(c, "dc-a"), quicktest.Equals, 2)
 			quicktest.Assert(t, names(c, "dc-x"), quicktest.Equals, 6)
 		}
-		m.entries["10.0.1.1:7"].ready = false
+		e := m.entries["10.0.1.1:7"]
+		e.change(func() { e.ready = false })
 		time.Sleep(time.Second)
 		for _, c := range m.hubs {
 			// One is left nearby, which is too few to name no others.
@@ -475,7 +507,7 @@
 		quicktest.Assert(t, e.client.Send(func(u *link.Up) { u.Asks = append(u.Asks, ask) }), quicktest.IsTrue)
 		g := <-e.grants
 		quicktest.Assert(t, g.Lead, quicktest.Equals, "1")
-		e.held = []place.Holding{{Ask: ask, Lead: "1", Begun: true}}
+		e.change(func() { e.held = []place.Holding{{Ask: ask, Lead: "1", Begun: true}} })
 		m.kill(m.leader().Peers)
 		lead := m.leader()
 		time.Sleep(2 * time.Second)
