--- a/internal/gate/broker.go
+++ b/internal/gate/broker.go
@@ -18,6 +18,10 @@
 	// answerWithin is how long the scheduler has to say at least that a request
 	// waits. After it the instance places the request by its own view.
 	answerWithin = 250 * time.Millisecond
+	// startLink is how long a request waits for the scheduler after the start of the
+	// instance, which looks for it every startLook.
+	startLink = 400 * time.Millisecond
+	startLook = 20 * time.Millisecond
 	// alonePause is the pause between looks for an engine by the own view.
 	alonePause = 50 * time.Millisecond
 )
@@ -72,6 +76,7 @@
 // get returns engines for a request; its holder must call end. Errors are of
 // type *refusal, errNoEngine or those of ctx.
 func (b *broker) get(ctx context.Context, a place.Ask) (place.Grant, error) {
+	b.awaitLink(ctx)
 	g, err := b.askSite(ctx, a)
 	if !errors.Is(err, errUnanswered) {
 		return g, err
@@ -79,6 +84,17 @@
 	return b.placeAlone(ctx, a)
 }
 
+// awaitLink lets an instance that has just started find the scheduler: what it
+// would place by its own view, others place too without knowing of it.
+func (b *broker) awaitLink(ctx context.Context) {
+	for range int(startLink / startLook) {
+		if b.server.Link.IsLinked() || time.Since(b.server.born) > startTime || ctx.Err() != nil {
+			return
+		}
+		time.Sleep(startLook)
+	}
+}
+
 // errUnanswered says that the scheduler did not answer.
 var errUnanswered = errors.New("the scheduler does not answer")
 
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -159,6 +159,31 @@
 	})
 }
 
+// TestStartWaitsForTables lets a request wait that comes to an instance just
+// before its tables, and refuses it when they don't come in time. Once each
+// restart of all instances refused what came in its first two seconds.
+func TestStartWaitsForTables(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, []script{answers(200, "done", sealed)}, nil)
+		news := s.gate.world.now.Load()
+		s.gate.world.now.Store(nil)
+		s.gate.world.setup()
+		go func() {
+			time.Sleep(400 * time.Millisecond)
+			s.gate.world.now.Store(news)
+			close(s.gate.world.first)
+		}()
+		a := s.call(lookPath, "")
+		quicktest.Assert(t, a.status, quicktest.Equals, 200)
+		s.gate.world.now.Store(nil)
+		s.gate.world.setup()
+		a = s.call(lookPath, "")
+		quicktest.Assert(t, a.status, quicktest.Equals, 503)
+		// A third of the caller's time.
+		quicktest.Assert(t, a.took < 700*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s", a.took))
+	})
+}
+
 // TestOlderNewsChangeNothing gives an older revision after a newer one.
 func TestOlderNewsChangeNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -29,6 +29,14 @@
 	soon = 200 * time.Millisecond
 	// later is when a caller may come back that met a full fleet.
 	later = time.Second
+	// startTime is how long an instance that has started counts on getting tables
+	// soon: an election and the search for the leader take two seconds. A request
+	// waits for them up to startWait, or a startPart-th of its time.
+	startTime = 5 * time.Second
+	startWait = 1500 * time.Millisecond
+	startPart = 3
+	// startRetry is when a caller may come back that found no tables.
+	startRetry = 800 * time.Millisecond
 	// acceptAfterLeave is how long an instance that leaves takes new requests:
 	// until callers have learnt of it.
 	acceptAfterLeave = 2500 * time.Millisecond
@@ -65,6 +73,7 @@
 // Setup prepares the server before Run.
 func (s *Server) Setup() {
 	s.born = time.Now()
+	s.world.setup()
 	s.broker.server = s
 	s.broker.setup()
 	s.health.setup()
@@ -178,8 +187,8 @@
 		x.refuse("this instance stops", 0)
 		return false
 	}
-	if x.view == nil || x.view.index == nil {
-		x.refuse("this instance has no tables yet", soon)
+	if !x.awaitTables() {
+		x.refuse("this instance has no tables yet", startRetry)
 		return false
 	}
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
@@ -206,6 +215,21 @@
 	return x.readBody()
 }
 
+// awaitTables waits for the first tables of an instance that has just started:
+// control is about to send them. It returns false if there are none.
+func (x *exchange) awaitTables() bool {
+	s := x.server
+	if x.view == nil {
+		wait := min(startWait, startTime-time.Since(s.born))
+		if x.call.Left > 0 {
+			wait = min(wait, x.call.Left/startPart)
+		}
+		s.world.await(x.r.Context(), wait)
+		x.view = s.world.view()
+	}
+	return x.view != nil && x.view.index != nil
+}
+
 // authorise finds the caller's organisation.
 func (x *exchange) authorise() bool {
 	x.rank = x.route.Rank
--- a/internal/gate/view.go
+++ b/internal/gate/view.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -25,10 +26,25 @@
 type world struct {
 	mu  sync.Mutex
 	now atomic.Pointer[view]
+	// first is closed when there are tables.
+	first chan struct{}
 }
 
+func (w *world) setup() { w.first = make(chan struct{}) }
+
 func (w *world) view() *view { return w.now.Load() }
 
+// await waits for the first tables, but not longer than a time.
+func (w *world) await(ctx context.Context, most time.Duration) {
+	t := time.NewTimer(most)
+	defer t.Stop()
+	select {
+	case <-w.first:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // apply takes in news; an older revision changes nothing.
 func (w *world) apply(u *reg.Update) (*view, error) {
 	w.mu.Lock()
@@ -62,6 +78,9 @@
 	}
 	next.group()
 	w.now.Store(next)
+	if old.index == nil && next.index != nil {
+		close(w.first)
+	}
 	return next, nil
 }
 
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -23,6 +23,10 @@
 const (
 	// logFolder is the part of the data folder for the log.
 	logFolder = "log"
+	// heartbeat and election are those of the log. Links of one region answer
+	// within milliseconds, and entries have no scheduler during an election.
+	heartbeat = 150 * time.Millisecond
+	election  = time.Second
 	// reopenEvery is the pause before a replica whose disk failed starts again.
 	reopenEvery = 500 * time.Millisecond
 )
@@ -82,6 +86,7 @@
 	return &quorum.Node{
 		Self: s.Peers, Founders: s.Seeds, Folder: filepath.Join(s.Data, logFolder), Join: !s.First,
 		Voters: s.Voters, FS: s.Files, Machine: &s.machine, Calls: s.Pool, Log: s.Log,
+		Timing: quorum.Timing{Heartbeat: heartbeat, Election: election},
 	}
 }
 
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -91,6 +91,13 @@
 	return true
 }
 
+// IsLinked says whether an instance that leads is linked.
+func (c *Client) IsLinked() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.session != nil && c.leads
+}
+
 // Run keeps a link until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
 	for i := 0; ctx.Err() == nil; i++ {
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -5,6 +5,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
 )
 
 const (
@@ -61,6 +63,9 @@
 	// of its value; a full engine costs nothing. Packed answers leave engines for
 	// long prompts.
 	packCost = 0.04
+	// spreadCost spreads the choices of cores that stand alone, in parts of the
+	// value: they know nothing of each other and must not all choose the same.
+	spreadCost = 0.3
 	// usualParts is the number of engines that a long prompt can count on.
 	usualParts = 6
 	// hopeless is what is left of a caller's time when its request is refused.
@@ -260,7 +265,10 @@
 		o := option{e: e, harm: c.harm(now, e, tokens, part), first: c.first(now, e, tokens, part), lead: canLead}
 		// The harm done there and the request's own delay.
 		o.score = o.harm + c.late(now, j, o.first)
-		if parts == 1 {
+		switch {
+		case c.Alone:
+			o.score += spreadCost * chance(j.ask.ID, e.ID) * j.value
+		case parts == 1:
 			o.score += c.writing(now, j, e)
 		}
 		opts = append(opts, o)
@@ -271,6 +279,11 @@
 	return opts
 }
 
+// chance is a number from 0 to 1 that is different for each request and engine.
+func chance(request, engine string) float64 {
+	return float64(xxhash.Sum64String(request+"\x00"+engine)) / math.MaxUint64
+}
+
 // lead returns the first option that has room for the whole request, or the one
 // with most room if none has; -1 if none can lead.
 func (c *Core) lead(j *job, opts []option) int {
@@ -394,7 +407,7 @@
 
 // writing is what it costs to write an answer on an engine.
 func (c *Core) writing(now time.Time, j *job, e *engine) float64 {
-	if j.isLong() {
+	if j.isLong() || c.Alone {
 		return 0
 	}
 	cost := packCost * float64(e.Slots-e.writers) / float64(e.Slots)
--- a/internal/quorum/elect.go
+++ b/internal/quorum/elect.go
@@ -4,10 +4,14 @@
 	"time"
 )
 
+// jitterPart is the part of an election's wait by which replicas differ at most:
+// several heartbeats, so that two seldom stand at once.
+const jitterPart = 2
+
 // resetElection puts the next election off, by a random time so that two
 // replicas seldom stand at once.
 func (c *Core) resetElection() {
-	c.due = c.now + c.timing.Election + time.Duration(c.rand.Int64N(int64(c.timing.Election)))
+	c.due = c.now + c.timing.Election + time.Duration(c.rand.Int64N(int64(c.timing.Election)/jitterPart))
 }
 
 // setTerm enters a later term.
