--- a/internal/gate/broker.go
+++ b/internal/gate/broker.go
@@ -76,7 +76,6 @@
 // get returns engines for a request; its holder must call end. Errors are of
 // type *refusal, errNoEngine or those of ctx.
 func (b *broker) get(ctx context.Context, a place.Ask) (place.Grant, error) {
-	b.awaitLink(ctx)
 	g, err := b.askSite(ctx, a)
 	if !errors.Is(err, errUnanswered) {
 		return g, err
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -45,6 +45,7 @@
 func (x *exchange) serveEngine(ctx context.Context) {
 	s := &stream{exchange: x, last: x.call.Last, has: x.call.Resumes}
 	reason, retry := "no engine was free in time", later
+	x.server.broker.awaitLink(ctx)
 	for ctx.Err() == nil && x.left() > minTry && s.refused < maxRefusals {
 		if x.sends > 0 && (!x.mayRepeatNow() || x.ran && !x.route.MayRepeat()) {
 			break
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -165,6 +165,7 @@
 func TestStartWaitsForTables(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newStand(t, []script{answers(200, "done", sealed)}, nil)
+		s.gate.born = time.Now()
 		news := s.gate.world.now.Load()
 		s.gate.world.now.Store(nil)
 		s.gate.world.setup()
--- a/internal/gate/stand_test.go
+++ b/internal/gate/stand_test.go
@@ -236,6 +236,8 @@
 		Link:   &link.Client{},
 	}
 	s.gate.Setup()
+	// It has run for a while.
+	s.gate.born = s.gate.born.Add(-time.Minute)
 	s.learn(1)
 	ln, err := s.net.Listen(gatePlace)
 	quicktest.Assert(t, err, quicktest.IsNil)
