--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -274,6 +274,10 @@
 	if ev.HasID {
 		s.last, s.has = ev.ID, true
 	}
+	if s.events > 0 {
+		s.pause = max(s.pause, time.Since(s.passed))
+	}
+	s.passed = time.Now()
 	s.events++
 	if _, err := s.w.Write(ev.Raw); err != nil {
 		return "the caller left"
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -165,8 +165,11 @@
 	reason string
 	target string
 	// grant is the ID of the last ask.
-	grant  string
-	first  time.Duration
+	grant string
+	first time.Duration
+	// pause is the longest pause between two events, passed when the last came.
+	pause  time.Duration
+	passed time.Time
 	events int
 	waited time.Duration
 	expect time.Duration
@@ -334,7 +337,7 @@
 		e.Str("route", x.route.Name).Str("organisation", x.org)
 	}
 	e.Int("prompt", x.call.Prompt).Int("status", x.status).Str("reason", x.reason).Str("ask", x.grant).Str("target", x.target).Int("sends", x.sends).
-		Int("parts", x.parts).Dur("waited", x.waited).Dur("expect", x.expect).Dur("first", x.first).Int("events", x.events).Dur("took", took).
+		Int("parts", x.parts).Dur("waited", x.waited).Dur("expect", x.expect).Dur("first", x.first).Dur("pause", x.pause).Int("events", x.events).Dur("took", took).
 		Msg("request ended")
 	s.measure(x, took)
 }
