--- a/internal/cmds/app.go
+++ b/internal/cmds/app.go
@@ -31,6 +31,7 @@
 		{Name: "serve", Usage: "run one instance", ArgsUsage: "SETTINGS", Action: serve},
 		{Name: "node", Usage: "run one process of a site whose entries and control instances are apart", ArgsUsage: "SETTINGS", Action: runNode},
 		{Name: "check", Usage: "check files of settings, tables, tokens or credentials", ArgsUsage: "FILE...", Action: check},
+		{Name: "explain", Usage: "show what the logs of all processes say of one request", ArgsUsage: "ID FILE...", Action: explain},
 		{Name: "status", Usage: "show instances, shards, leases, targets and queues", Flags: clientFlags(jsonFlag()), Action: status},
 		{Name: "drain", Usage: "stop an instance, cutting off nothing", ArgsUsage: "[INSTANCE]", Flags: clientFlags(), Action: drain},
 		{Name: "token", Usage: "make a token and its line for a token file", ArgsUsage: "NAME", Action: token},
--- a/internal/cmds/check.go
+++ b/internal/cmds/check.go
@@ -30,6 +30,10 @@
 		{"tables", []string{"/routes", "/pools"}, func(b []byte) error { _, err := table.Decode(b); return err }},
 		{"tokens", []string{"/tokens"}, func(b []byte) error { _, err := auth.DecodeTokens(b); return err }},
 		{"credentials", []string{"/credentials"}, func(b []byte) error { _, err := auth.DecodeCredentials(b); return err }},
+		{"settings of a process", []string{"/repeats", "/losses", "/grace", "/directory"}, func(b []byte) error {
+			_, err := conf.DecodeProcess(b)
+			return err
+		}},
 		{"settings", nil, func(b []byte) error { _, err := conf.Decode(b); return err }},
 	}
 }
--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -36,8 +36,9 @@
 	// The settings file is looked at anyway; the signal must not end the process.
 	signal.Ignore(syscall.SIGHUP)
 	out := &log.AsyncWriter{Writer: &log.IOWriter{Writer: os.Stdout}, ChannelSize: logQueue, DiscardOnFull: true}
+	lines := &log.Logger{Level: log.ParseLevel(s.Log), Writer: out, Context: log.NewContext(nil).Str("instance", s.Name).Value()}
 	p := &node.Process{
-		Settings: s, Path: path, Dialect: platform.Dialect{}, Log: &log.Logger{Level: log.ParseLevel(s.Log), Writer: out},
+		Settings: s, Path: path, Dialect: platform.Dialect{}, Log: lines,
 		Handlers: node.Handlers{
 			Control:   func(h *hub.Server) http.Handler { return platform.Control(h) },
 			Directory: func(h *hub.Server) http.Handler { return platform.Directory(h) },
--- a/internal/conf/process.go
+++ b/internal/conf/process.go
@@ -65,12 +65,19 @@
 	if err != nil {
 		return Process{}, errors.Wrap(err, "settings")
 	}
+	p, err := DecodeProcess(b)
+	return p, errors.Wrapf(err, "%s", path)
+}
+
+// DecodeProcess reads the settings of a process from JSON with comments. Its
+// errors about the content are of type *table.FieldError.
+func DecodeProcess(b []byte) (Process, error) {
 	p := processDefaults()
 	if err := table.DecodeFile(b, &p); err != nil {
-		return Process{}, errors.Wrapf(err, "%s", path)
+		return Process{}, err
 	}
 	if err := p.Check(); err != nil {
-		return Process{}, errors.Wrapf(table.AtLine(b, err), "%s", path)
+		return Process{}, table.AtLine(b, err)
 	}
 	return p, nil
 }
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -25,7 +25,7 @@
 // layers below its own. Only what is named there has a place.
 func layers() [][]string {
 	return [][]string{
-		{"pkg/verd", "pkg/table", "internal/lease", "internal/certs", "internal/memnet", "internal/meter", "internal/mutate", "internal/red", "internal/store", "internal/rules"},
+		{"pkg/verd", "pkg/table", "internal/lease", "internal/certs", "internal/memnet", "internal/meter", "internal/mutate", "internal/red", "internal/store", "internal/trail", "internal/rules"},
 		{"internal/site"},
 		{"pkg/engine", "pkg/caller", "internal/member", "internal/auth", "internal/trace", "internal/wire", "internal/prompt"},
 		{"internal/conf", "internal/policy", "internal/ledger", "internal/quorum", "internal/quota", "internal/httpx", "internal/plan", "internal/hop", "internal/place"},
