--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -233,7 +233,7 @@
 
 // attemptFailed logs one failed send.
 func (x *exchange) attemptFailed(t site.Target, what string, err error) {
-	x.server.Log.Warn().Str("id", x.call.ID).Str("target", t.ID).Str("address", t.Address).Int("sends", x.sends).
+	x.server.Log.Warn().Str("id", x.call.ID).Str("ask", x.grant).Str("target", t.ID).Str("address", t.Address).Int("sends", x.sends).
 		Dur("after", time.Since(x.start)).Str("what", what).Err(err).Msg("send failed")
 }
 
