--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -23,6 +23,11 @@
 	callerGap = 2 * time.Second
 	aimGaps   = 4
 	pauseGaps = 8
+	// firstShare is the part of the caller's patience that an engine has for the
+	// first event before another is tried, and at least expectTries of the time
+	// that was predicted.
+	firstShare  = 0.4
+	expectTries = 4
 	// moveShare is the part of the caller's patience for which an engine may be
 	// silent in the middle of an answer before the answer goes on at another one.
 	moveShare = 0.8
@@ -119,7 +124,10 @@
 	defer s.server.health.busy(lead.ID)()
 	sent := time.Now()
 	send := Send{Urgency: g.Urgency, Helpers: helpers, Last: s.last, Resumes: s.has}
-	resp, err := s.server.Targets.Do(ctx, lead.Address, s.request(lead, send))
+	q := s.request(lead, send)
+	other := s.mayTryOther(lead)
+	q.Patience = time.Until(s.silence(true, other))
+	resp, err := s.server.Targets.Do(ctx, lead.Address, q)
 	if err != nil {
 		return s.unanswered(ctx, lead, err, &end)
 	}
@@ -135,7 +143,7 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.passFailure(lead, resp, &end)
 	}
-	if reason = s.carry(ctx, resp, g.ID, sent); reason == "" {
+	if reason = s.carry(ctx, resp, carriage{ask: g.ID, sent: sent, other: other}); reason == "" {
 		reuse = true
 		s.server.health.worked(lead.ID)
 		return true, ""
@@ -228,12 +236,20 @@
 	return true, ""
 }
 
+// carriage is what is known of one send while its events come.
+type carriage struct {
+	ask  string
+	sent time.Time
+	// other says that another engine may be tried.
+	other bool
+}
+
 // carry passes the events of an answer on. It returns why the answer broke off,
 // or "" at its end.
-func (s *stream) carry(ctx context.Context, resp *hop.Response, id string, sent time.Time) (reason string) {
+func (s *stream) carry(ctx context.Context, resp *hop.Response, c carriage) (reason string) {
 	events := hop.NewEvents(resp.Body)
 	for count := 0; ; count++ {
-		resp.SetReadDeadline(s.silence(count == 0))
+		resp.SetReadDeadline(s.silence(count == 0, c.other))
 		ev, err := events.Next()
 		switch {
 		case errors.Is(err, io.EOF):
@@ -245,7 +261,7 @@
 			return "the events of an engine broke off: " + err.Error()
 		}
 		if count == 0 {
-			s.server.broker.begun(id, time.Since(sent))
+			s.server.broker.begun(c.ask, time.Since(c.sent))
 		}
 		if reason := s.pass(resp, ev); reason != "" {
 			return reason
@@ -289,11 +305,13 @@
 }
 
 // silence is until when an engine may say nothing.
-func (s *stream) silence(first bool) time.Time {
-	if first {
+func (s *stream) silence(first, other bool) time.Time {
+	switch {
+	case first && other:
+		return time.Now().Add(min(s.gap(), max(time.Duration(firstShare*float64(s.gap())), expectTries*s.expect)))
+	case first:
 		return time.Now().Add(s.gap())
-	}
-	if s.route.MayRepeat() {
+	case s.route.MayRepeat():
 		return time.Now().Add(time.Duration(moveShare * float64(s.gap())))
 	}
 	return time.Now().Add(s.gap())
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -23,6 +23,10 @@
 	maxAnswer = 32 << 20
 	// minTry is the least time that a further target is worth trying with.
 	minTry = 20 * time.Millisecond
+	// aimTries is how many wanted times a first target has for its answer before a
+	// second is tried; minPatience is the least.
+	aimTries    = 2
+	minPatience = 100 * time.Millisecond
 	// farCost is what a target in another data centre counts as, in requests in
 	// progress: crossing costs bytes, queueing costs time.
 	farCost = 0.5
@@ -76,6 +80,20 @@
 	return x.server.Budget.take(x.pool.Name, int(x.server.others.Load()))
 }
 
+// mayTryOther says whether a request that t does not answer may go to another
+// target, and there is one.
+func (x *exchange) mayTryOther(t site.Target) bool {
+	if !x.route.MayRepeat() || x.sends+1 >= x.route.Attempts {
+		return false
+	}
+	for _, o := range x.server.world.view().pools[x.pool.Name] {
+		if o.ID != t.ID && !slices.Contains(x.avoid, o.ID) {
+			return true
+		}
+	}
+	return false
+}
+
 // pick chooses the target with the least in progress, those nearby first.
 func (x *exchange) pick() (site.Target, bool) {
 	v := x.server.world.view()
@@ -137,7 +155,12 @@
 	s := x.server
 	defer s.health.busy(t.ID)()
 	x.target = t.ID
-	resp, err := s.Targets.Do(ctx, t.Address, x.request(t, Send{Urgency: -1}))
+	q := x.request(t, Send{Urgency: -1})
+	if x.mayTryOther(t) {
+		// An answer that was lost is not worth the rest of the caller's time.
+		q.Patience = min(max(aimTries*x.route.Aim, minPatience), x.left()/2)
+	}
+	resp, err := s.Targets.Do(ctx, t.Address, q)
 	if err != nil {
 		return nil, x.failed(t, err)
 	}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -44,6 +44,9 @@
 	Fresh bool
 	// Mine says whether an answer belongs to the request.
 	Mine func(h http.Header) bool
+	// Patience is how long the head of the answer is waited for; 0 leaves that to
+	// the context.
+	Patience time.Duration
 }
 
 // Client sends requests to targets. Its zero value needs Dial.
@@ -66,7 +69,7 @@
 }
 
 // Do sends a request and waits for the head of the answer. Its errors wrap an
-// engine.Failure: Unreachable if nothing was sent.
+// engine.Failure: Unreachable if nothing was sent, Silent if the patience ended.
 func (c *Client) Do(ctx context.Context, addr string, r *Request) (*Response, error) {
 	cn, err := c.connect(ctx, addr, r.Fresh)
 	if err != nil {
@@ -83,7 +86,14 @@
 	} else {
 		go func() { sent <- cn.writeAll(head, r.Body) }()
 	}
+	if r.Patience > 0 {
+		// It fails only on a connection that is closed, which the read tells.
+		_ = cn.SetReadDeadline(time.Now().Add(r.Patience))
+	}
 	resp, err := cn.readHead(r)
+	if r.Patience > 0 && err == nil {
+		_ = cn.SetReadDeadline(time.Time{})
+	}
 	if err != nil {
 		stop()
 		cn.Close()
@@ -136,6 +146,9 @@
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		if err != nil {
 			var bad net.Error
+			if errors.As(err, &bad) && bad.Timeout() {
+				return nil, &engine.Silent{After: r.Patience}
+			}
 			if errors.As(err, &bad) || isEnd(err) {
 				return nil, &engine.Broken{Cause: err}
 			}
--- a/internal/hop/client_test.go
+++ b/internal/hop/client_test.go
@@ -209,6 +209,36 @@
 	})
 }
 
+// TestPatience has a target that says nothing, and one that says the head in time
+// and the rest much later.
+func TestPatience(t *testing.T) {
+	each(t, func(_ net.Conn, r *bufio.Reader) {
+		read(r)
+		_, _ = r.ReadByte()
+	}, func(t *testing.T, c *Client, _ *target) {
+		r := request("1")
+		r.Patience = 300 * time.Millisecond
+		began := time.Now()
+		_, err := ask(t.Context(), c, r)
+		var silent *engine.Silent
+		quicktest.Assert(t, errors.As(err, &silent), quicktest.IsTrue, quicktest.Commentf("%v", err))
+		quicktest.Assert(t, time.Since(began), quicktest.Equals, r.Patience)
+	})
+	each(t, func(c net.Conn, r *bufio.Reader) {
+		read(r)
+		io.WriteString(c, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\n")
+		time.Sleep(time.Second)
+		io.WriteString(c, "late")
+	}, func(t *testing.T, c *Client, _ *target) {
+		r := request("1")
+		r.Patience = 300 * time.Millisecond
+		got, err := ask(t.Context(), c, r)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, got, quicktest.Equals, "late")
+		c.Close()
+	})
+}
+
 // TestCancelClosesTheConnection wants the target to see at once that its answer
 // is not waited for.
 func TestCancelClosesTheConnection(t *testing.T) {
