--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -121,15 +121,18 @@
 		return false, "engines have no memory for the prompt"
 	}
 	defer held.release()
+	return s.exchangeWith(ctx, g, lead, helpers, &end)
+}
+
+// exchangeWith sends the request to the lead and passes on what it answers.
+func (s *stream) exchangeWith(ctx context.Context, g place.Grant, lead site.Target, helpers []Helper, end *place.End) (done bool, reason string) {
 	defer s.server.health.busy(lead.ID)()
-	sent := time.Now()
-	send := Send{Urgency: g.Urgency, Helpers: helpers, Last: s.last, Resumes: s.has}
-	q := s.request(lead, send)
-	other := s.mayTryOther(lead)
-	q.Patience = time.Until(s.silence(true, other))
+	c := carriage{ask: g.ID, sent: time.Now(), other: s.mayTryOther(lead)}
+	q := s.request(lead, Send{Urgency: g.Urgency, Helpers: helpers, Last: s.last, Resumes: s.has})
+	q.Patience = time.Until(s.silence(true, c.other))
 	resp, err := s.server.Targets.Do(ctx, lead.Address, q)
 	if err != nil {
-		return s.unanswered(ctx, lead, err, &end)
+		return s.unanswered(ctx, lead, err, end)
 	}
 	reuse := false
 	defer func() { resp.Close(reuse) }()
@@ -141,9 +144,9 @@
 		return s.missed(lead, o)
 	}
 	if resp.StatusCode != http.StatusOK {
-		return s.passFailure(lead, resp, &end)
+		return s.passFailure(lead, resp, end)
 	}
-	if reason = s.carry(ctx, resp, carriage{ask: g.ID, sent: sent, other: other}); reason == "" {
+	if reason = s.carry(ctx, resp, c); reason == "" {
 		reuse = true
 		s.server.health.worked(lead.ID)
 		return true, ""
--- a/internal/gate/engine_test.go
+++ b/internal/gate/engine_test.go
@@ -93,42 +93,59 @@
 	return newStand(t, nil, []script{sc})
 }
 
+// lastEvent is the last event of the answers of TestNoEventTwice.
+const lastEvent = 8
+
+// unruly is how two engines break off and resume.
+type unruly struct {
+	// cuts are the events after which the first and the second break off.
+	cuts [2]int
+	// back and skip shift where the second goes on.
+	back, skip int
+}
+
+// answer is the script of both engines of a stand.
+func (u unruly) answer(s *stand) script {
+	return func(f *fake, c net.Conn, q *http.Request) bool {
+		cut := u.cuts[0]
+		if s.runs() > 1 {
+			cut = u.cuts[1]
+			from := 0
+			fmt.Sscan(q.Header.Get("Last"), &from)
+			// An engine that skips the last event can't be told from one at its end.
+			q.Header.Set("Last", fmt.Sprint(min(lastEvent-1, max(0, from-u.back+u.skip))))
+		}
+		if cut == lastEvent {
+			cut = 0
+		}
+		return streams(lastEvent, cut)(f, c, q)
+	}
+}
+
 // TestNoEventTwice lets engines break off anywhere, resume too early and skip:
 // the caller gets a prefix of the events without a gap, and a clean end only with
 // the last one.
 func TestNoEventTwice(t *testing.T) {
-	const last = 8
 	rapid.Check(t, func(r *rapid.T) {
-		cut1, cut2 := rapid.IntRange(0, last).Draw(r, "first"), rapid.IntRange(0, last).Draw(r, "second")
-		back, skip := rapid.IntRange(0, 2).Draw(r, "back"), rapid.IntRange(0, 1).Draw(r, "skip")
+		u := unruly{
+			cuts: [2]int{rapid.IntRange(0, lastEvent).Draw(r, "first"), rapid.IntRange(0, lastEvent).Draw(r, "second")},
+			back: rapid.IntRange(0, 2).Draw(r, "back"), skip: rapid.IntRange(0, 1).Draw(r, "skip"),
+		}
 		var a got
 		synctest.Test(t, func(t *testing.T) {
 			s := newStand(t, nil, []script{breaks, breaks})
 			for _, f := range s.fakes {
-				f.answer = func(f *fake, c net.Conn, q *http.Request) bool {
-					cut := cut1
-					if s.runs() > 1 {
-						cut = cut2
-						from := 0
-						fmt.Sscan(q.Header.Get("Last"), &from)
-						// An engine that skips the last event can't be told from one at its end.
-						q.Header.Set("Last", fmt.Sprint(min(last-1, max(0, from-back+skip))))
-					}
-					if cut == last {
-						cut = 0
-					}
-					return streams(last, cut)(f, c, q)
-				}
+				f.answer = u.answer(s)
 			}
 			a = s.call(streamPath, "prompt")
 		})
 		if a.status != 200 {
 			return
 		}
-		if !strings.HasPrefix(events(1, last), a.body) {
+		if !strings.HasPrefix(events(1, lastEvent), a.body) {
 			r.Fatalf("events changed: %q", a.body)
 		}
-		if !a.cut && a.body != events(1, last) {
+		if !a.cut && a.body != events(1, lastEvent) {
 			r.Fatalf("clean end after %q", a.body)
 		}
 	})
