Hand over when a leader's disk fails, and never refuse an answer that goes on

Cause 3: a prompt of a million tokens was refused by an idle fleet, as binding engines cost the same with nobody else there.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -83,7 +83,7 @@
 	a := place.Ask{
 		ID: s.server.broker.newID(), Pool: s.pool.Name, Prompt: s.call.Prompt, Output: s.call.Output,
 		Aim: s.route.Aim - age, Whole: s.route.Aim, Pause: s.route.Pause, Left: s.patience() - age, Rank: s.rank,
-		DataCentre: s.server.DataCentre, Avoid: s.avoid,
+		DataCentre: s.server.DataCentre, Avoid: s.avoid, Gap: s.gap(), Resumed: s.begun,
 	}
 	s.grant = a.ID
 	if s.call.Guess > 0 {
--- a/internal/hub/site_test.go
+++ b/internal/hub/site_test.go
@@ -502,7 +502,7 @@
 		e := m.entries["10.0.1.1:7"]
 		ask := place.Ask{
 			ID: "a1", Pool: "p", Prompt: 1000, Output: 100, Aim: 300 * time.Millisecond, Whole: 300 * time.Millisecond,
-			Pause: 250 * time.Millisecond, Left: 2 * time.Second,
+			Pause: 250 * time.Millisecond, Left: 2 * time.Second, Gap: 2 * time.Second,
 		}
 		quicktest.Assert(t, e.client.Send(func(u *link.Up) { u.Asks = append(u.Asks, ask) }), quicktest.IsTrue)
 		g := <-e.grants
--- /dev/null
+++ b/internal/place/core_test.go
@@ -0,0 +1,120 @@
+package place
+
+import (
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+// busy returns a core whose only engine reads and writes all that it can.
+func busy(now time.Time) *Core {
+	c := &Core{}
+	c.Step(now, Fleet{Engine: published(), Targets: []site.Target{{ID: "e", Pool: "p", State: site.Ready, Slots: 16}}})
+	for i := range 16 {
+		ask := shortAsk(string(rune('a' + i)))
+		c.Step(now, Arrive{ask})
+		c.Step(now, Begin{ID: ask.ID, After: 100 * time.Millisecond})
+	}
+	return c
+}
+
+func shortAsk(id string) Ask {
+	s := short()
+	return Ask{
+		ID: id, Pool: "p", Prompt: 5000, Output: 1300, Aim: s.aim, Whole: s.aim, Pause: s.pause, Gap: s.patience(), Left: s.patience(),
+	}
+}
+
+// TestResumedIsNotRefused asks for an engine in the middle of an answer while all
+// are full: once the price of engines refused it, and answers broke off on quiet
+// days of the grown sites.
+func TestResumedIsNotRefused(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, resumed := range []bool{false, true} {
+		c := busy(now)
+		ask := shortAsk("late")
+		ask.Aim, ask.Resumed = 0, resumed
+		refused := false
+		for at := now; at.Before(now.Add(time.Second)); at = at.Add(20 * time.Millisecond) {
+			var e Event = Tick{}
+			if at.Equal(now) {
+				e = Arrive{ask}
+			}
+			for _, d := range c.Step(at, e) {
+				r, ok := d.(Refuse)
+				refused = refused || ok && r.ID == "late"
+			}
+		}
+		quicktest.Assert(t, refused, quicktest.Equals, !resumed)
+		for _, d := range c.Step(now.Add(time.Second), End{ID: "a"}) {
+			t.Fatalf("decision %v before a tick", d)
+		}
+		granted := false
+		for _, d := range c.Step(now.Add(time.Second), Tick{}) {
+			g, ok := d.(Grant)
+			granted = granted || ok && g.ID == "late"
+		}
+		quicktest.Assert(t, granted, quicktest.Equals, resumed)
+	}
+}
+
+// TestRefusalNamesATime wants a time to come back with each refusal, within a
+// third of what the caller has left, and not the same for all.
+func TestRefusalNamesATime(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := busy(now)
+	times := make(map[time.Duration]bool)
+	for i := range 10 {
+		ask := shortAsk("x" + string(rune('a'+i)))
+		ask.Aim, ask.Left = 0, 9*time.Second
+		for _, d := range c.Step(now, Arrive{ask}) {
+			r := d.(Refuse)
+			quicktest.Assert(t, r.Retry > 0 && r.Retry <= ask.Left/3, quicktest.IsTrue)
+			times[r.Retry] = true
+		}
+	}
+	quicktest.Assert(t, len(times) > 5, quicktest.IsTrue)
+}
+
+// TestMemoryOfTheLargest plans a prompt of a million tokens over engines of
+// 405,000: no engine gets more than it has, and all is given back.
+func TestMemoryOfTheLargest(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := &Core{}
+	f := Fleet{Engine: published()}
+	for i := range 16 {
+		f.Targets = append(f.Targets, site.Target{ID: string(rune('a' + i)), Pool: "p", State: site.Ready, Slots: 16})
+	}
+	c.Step(now, f)
+	l := long()
+	ask := Ask{
+		ID: "large", Pool: "p", Prompt: 1_000_000, Output: 650, Aim: l.aim, Whole: l.aim, Pause: l.pause, Gap: l.patience(), Left: l.limit,
+	}
+	var g Grant
+	for at := now; g.ID == "" && at.Before(now.Add(10*time.Second)); at = at.Add(20 * time.Millisecond) {
+		var e Event = Tick{}
+		if at.Equal(now) {
+			e = Arrive{ask}
+		}
+		for _, d := range c.Step(at, e) {
+			if x, ok := d.(Grant); ok {
+				g = x
+			}
+		}
+	}
+	quicktest.Assert(t, g.ID, quicktest.Equals, "large")
+	kept := ask.Prompt + ask.Output
+	for _, n := range g.Memory {
+		quicktest.Assert(t, n > 0 && n <= published().Memory, quicktest.IsTrue)
+		kept -= n
+	}
+	quicktest.Assert(t, kept <= published().Memory, quicktest.IsTrue)
+	c.Step(now.Add(20*time.Second), End{ID: "large"})
+	for _, e := range c.engines {
+		quicktest.Assert(t, e.held, quicktest.Equals, 0)
+		quicktest.Assert(t, len(e.jobs)+e.helping+e.writers, quicktest.Equals, 0)
+	}
+}
--- a/internal/place/demand.go
+++ b/internal/place/demand.go
@@ -70,6 +70,13 @@
 	return d.short
 }
 
+// others is how many engines the requests of late want, but for one of them.
+func (d *demand) others(now time.Time, j *job, work time.Duration) float64 {
+	d.decay(now)
+	own := min(work, maxWork).Seconds() / demandWindow.Seconds()
+	return max(0, d.work-own*math.Exp(-now.Sub(j.arrived).Seconds()/demandWindow.Seconds()))
+}
+
 // density is the mean worth of a second of an engine's time, in what is asked.
 func (d *demand) density(now time.Time) float64 {
 	d.decay(now)
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -23,8 +23,13 @@
 	Whole time.Duration `cbor:"6,keyasint"`
 	// Pause is the longest pause between events that the caller wants.
 	Pause time.Duration `cbor:"7,keyasint"`
+	// Gap is the pause between events after which the caller gives up.
+	Gap time.Duration `cbor:"12,keyasint"`
 	// Left is the time until the caller gives up.
 	Left time.Duration `cbor:"8,keyasint"`
+	// Resumed says that the caller has a part of the answer: it is not refused for
+	// the sake of others.
+	Resumed bool `cbor:"13,keyasint,omitempty"`
 	// Rank orders requests of equal slack; 0 is the first.
 	Rank int `cbor:"9,keyasint"`
 	// DataCentre is that of the asking instance.
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -23,6 +23,9 @@
 	longAim = time.Second
 	// maxParts is the number of engines that read one prompt at most.
 	maxParts = 16
+	// aloneParts is that number for a core that stands alone, unless memory wants
+	// more: what it does not know of is on those engines too.
+	aloneParts = 4
 	// memoryMargin is the room in tokens that is left for rounding to blocks, and
 	// the least that is worth setting aside.
 	memoryMargin = 2000
@@ -106,12 +109,12 @@
 	if left < hopeless {
 		return c.refuse(j, "its time is nearly over", time.Second)
 	}
-	if j.spoilt && !c.Alone && c.crowded(now) {
+	if j.spoilt && !j.ask.Resumed && !c.Alone && c.crowded(now) {
 		return c.refuse(j, "no engine can answer in time", c.comeBack(left))
 	}
 	p, ok := c.best(now, j)
-	if !ok || !c.Alone && (p.harm+p.own > c.limit(now, j) || !c.pays(now, j, &p)) {
-		if !c.Alone && !j.gone.IsZero() && now.Sub(j.gone) > lateWait {
+	if !ok || !c.Alone && (p.harm+p.own > c.limit(now, j) || !j.ask.Resumed && !c.pays(now, j, &p)) {
+		if !c.Alone && !j.ask.Resumed && !j.gone.IsZero() && now.Sub(j.gone) > lateWait {
 			return c.refuse(j, "the engines have more urgent work", c.comeBack(left))
 		}
 		return nil
@@ -175,6 +178,9 @@
 // wait: what can't come in time in any case takes what harms others least.
 func (c *Core) limit(now time.Time, j *job) float64 {
 	waited := now.Sub(j.arrived)
+	if j.ask.Resumed {
+		return j.value
+	}
 	if j.spoilt {
 		return j.value * (1 - lateShare)
 	}
@@ -203,6 +209,9 @@
 		if parts > 1 && (part < minPart || parts > len(c.engines)) {
 			break
 		}
+		if c.Alone && parts > aloneParts && found {
+			break
+		}
 		p, ok := c.spread(now, j, parts, part)
 		if ok && (!found || p.total() < best.total()) {
 			best, found = p, true
@@ -244,8 +253,14 @@
 	}
 	p.wish += partCost * float64(parts-1) * j.value
 	p.own = c.late(now, j, p.first)
+	if j.spoilt {
+		p.wish += j.tardy(p.first)
+	} else {
+		// What can come in time waits rather for an engine that is nearly free.
+		p.own += j.tardy(p.first)
+	}
 	if j.isLong() {
-		p.harm += c.block(now, &p) + c.occupy(now, &p)
+		p.harm += c.block(now, &p) + c.occupy(now, j, &p)
 	}
 	return p, true
 }
@@ -264,7 +279,7 @@
 		}
 		o := option{e: e, harm: c.harm(now, e, tokens, part), first: c.first(now, e, tokens, part), lead: canLead}
 		// The harm done there and the request's own delay.
-		o.score = o.harm + c.late(now, j, o.first)
+		o.score = o.harm + c.late(now, j, o.first) + j.tardy(o.first)
 		switch {
 		case c.Alone:
 			o.score += spreadCost * chance(j.ask.ID, e.ID) * j.value
@@ -329,13 +344,15 @@
 // and by its caller giving up.
 func (c *Core) late(now time.Time, j *job, first time.Duration) float64 {
 	sum := (1 - lateShare) * j.value * risk(first, j.arrived.Add(j.ask.Left).Sub(now))
-	sum += tardyCost * first.Seconds() * j.value
 	if !j.spoilt {
 		sum += lateShare * j.value * risk(first, j.due.Sub(now))
 	}
 	return sum
 }
 
+// tardy is what a request loses by a delay as such.
+func (j *job) tardy(by time.Duration) float64 { return tardyCost * by.Seconds() * j.value }
+
 // first predicts when an engine has read a part and written the first event: the
 // pass in progress ends, and the event comes at the end of the pass that reads
 // the part.
@@ -354,8 +371,8 @@
 	sum := 0.0
 	if next >= scale(e.shortest(), onTime) {
 		for _, o := range e.jobs {
-			if o.begun && !o.spoilt && o.lead == e {
-				sum += lateShare * o.value * (risk(next, o.ask.Pause) - risk(old, o.ask.Pause))
+			if o.begun && o.lead == e {
+				sum += o.pausing(next) - o.pausing(old)
 			}
 		}
 	}
@@ -363,12 +380,22 @@
 		if o := p.job; !o.begun {
 			t := o.first.Sub(now)
 			then := max(t, p.finish.Sub(now)+next-old)
-			sum += c.late(now, o, then) - c.late(now, o, t)
+			sum += c.late(now, o, then) - c.late(now, o, t) + o.tardy(then-t)
 		}
 	}
 	return sum
 }
 
+// pausing is what an answer that is written loses by a pause: by being late, and
+// by its caller giving up.
+func (j *job) pausing(pause time.Duration) float64 {
+	sum := (1 - lateShare) * j.value * risk(pause, j.ask.Gap)
+	if !j.spoilt {
+		sum += lateShare * j.value * risk(pause, j.ask.Pause)
+	}
+	return sum
+}
+
 // work is the time of engines that a request takes.
 func (c *Core) work(j *job) time.Duration {
 	slots := max(1, c.model.Slots)
@@ -376,13 +403,15 @@
 	return c.model.read(j.ask.Prompt) + scale(c.model.write(j.ask.Output, slots, 0), 1/share)
 }
 
-// occupy is what it costs to bind engines for long, while demand may flip.
-func (c *Core) occupy(now time.Time, p *plan) float64 {
+// occupy is what it costs to bind engines for long, while demand may flip. Where
+// nobody else wants them it costs nothing.
+func (c *Core) occupy(now time.Time, j *job, p *plan) float64 {
 	over := p.part - bindFree
 	if over <= 0 {
 		return 0
 	}
-	return bindCost * c.demand.density(now) * over.Seconds() * float64(len(p.helpers)+1)
+	others := c.demand.others(now, j, c.work(j)) / (calm * float64(len(c.engines)))
+	return min(1, others) * bindCost * c.demand.density(now) * over.Seconds() * float64(len(p.helpers)+1)
 }
 
 // block is what short prompts to come lose while engines read the parts of a long
--- a/internal/place/sim_test.go
+++ b/internal/place/sim_test.go
@@ -179,7 +179,7 @@
 	c := j.class
 	s.decide(Arrive{Ask{
 		ID: j.id, Pool: "p", Prompt: j.prompt, Output: j.guess, Aim: c.aim, Whole: c.aim, Pause: c.pause,
-		Left: min(c.limit, c.patience()),
+		Left: min(c.limit, c.patience()), Gap: c.patience(),
 	}})
 	s.events.add(s.now+c.patience(), func() {
 		if !j.granted && !j.refused {
--- a/internal/quorum/elect.go
+++ b/internal/quorum/elect.go
@@ -184,3 +184,27 @@
 	}
 	return false
 }
+
+// Resign gives the leadership up at once, as this replica can't go on: the
+// follower that is furthest stands without waiting. It returns the message to it.
+func (c *Core) Resign(now time.Duration) []Message {
+	c.now = now
+	if c.role != leader {
+		return nil
+	}
+	var best *Replica
+	match := uint64(0)
+	for i := range c.config.Replicas {
+		r := &c.config.Replicas[i]
+		if p := c.peers[r.ID]; r.Voter && p != nil && p.match > match {
+			best, match = r, p.match
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	m := c.message(best.ID, TimeoutNow{})
+	c.heard = now
+	c.follow(0)
+	return []Message{m}
+}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -143,7 +143,13 @@
 	if n.Voters > 0 {
 		n.links.wg.Go(func() { n.rejoin(lctx) })
 	}
-	return n.loop(ctx)
+	if err := n.loop(ctx); err != nil {
+		// Its disk has failed. Another replica need not wait to find that out.
+		n.send(n.core.Resign(n.now()))
+		n.links.drain(n.Timing.Heartbeat)
+		return err
+	}
+	return nil
 }
 
 // load starts the core and the machine from what is on the disk.
--- a/internal/quorum/voters_test.go
+++ b/internal/quorum/voters_test.go
@@ -122,3 +122,27 @@
 		g.agree(2, "b")
 	})
 }
+
+// TestFullDiskHandsOver fills the disk of the leader: the others have a new
+// leader well before they would miss the old one.
+func TestFullDiskHandsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTended(t, 3, 3)
+		defer func() {
+			for a, m := range g.all {
+				m.stop()
+				<-m.ended
+				delete(g.all, a)
+			}
+		}()
+		lead := g.leader()
+		g.must(lead, "a")
+		g.all[lead].disk.SetRoom(0)
+		began := time.Now()
+		quicktest.Assert(t, g.propose(lead, "b"), quicktest.IsNotNil)
+		next := g.leader(lead)
+		quicktest.Assert(t, next != lead, quicktest.IsTrue)
+		quicktest.Assert(t, time.Since(began) < time.Second, quicktest.IsTrue, quicktest.Commentf("%s", time.Since(began)))
+		g.must(next, "c")
+	})
+}
