--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -99,10 +99,17 @@
 	if d := c.try(now, j); d != nil {
 		return []Decision{d}
 	}
+	if len(c.queue) >= maxWaiting && !a.Resumed {
+		return []Decision{c.refuse(j, "too many requests wait", c.comeBack(a.Left))}
+	}
 	c.enqueue(j)
 	return nil
 }
 
+// maxWaiting bounds the requests that wait: more could not be served within their
+// callers' patience, and a tick looks at all of them.
+const maxWaiting = 2000
+
 // maxLooks bounds the waiting requests that one tick looks at.
 const maxLooks = 64
 
--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -79,6 +80,24 @@
 	quicktest.Assert(t, len(times) > 5, quicktest.IsTrue)
 }
 
+// TestQueueIsBounded sends far more than can be served: what finds no room is
+// refused at once.
+func TestQueueIsBounded(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := busy(now)
+	refused := 0
+	for i := range maxWaiting + 100 {
+		ask := shortAsk(fmt.Sprint("w", i))
+		for _, d := range c.Step(now, Arrive{ask}) {
+			_, ok := d.(Refuse)
+			quicktest.Assert(t, ok, quicktest.IsTrue)
+			refused++
+		}
+	}
+	quicktest.Assert(t, c.Waiting(), quicktest.Equals, maxWaiting)
+	quicktest.Assert(t, refused, quicktest.Equals, 100)
+}
+
 // TestMemoryOfTheLargest plans a prompt of a million tokens over engines of
 // 405,000: no engine gets more than it has, and all is given back.
 func TestMemoryOfTheLargest(t *testing.T) {
