--- a/internal/gate/broker.go
+++ b/internal/gate/broker.go
@@ -11,7 +11,6 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
-	"github.com/bambooproxy/bambooproxy/internal/reg"
 )
 
 const (
@@ -247,102 +246,9 @@
 	}
 }
 
-// Have returns the revision of the view.
-func (s *Server) Have() uint64 {
-	if v := s.world.view(); v != nil {
-		return v.revision
-	}
-	return 0
-}
-
-// Update takes in news of the registry.
-func (s *Server) Update(u *reg.Update) {
-	v, err := s.world.apply(u)
-	if err != nil {
-		s.Log.Error().Err(err).Uint64("revision", u.Revision).Msg("news can't be read")
-		return
-	}
-	if v == nil {
-		return
-	}
-	e := s.Log.Info().Uint64("revision", v.revision).Int("targets", len(u.Targets))
-	if u.Packed != nil && v.index != nil {
-		e.Int64("version", v.index.Tables.Version).Int("routes", len(v.index.Tables.Routes))
-	}
-	e.Msg("news of the registry")
-	s.broker.refresh(v)
-}
-
-// Granted takes in a grant for an ask.
-func (s *Server) Granted(g place.Grant) {
-	if p := s.broker.waiting(g.ID); p != nil {
-		p.granted <- g
-		return
-	}
-	// Nobody waits for it any more.
-	s.Link.Send(func(u *link.Up) { u.Withdrawn = append(u.Withdrawn, g.ID) })
-}
-
-// Refused takes in a refusal.
-func (s *Server) Refused(r place.Refuse) {
-	if p := s.broker.waiting(r.ID); p != nil {
-		p.refused <- r
-	}
-}
-
-// Waiting takes in that an ask waits.
-func (s *Server) Waiting(id string) {
-	if p := s.broker.waiting(id); p != nil {
-		select {
-		case p.waiting <- struct{}{}:
-		default:
-		}
-	}
-}
-
+// waiting returns the ask of an ID that nobody has answered, or nil.
 func (b *broker) waiting(id string) *ask {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return b.pending[id]
 }
-
-// Holdings are the grants in use, for a new leader.
-func (s *Server) Holdings() []place.Holding {
-	b := &s.broker
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	out := make([]place.Holding, 0, len(b.held))
-	for _, h := range b.held {
-		h.Age = time.Since(h.at)
-		out = append(out, h.Holding)
-	}
-	return out
-}
-
-// Listed takes in nothing: only control instances name instances to callers.
-func (*Server) Listed([]link.Entry) {}
-
-// Counted takes in how many instances share the budget of repeats.
-func (s *Server) Counted(n int) { s.others.Store(int64(n)) }
-
-// Linked takes in nothing: asks find the link by themselves.
-func (*Server) Linked(bool) {}
-
-// Lost lets the asks that wait be placed by the own view.
-func (s *Server) Lost() {
-	b := &s.broker
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for id, p := range b.pending {
-		delete(b.pending, id)
-		close(p.lost)
-	}
-}
-
-// Pulse tells whether callers may come here.
-func (s *Server) Pulse(u *link.Up) {
-	u.Listed, u.Entries = true, nil
-	if s.IsReady() {
-		u.Entries = []link.Entry{{Name: s.Name, DataCentre: s.DataCentre, Address: s.Address}}
-	}
-}
--- a/internal/inst/instance.go
+++ b/internal/inst/instance.go
@@ -205,21 +205,7 @@
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
 	}
-	g.Go(func() error {
-		if err := srv.Serve(netutil.LimitListener(ln, maxConns)); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	g.Go(func() error {
-		<-ctx.Done()
-		last, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-		defer stop()
-		if srv.Shutdown(last) == nil {
-			return nil
-		}
-		return srv.Close()
-	})
+	httpx.Serve(ctx, g, srv, netutil.LimitListener(ln, maxConns), closeTimeout)
 	return nil
 }
 
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -19,6 +19,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/conf"
 	"github.com/bambooproxy/bambooproxy/internal/gate"
 	"github.com/bambooproxy/bambooproxy/internal/hop"
+	"github.com/bambooproxy/bambooproxy/internal/httpx"
 	"github.com/bambooproxy/bambooproxy/internal/hub"
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/meter"
@@ -201,23 +202,8 @@
 	}
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeader,
-		ErrorLog: nil,
 	}
-	g.Go(func() error {
-		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	g.Go(func() error {
-		<-ctx.Done()
-		last, stop := context.WithTimeout(context.WithoutCancel(ctx), closeTimeout)
-		defer stop()
-		if srv.Shutdown(last) == nil {
-			return nil
-		}
-		return srv.Close()
-	})
+	httpx.Serve(ctx, g, srv, ln, closeTimeout)
 	return nil
 }
 
