--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -77,8 +77,18 @@
 	return out
 }
 
-// Listed takes in nothing: only control instances name instances to callers.
-func (*Server) Listed([]link.Entry) {}
+// Listed takes in the ready instances to name to callers.
+func (s *Server) Listed(entries []link.Entry) { s.near.Store(&entries) }
+
+// Entries returns the ready instances for callers of a data centre, as far as
+// control has told: those of this one.
+func (s *Server) Entries(dataCentre string) []link.Entry {
+	list := s.near.Load()
+	if list == nil {
+		return nil
+	}
+	return link.Near(*list, dataCentre)
+}
 
 // Counted takes in how many instances share the budget of repeats.
 func (s *Server) Counted(n int) { s.others.Store(int64(n)) }
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -52,6 +52,8 @@
 	world  world
 	broker broker
 	health health
+	// near are the ready instances to name to callers.
+	near atomic.Pointer[[]link.Entry]
 	// others is the number of ready instances of the site.
 	others atomic.Int64
 	// left is when the instance began to leave, in nanoseconds of its run; 0
--- a/internal/hub/directory.go
+++ b/internal/hub/directory.go
@@ -10,11 +10,6 @@
 )
 
 const (
-	// maxEntries bounds the instances named to a caller.
-	maxEntries = 64
-	// minNear is how many instances of a caller's data centre are enough to name
-	// no others: one more than the loss of one.
-	minNear = 2
 	// entryGrace is how long the list of a former leader counts after this
 	// instance has become the leader: until the others have linked up.
 	entryGrace = 2 * time.Second
@@ -63,16 +58,7 @@
 	if list, told := s.dir.get(); !s.isLeader() || time.Since(told) < entryGrace {
 		all = sorted(append(all, list...))
 	}
-	var near []link.Entry
-	for _, e := range all {
-		if e.DataCentre == dataCentre {
-			near = append(near, e)
-		}
-	}
-	if len(near) >= minNear {
-		all = near
-	}
-	return all[:min(len(all), maxEntries)]
+	return link.Near(all, dataCentre)
 }
 
 // spread tells the others which instances are ready.
@@ -84,8 +70,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for x := range s.sessions {
-		if x.hello.Control {
-			x.Add(func(d *link.Down) { d.Entries, d.Listed = all, true })
+		list := all
+		if !x.hello.Control {
+			list = link.Near(all, x.hello.DataCentre)
+		}
+		if !slices.Equal(list, x.listed) {
+			x.listed = list
+			x.Add(func(d *link.Down) { d.Entries, d.Listed = list, true })
 		}
 		if x.counted != len(all) {
 			x.counted = len(all)
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -18,6 +18,8 @@
 	entries []link.Entry
 	// have is the revision that was sent to it.
 	have uint64
+	// listed are the ready instances that were sent to it.
+	listed []link.Entry
 	// counted is the number of ready instances that was sent to it.
 	counted int
 }
--- a/internal/hub/site_test.go
+++ b/internal/hub/site_test.go
@@ -55,7 +55,9 @@
 	grants  chan place.Grant
 	refused chan place.Refuse
 	ready   bool
-	held    []place.Holding
+	// listed is how many instances it was told to name to callers.
+	listed int
+	held   []place.Holding
 }
 
 func (e *entry) Have() uint64 {
@@ -113,6 +115,12 @@
 func (*entry) Linked(bool)         {}
 func (*entry) Lost()               {}
 
+func (e *entry) Listed(list []link.Entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.listed = len(list)
+}
+
 func (e *entry) Pulse(u *link.Up) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -189,7 +197,7 @@
 		grants: make(chan place.Grant, 100), refused: make(chan place.Refuse, 100),
 	}
 	pool := &wire.Pool{Dial: m.net.Dialer(addr), Self: addr}
-	e.client = &link.Client{Self: link.Hello{Name: name, Peers: addr}, Calls: pool, Follower: e, Log: quiet()}
+	e.client = &link.Client{Self: link.Hello{Name: name, Peers: addr, DataCentre: "dc-" + name[:1]}, Calls: pool, Follower: e, Log: quiet()}
 	e.client.SetSeeds(m.seeds)
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
@@ -492,6 +500,28 @@
 	})
 }
 
+// TestEntriesAnswerLookUps tells each entry which instances to name to callers
+// nearby: a look-up at a control instance that stood still cost callers a second.
+func TestEntriesAnswerLookUps(t *testing.T) {
+	run(t, 3, 6, func(t *testing.T, m *mini) {
+		time.Sleep(time.Second)
+		told := func() (out []int) {
+			for i := range 6 {
+				e := m.entries[fmt.Sprintf("10.0.1.%d:7", i+1)]
+				e.mu.Lock()
+				out = append(out, e.listed)
+				e.mu.Unlock()
+			}
+			return out
+		}
+		quicktest.Assert(t, told(), quicktest.DeepEquals, []int{2, 2, 2, 2, 2, 2})
+		e := m.entries["10.0.1.1:7"]
+		e.change(func() { e.ready = false })
+		time.Sleep(time.Second)
+		quicktest.Assert(t, told(), quicktest.DeepEquals, []int{5, 2, 2, 5, 2, 2})
+	})
+}
+
 // TestScheduler grants engines to entries and takes their grants over when the
 // leader is lost.
 func TestScheduler(t *testing.T) {
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -14,6 +14,11 @@
 	Method = "link.follow"
 	// PulseEvery is the longest silence of either side of a link.
 	PulseEvery = 250 * time.Millisecond
+	// maxEntries bounds the instances named to a caller.
+	maxEntries = 64
+	// minNear is how many instances of a caller's data centre are enough to name
+	// no others: one more than the loss of one.
+	minNear = 2
 	// Silence is how long a side waits for the other before it ends the link:
 	// three pulses and the delay of a busy process.
 	Silence = time.Second
@@ -27,6 +32,21 @@
 	Address string `cbor:"3,keyasint"`
 }
 
+// Near returns the instances for callers of a data centre: those nearby, or all
+// where these are too few.
+func Near(all []Entry, dataCentre string) []Entry {
+	var near []Entry
+	for _, e := range all {
+		if e.DataCentre == dataCentre {
+			near = append(near, e)
+		}
+	}
+	if len(near) >= minNear {
+		all = near
+	}
+	return all[:min(len(all), maxEntries)]
+}
+
 // Hello opens a link.
 type Hello struct {
 	Name string `cbor:"1,keyasint"`
@@ -34,6 +54,8 @@
 	Peers string `cbor:"2,keyasint"`
 	// Control says that the sender keeps control state itself.
 	Control bool `cbor:"3,keyasint,omitempty"`
+	// DataCentre is that of the sender.
+	DataCentre string `cbor:"5,keyasint,omitempty"`
 	// Have is the revision that the sender has.
 	Have uint64 `cbor:"4,keyasint"`
 }
@@ -68,7 +90,8 @@
 type Down struct {
 	Welcome *Welcome    `cbor:"1,keyasint,omitempty"`
 	Update  *reg.Update `cbor:"2,keyasint,omitempty"`
-	// Entries are all ready instances; only control instances get them.
+	// Entries are the ready instances: all for control instances, those to name to
+	// callers nearby for others.
 	Entries []Entry `cbor:"3,keyasint,omitempty"`
 	Listed  bool    `cbor:"4,keyasint,omitempty"`
 	// Count is the number of ready instances; 0 if it did not change.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -50,10 +50,15 @@
 	controlStay = 300 * time.Millisecond
 )
 
+// Lister knows which instances callers may use.
+type Lister interface {
+	Entries(dataCentre string) []link.Entry
+}
+
 // Handlers are what a process serves, made by the adapter to the platform.
 type Handlers struct {
 	Control   func(*hub.Server) http.Handler
-	Directory func(*hub.Server) http.Handler
+	Directory func(Lister) http.Handler
 	Ready     func(ready func() bool) http.Handler
 }
 
@@ -125,7 +130,7 @@
 		Targets: &hop.Client{Dial: p.net.dial}, Log: p.Log, Metrics: p.metrics,
 		Budget: &gate.Budget{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: time.Duration(s.Repeats.Window)},
 	}
-	p.link = &link.Client{Self: link.Hello{Name: s.Name, Peers: s.Peers}, Calls: p.peers, Follower: p.gate, Log: p.Log}
+	p.link = &link.Client{Self: link.Hello{Name: s.Name, Peers: s.Peers, DataCentre: s.DataCentre}, Calls: p.peers, Follower: p.gate, Log: p.Log}
 	p.link.SetSeeds(p.peersOf(s.Seeds))
 	p.gate.Link = p.link
 	p.gate.Setup()
@@ -171,7 +176,7 @@
 		handler func() http.Handler
 	}{
 		{s.Control, func() http.Handler { return p.Handlers.Control(p.hub) }},
-		{s.Directory, func() http.Handler { return p.Handlers.Directory(p.hub) }},
+		{s.Directory, func() http.Handler { return p.Handlers.Directory(p.lister()) }},
 		{s.Ready, func() http.Handler { return p.Handlers.Ready(p.isReady) }},
 		{s.Metrics, p.metricsHandler},
 	} {
@@ -186,6 +191,14 @@
 	return nil
 }
 
+// lister is what answers look-ups here.
+func (p *Process) lister() Lister {
+	if p.hub != nil {
+		return p.hub
+	}
+	return p.gate
+}
+
 func (p *Process) isReady() bool { return p.gate == nil || p.gate.IsReady() }
 
 func (p *Process) metricsHandler() http.Handler {
