--- a/internal/hub/site_test.go
+++ b/internal/hub/site_test.go
@@ -110,10 +110,9 @@
 	defer e.mu.Unlock()
 	return e.held
 }
-func (*entry) Listed([]link.Entry) {}
-func (*entry) Counted(int)         {}
-func (*entry) Linked(bool)         {}
-func (*entry) Lost()               {}
+func (*entry) Counted(int) {}
+func (*entry) Linked(bool) {}
+func (*entry) Lost()       {}
 
 func (e *entry) Listed(list []link.Entry) {
 	e.mu.Lock()
