Tell the ready instances under one lock, and to each new link

TestLookUps found that a list which was made earlier could be told after a newer one, and that a link which came late was told nothing until the next change.

--- a/internal/hub/directory.go
+++ b/internal/hub/directory.go
@@ -39,6 +39,11 @@
 func (s *Server) linked() []link.Entry {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	return s.entries()
+}
+
+// entries lists what the sessions told; the caller holds the lock.
+func (s *Server) entries() []link.Entry {
 	var out []link.Entry
 	for x := range s.sessions {
 		out = append(out, x.entries...)
@@ -63,12 +68,13 @@
 
 // spread tells the others which instances are ready.
 func (s *Server) spread() {
-	if !s.isLeader() {
-		return
-	}
-	all := s.linked()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.leads {
+		return
+	}
+	// Under the same lock, so that no older list is told after a newer one.
+	all := s.entries()
 	for x := range s.sessions {
 		list := all
 		if !x.hello.Control {
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -53,6 +53,7 @@
 		return nil
 	}
 	s.take(x, &first)
+	s.spread()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.feed(ctx, x)
