--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -43,8 +43,10 @@
 	// Voters is how many control instances vote.
 	Voters int
 	// Data is the folder for the log, on Files.
-	Data    string
-	Files   store.FS
+	Data  string
+	Files store.FS
+	// Seed draws the jitter of elections; 0 stands for one by chance.
+	Seed    uint64
 	Pool    *wire.Pool
 	Log     *log.Logger
 	Metrics metrics.Registry
@@ -86,6 +88,7 @@
 	return &quorum.Node{
 		Self: s.Peers, Founders: s.Seeds, Folder: filepath.Join(s.Data, logFolder), Join: !s.First,
 		Voters: s.Voters, FS: s.Files, Machine: &s.machine, Calls: s.Pool, Log: s.Log,
+		Seed:   s.Seed,
 		Timing: quorum.Timing{Heartbeat: heartbeat, Election: election},
 	}
 }
--- a/internal/hub/site_test.go
+++ b/internal/hub/site_test.go
@@ -153,7 +153,7 @@
 	pool := &wire.Pool{Dial: m.net.Dialer(addr), Self: addr, Local: local}
 	c := &control{disk: disk, done: make(chan struct{}), Server: &Server{
 		Name: addr, DataCentre: "dc-a", Peers: addr, Seeds: m.seeds, First: first, Voters: min(5, max(3, len(m.seeds))),
-		Data: "/data", Files: disk, Pool: pool, Log: quiet(), Metrics: metrics.NewRegistry(),
+		Seed: 1, Data: "/data", Files: disk, Pool: pool, Log: quiet(), Metrics: metrics.NewRegistry(),
 	}}
 	m.hubs[addr] = c
 	local.Methods, local.Streams = c.Setup()
