--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -80,6 +80,18 @@
 	quicktest.Assert(t, len(times) > 5, quicktest.IsTrue)
 }
 
+// TestNoTokensNamed places a request that does not say how long it is.
+func TestNoTokensNamed(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := &Core{}
+	c.Step(now, Fleet{Engine: published(), Targets: []site.Target{{ID: "e", Pool: "p", State: site.Ready, Slots: 16}}})
+	ask := shortAsk("none")
+	ask.Prompt, ask.Output = 0, 0
+	out := c.Step(now, Arrive{ask})
+	quicktest.Assert(t, out, quicktest.HasLen, 1)
+	quicktest.Assert(t, out[0].(Grant).Loss.Own >= 0, quicktest.IsTrue)
+}
+
 // TestQueueIsBounded sends far more than can be served: what finds no room is
 // refused at once.
 func TestQueueIsBounded(t *testing.T) {
--- a/internal/place/worth.go
+++ b/internal/place/worth.go
@@ -23,7 +23,8 @@
 type worth struct{ means map[time.Duration]float64 }
 
 func (w *worth) of(a Ask) float64 {
-	size := float64(a.Prompt + outputWeight*a.Output)
+	// A request that names no tokens is worth something, too.
+	size := max(1, float64(a.Prompt+outputWeight*a.Output))
 	size *= 1 + size/quadratic
 	if w.means == nil {
 		w.means = make(map[time.Duration]float64)
