Reckon a leader's lease with a clock that goes on while its host sleeps

Cause: on the platform a machine may be suspended, and the steady clock stands still meanwhile. A leader that woke up trusted a lease that was over, and could have answered a read with older tables. TestSleepEndsTheLease: without the clock the lease held.

--- a/internal/conf/process_test.go
+++ b/internal/conf/process_test.go
@@ -12,6 +12,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/bambooproxy/bambooproxy/internal/conf"
+	"github.com/bambooproxy/bambooproxy/internal/mutate"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 )
 
@@ -88,3 +89,13 @@
 	quicktest.Assert(t, p.First, quicktest.IsTrue)
 	quicktest.Assert(t, p.Repeats.Slack, quicktest.Equals, 106.0)
 }
+
+func FuzzDecodeProcess(f *testing.F) {
+	mutate.Add(f, []byte(process))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, err := conf.DecodeProcess(b)
+		if err == nil && p.Check() != nil {
+			t.Fatalf("accepted and invalid: %v", p.Check())
+		}
+	})
+}
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -45,6 +45,8 @@
 	// Data is the folder for the log, on Files.
 	Data  string
 	Files store.FS
+	// Clock is the time for the leader's lease; nil means the runtime's.
+	Clock func() time.Duration
 	// Seed draws the jitter of elections; 0 stands for one by chance.
 	Seed    uint64
 	Pool    *wire.Pool
@@ -88,7 +90,7 @@
 	return &quorum.Node{
 		Self: s.Peers, Founders: s.Seeds, Folder: filepath.Join(s.Data, logFolder), Join: !s.First,
 		Voters: s.Voters, FS: s.Files, Machine: &s.machine, Calls: s.Pool, Log: s.Log,
-		Seed:   s.Seed,
+		Seed: s.Seed, Clock: s.Clock,
 		Timing: quorum.Timing{Heartbeat: heartbeat, Election: election},
 	}
 }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -118,7 +118,7 @@
 	if s.Control != "" {
 		p.hub = &hub.Server{
 			Name: s.Name, DataCentre: s.DataCentre, Peers: s.Peers, Seeds: p.peersOf(s.Seeds), First: s.First,
-			Voters: 2*s.Losses + 1, Data: s.Data, Files: store.OS{}, Pool: p.peers, Log: p.Log, Metrics: p.metrics,
+			Voters: 2*s.Losses + 1, Data: s.Data, Files: store.OS{}, Clock: bootClock, Pool: p.peers, Log: p.Log, Metrics: p.metrics,
 		}
 		p.local.Methods, p.local.Streams = p.hub.Setup()
 	}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -56,6 +56,9 @@
 	SnapshotBytes int
 	// Seed draws the jitter of elections; 0 stands for one by chance.
 	Seed uint64
+	// Clock is the time that the lease is reckoned with. It must go on while the
+	// host sleeps; nil means the runtime's, for hosts that don't.
+	Clock func() time.Duration
 
 	once   sync.Once
 	mail   mailbox
@@ -182,8 +185,13 @@
 	return errors.Wrap(n.Machine.Restore(s.Data), "restore a snapshot")
 }
 
-// now is the monotonic time since the start.
-func (n *Node) now() time.Duration { return time.Since(n.born) }
+// now is the monotonic time since some moment.
+func (n *Node) now() time.Duration {
+	if n.Clock != nil {
+		return n.Clock()
+	}
+	return time.Since(n.born)
+}
 
 func (n *Node) loop(ctx context.Context) error {
 	tick := time.NewTicker(n.Timing.Heartbeat / ticksPerBeat)
--- a/internal/quorum/node_test.go
+++ b/internal/quorum/node_test.go
@@ -92,6 +92,8 @@
 	// voters and join are those of the nodes that are started.
 	voters int
 	join   bool
+	// slept is how long the hosts have slept, while the runtime's clock stood still.
+	slept atomic.Int64
 }
 
 // member is a node with what outlives its process.
@@ -132,6 +134,10 @@
 		Self: addr, Founders: m.founders, Folder: "/data", FS: m.stall, Machine: m.machine, Calls: pool,
 		Log: &log.Logger{Level: log.PanicLevel}, SnapshotBytes: 64 << 10, Voters: g.voters, Join: g.join,
 	}
+	if g.voters > 0 {
+		began := time.Now()
+		m.node.Clock = func() time.Duration { return time.Since(began) + time.Duration(g.slept.Load()) }
+	}
 	local.Methods = m.node.Methods()
 	ln, err := g.net.Listen(addr)
 	quicktest.Assert(g.t, err, quicktest.IsNil)
--- a/internal/quorum/voters_test.go
+++ b/internal/quorum/voters_test.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -146,3 +147,22 @@
 		g.must(next, "c")
 	})
 }
+
+// TestSleepEndsTheLease lets the leader's host sleep, cut off from the others:
+// when it wakes up its lease is over, although the runtime's clock stood still.
+func TestSleepEndsTheLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newTended(t, 3, 3)
+		defer g.close()
+		lead := g.leader()
+		g.must(lead, "a")
+		g.isolate(lead)
+		quicktest.Assert(t, g.all[lead].node.Barrier(t.Context()), quicktest.IsNil)
+		g.slept.Store(int64(5 * time.Second))
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		quicktest.Assert(t, g.all[lead].node.Barrier(ctx), quicktest.IsNotNil)
+		g.heal(lead)
+		g.must(g.leader(), "b")
+	})
+}
