--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -51,11 +51,15 @@
 	h.of(id).busy += n
 }
 
-// failed leaves a target out for a while.
+// failed leaves a target out for a while. Requests that fail while it is out fail
+// of the same cause, and count as one.
 func (h *health) failed(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	c := h.of(id)
+	if time.Now().Before(c.out) {
+		return
+	}
 	c.out = time.Now().Add(min(maxOut, firstOut<<min(c.failures, 6)))
 	c.failures++
 }
--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -80,6 +80,26 @@
 	quicktest.Assert(t, len(times) > 5, quicktest.IsTrue)
 }
 
+// TestFailuresAtOnceCountAsOne breaks off all answers of an engine at the same
+// moment, as one long pass does. Once that kept it out for four seconds, and others
+// had to take its work.
+func TestFailuresAtOnceCountAsOne(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := busy(now)
+	for i := range 8 {
+		c.Step(now, End{ID: string(rune('a' + i)), Fault: "e"})
+	}
+	e := c.byID["e"]
+	quicktest.Assert(t, c.free(now, e), quicktest.IsFalse)
+	quicktest.Assert(t, c.free(now.Add(firstOut), e), quicktest.IsTrue)
+	// Failures that go on keep it out longer and longer.
+	for i, id := range []string{"i", "j", "k"} {
+		at := now.Add(time.Duration(i+1) * 2 * time.Second)
+		c.Step(at, End{ID: id, Fault: "e", Hard: true})
+		quicktest.Assert(t, e.out.Sub(at) >= firstOut<<i, quicktest.IsTrue, quicktest.Commentf("%s", e.out.Sub(at)))
+	}
+}
+
 // TestNoTokensNamed places a request that does not say how long it is.
 func TestNoTokensNamed(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -81,8 +81,12 @@
 	return e.pause
 }
 
-// failed takes an engine out for a while.
+// failed takes an engine out for a while. Requests that fail while it is out fail
+// of the same cause, and count as one.
 func (e *engine) failed(now time.Time, hard bool) {
+	if now.Before(e.out) {
+		return
+	}
 	e.failures++
 	wait := firstOut << min(e.failures-1, 8)
 	if !hard {
