--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -227,7 +227,7 @@
 
 // passFailure passes on an engine's own failure, or lets another engine try.
 func (s *stream) passFailure(lead site.Target, resp *hop.Response, end *place.End) (done bool, reason string) {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	body, err := readAnswer(resp.Body)
 	s.ran = true
 	end.Fault = lead.ID
 	if err != nil || s.begun || resp.StatusCode >= http.StatusInternalServerError && s.route.MayRepeat() {
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -172,7 +172,7 @@
 		reuse = ok && drained(resp)
 		return nil, o
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	body, err := readAnswer(resp.Body)
 	if err != nil {
 		x.attemptFailed(t, "the answer broke off", err)
 		return nil, unknown{"the answer of a target broke off"}
@@ -186,6 +186,18 @@
 	return a, delivered{}
 }
 
+// errLargeAnswer says that an answer is too large to be read whole.
+var errLargeAnswer = errors.New("the answer is too large")
+
+// readAnswer reads a whole body. What is cut off must not look complete.
+func readAnswer(r io.Reader) ([]byte, error) {
+	b, err := io.ReadAll(io.LimitReader(r, maxAnswer+1))
+	if err == nil && len(b) > maxAnswer {
+		return nil, errLargeAnswer
+	}
+	return b, err
+}
+
 // drained reads what is left of a refusal, so that the connection can be kept.
 func drained(resp *hop.Response) bool {
 	const most = 64 << 10
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -82,6 +83,16 @@
 	}
 }
 
+// TestLargeAnswerIsNotCut has a target answer more than is read: the caller must
+// not get a part that looks whole.
+func TestLargeAnswerIsNotCut(t *testing.T) {
+	_, err := readAnswer(strings.NewReader(strings.Repeat("x", maxAnswer+1)))
+	quicktest.Assert(t, err, quicktest.Equals, errLargeAnswer)
+	b, err := readAnswer(strings.NewReader(strings.Repeat("x", maxAnswer)))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, len(b), quicktest.Equals, maxAnswer)
+}
+
 // TestDeadline wants an answer at the route's limit or the caller's, and the
 // target to be told what is left and to be let go.
 func TestDeadline(t *testing.T) {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -41,8 +41,13 @@
 	// memoryShare is the part of the allowed memory that the heap may take
 	// before it is collected more often.
 	memoryShare = 0.6
-	// lastPart is the part of the grace that is left for the end of the process.
+	// lastPart is the part of the grace that is left for the end of the process, and
+	// stayPart the part for which an entry stays at least: until callers have learnt
+	// that it leaves.
 	lastPart = 10
+	stayPart = 3
+	// stopLook is how often an entry that stops looks whether it has answered all.
+	stopLook = 50 * time.Millisecond
 	// closeTimeout bounds the wait for calls in progress when the process ends.
 	closeTimeout = 300 * time.Millisecond
 	// controlStay is how long a control instance that stops answers calls after it
@@ -231,15 +236,14 @@
 	p.gate.Leave()
 	grace := time.Duration(p.Settings.Grace)
 	end := time.Now().Add(grace - grace/lastPart)
-	const look = 50 * time.Millisecond
-	quiet := time.Now().Add(grace / 3)
+	least := time.Now().Add(grace / stayPart)
 	for time.Now().Before(end) {
-		if p.gate.Active() == 0 && time.Now().After(quiet) {
+		if p.gate.Active() == 0 && time.Now().After(least) {
 			break
 		}
-		time.Sleep(look)
+		time.Sleep(stopLook)
 	}
-	p.Log.Info().Int64("active", p.gate.Active()).Msg("leaving done")
+	p.Log.Info().Int64("active", p.gate.Active()).Msg("requests ended")
 }
 
 // follow reads the settings file again when it has changed.
