--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -40,7 +40,10 @@
 // Granted takes in a grant for an ask.
 func (s *Server) Granted(g place.Grant) {
 	if p := s.broker.waiting(g.ID); p != nil {
-		p.granted <- g
+		select {
+		case p.granted <- g:
+		default: // It has one already; the link must not wait for its reader.
+		}
 		return
 	}
 	// Nobody waits for it any more.
@@ -50,7 +53,10 @@
 // Refused takes in a refusal.
 func (s *Server) Refused(r place.Refuse) {
 	if p := s.broker.waiting(r.ID); p != nil {
-		p.refused <- r
+		select {
+		case p.refused <- r:
+		default:
+		}
 	}
 }
 
