--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bambooproxy/bambooproxy/internal/meter"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
@@ -36,7 +37,9 @@
 	if err := t.Check(); err != nil {
 		return verd.Wrap(err, verd.NotRun, verd.BadRequest, "tables")
 	}
+	began := time.Now()
 	r, err := s.propose(ctx, reg.Command{Publish: &reg.Publish{Tables: *t, Source: source}})
+	meter.Times("hub.publish", s.Metrics).Update(int64(time.Since(began)))
 	s.Log.Info().Int64("version", t.Version).Int("routes", len(t.Routes)).Bool("changed", r.Changed).
 		Uint64("revision", r.Revision).Err(err).Msg("tables published")
 	return err
--- a/internal/hub/lead.go
+++ b/internal/hub/lead.go
@@ -56,6 +56,7 @@
 		return
 	}
 	revision, _ := s.machine.Revision()
+	s.counter("hub.leadership_changes").Inc(1)
 	s.Log.Info().Bool("leads", leads).Uint64("revision", revision).Msg("leadership")
 	if leads {
 		s.sched.start()
--- a/internal/hub/sched.go
+++ b/internal/hub/sched.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/meter"
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -163,6 +164,9 @@
 	for _, x := range c.Step(time.Now(), e) {
 		switch x := x.(type) {
 		case place.Grant:
+			d.server.counter("hub.grants").Inc(1)
+			meter.Times("hub.wait", d.server.Metrics).Update(int64(x.Waited))
+			meter.Times("hub.expect", d.server.Metrics).Update(int64(x.Expect))
 			d.server.Log.Info().Str("ask", x.ID).Str("lead", x.Lead).Strs("helpers", x.Helpers).Dur("expect", x.Expect).
 				Dur("waited", x.Waited).Float64("own", x.Loss.Own).Float64("others", x.Loss.Others).
 				Int("waiting", c.Waiting()).Int("granted", c.Granted()).Uint64("revision", d.revision).Msg("granted")
@@ -170,6 +174,7 @@
 				o.Add(func(m *link.Down) { m.Grants = append(m.Grants, x) })
 			}
 		case place.Refuse:
+			d.server.counter(meter.Label("hub.refusals", "reason", x.Reason)).Inc(1)
 			d.server.Log.Info().Str("ask", x.ID).Str("reason", x.Reason).Dur("retry", x.Retry).Int("waiting", c.Waiting()).
 				Int("granted", c.Granted()).Uint64("revision", d.revision).Msg("refused")
 			if o := d.owner[x.ID]; o != nil {
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -124,6 +124,11 @@
 	return g.Wait()
 }
 
+// counter returns the counter with the name.
+func (s *Server) counter(name string) metrics.Counter {
+	return metrics.GetOrRegisterCounter(name, s.Metrics)
+}
+
 // keepReplica runs the replica, and starts it again after its disk has failed.
 func (s *Server) keepReplica(ctx context.Context) error {
 	for {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -193,6 +193,7 @@
 		}
 	}
 	g.Go(func() error { return p.follow(ctx) })
+	g.Go(func() error { return (&meter.Process{Metrics: p.metrics}).Run(ctx) })
 	return nil
 }
 
