--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -165,7 +165,7 @@
 	if ctx.Err() != nil {
 		s.sends++
 		s.ran = true
-		return false, "the time limit was reached"
+		return false, s.whyOver()
 	}
 	var unreached *engine.Unreachable
 	end.Fault, end.Hard = lead.ID, errors.As(err, &unreached)
@@ -260,6 +260,8 @@
 				s.head(resp)
 			}
 			return ""
+		case err != nil && ctx.Err() != nil:
+			return s.whyOver()
 		case err != nil:
 			return "the events of an engine broke off: " + err.Error()
 		}
@@ -270,7 +272,7 @@
 			return reason
 		}
 		if ctx.Err() != nil {
-			return "the time limit was reached"
+			return s.whyOver()
 		}
 	}
 }
--- a/internal/gate/engine_test.go
+++ b/internal/gate/engine_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"net/http"
@@ -174,6 +175,23 @@
 	})
 }
 
+// TestCallerLeavesMidway has a caller leave in the middle of an answer: that is no fault of
+// the engine, and the log says so.
+func TestCallerLeavesMidway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStand(t, nil, []script{streams(100, 0)})
+		ctx, cancel := context.WithTimeout(t.Context(), 210*time.Millisecond)
+		defer cancel()
+		a := s.callWith(ctx, streamPath, "prompt")
+		quicktest.Assert(t, a.cut, quicktest.IsTrue)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		quicktest.Assert(t, s.logs.String(), quicktest.Contains, `"reason":"the caller left"`)
+		quicktest.Assert(t, s.logs.String(), quicktest.Not(quicktest.Contains), "broke off")
+		quicktest.Assert(t, s.runs(), quicktest.Equals, 1)
+	})
+}
+
 // TestMemoryIsGivenBack sets memory aside on a helper for a prompt larger than
 // an engine's memory, keeps it while the answer is written, and gives it back.
 func TestMemoryIsGivenBack(t *testing.T) {
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -175,7 +175,7 @@
 func (x *exchange) giveUp(ctx context.Context, reason string, retry time.Duration) {
 	switch {
 	case x.r.Context().Err() != nil:
-		x.reason = "the caller left"
+		x.reason = x.whyOver()
 		x.abort()
 	case !x.ran:
 		x.refuse(reason, retry)
@@ -186,6 +186,15 @@
 	}
 }
 
+// whyOver says why a request whose time is over can't go on: a caller that leaves
+// breaks off what is read for it, which is no fault of a target.
+func (x *exchange) whyOver() string {
+	if x.r.Context().Err() != nil {
+		return "the caller left"
+	}
+	return "the time limit was reached"
+}
+
 // abort ends the connection, so that the answer is seen to be broken off.
 func (x *exchange) abort() {
 	x.finish()
