Let silence end no answer where no other engine may be tried

Cause found beside it: an answer that may be resumed was cut after four fifths of the caller's patience (1.6 s) of silence, also if its attempts were used up or the budget of repeats was empty, so that nothing could follow the cut. Ruled out: the mend of elections (no vote on that path) and the naming of callers that leave (only words). TestSilenceEndsNoAnswer failed before, for attempts and for the budget.

--- a/internal/gate/budget.go
+++ b/internal/gate/budget.go
@@ -45,17 +45,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c := b.counts(pool)
+	if !b.covers(c, instances) {
+		return false
+	}
+	c.repeats[c.at%budgetBuckets]++
+	return true
+}
+
+// has says whether a repeat would be allowed now.
+func (b *Budget) has(pool string, instances int) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.covers(b.counts(pool), instances)
+}
+
+// covers says whether one more repeat is within the budget.
+func (b *Budget) covers(c *counts, instances int) bool {
 	requests, repeats := 0, 0
 	for i := range budgetBuckets {
 		requests += c.requests[i]
 		repeats += c.repeats[i]
 	}
-	allowed := budgetShare * (b.Ratio*float64(requests) + b.Slack/float64(max(1, instances)))
-	if float64(repeats+1) > allowed {
-		return false
-	}
-	c.repeats[c.at%budgetBuckets]++
-	return true
+	return float64(repeats+1) <= budgetShare*(b.Ratio*float64(requests)+b.Slack/float64(max(1, instances)))
 }
 
 // counts returns those of a pool, with the buckets that have passed emptied.
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -309,17 +309,19 @@
 	return ""
 }
 
-// silence is until when an engine may say nothing.
+// silence is until when an engine may say nothing. In the middle of an answer that
+// is a reason to go on at another one, but none to end the answer where no other may
+// be tried: the caller decides how long it waits.
 func (s *stream) silence(first, other bool) time.Time {
 	switch {
 	case first && other:
 		return time.Now().Add(min(s.gap(), max(time.Duration(firstShare*float64(s.gap())), expectTries*s.expect)))
 	case first:
 		return time.Now().Add(s.gap())
-	case s.route.MayRepeat():
+	case other && s.server.Budget.has(s.pool.Name, int(s.server.others.Load())):
 		return time.Now().Add(time.Duration(moveShare * float64(s.gap())))
 	}
-	return time.Now().Add(s.gap())
+	return s.deadline
 }
 
 // head passes on the head of the answer.
--- a/internal/gate/engine_test.go
+++ b/internal/gate/engine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -192,6 +193,54 @@
 	})
 }
 
+// TestSilenceEndsNoAnswer has an engine fall silent in the middle of an answer, longer
+// than answers are moved after, where no other may be tried: as the attempts are used
+// up, or the budget of repeats. The answer goes on when the engine does.
+func TestSilenceEndsNoAnswer(t *testing.T) {
+	const silent = 2200 * time.Millisecond
+	pauses := func(f *fake, c net.Conn, q *http.Request) bool {
+		from, err := strconv.Atoi(q.Header.Get("Last"))
+		if err != nil {
+			from = 0
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: a1\r\n%sTransfer-Encoding: chunked\r\n\r\n", sealed)
+		ev := events(from+1, from+1)
+		fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
+		time.Sleep(silent)
+		ev = events(from+2, 4)
+		fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(ev), ev)
+		return true
+	}
+	for name, prepare := range map[string]func(s *stand){
+		"attempts": func(s *stand) {
+			for _, f := range s.fakes {
+				f.answer = func(f *fake, c net.Conn, q *http.Request) bool {
+					if s.runs() > 1 {
+						return pauses(f, c, q)
+					}
+					return streams(4, 1)(f, c, q)
+				}
+			}
+		},
+		"budget": func(s *stand) {
+			s.gate.Budget.Ratio, s.gate.Budget.Slack = 0, 0
+			for _, f := range s.fakes {
+				f.answer = pauses
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newStand(t, nil, []script{breaks, breaks})
+				prepare(s)
+				a := s.call(streamPath, "prompt", "Left", "3000")
+				quicktest.Assert(t, a.cut, quicktest.IsFalse)
+				quicktest.Assert(t, a.body, quicktest.Equals, events(1, 4))
+			})
+		})
+	}
+}
+
 // TestMemoryIsGivenBack sets memory aside on a helper for a prompt larger than
 // an engine's memory, keeps it while the answer is written, and gives it back.
 func TestMemoryIsGivenBack(t *testing.T) {
