--- a/internal/gate/engine_test.go
+++ b/internal/gate/engine_test.go
@@ -198,7 +198,7 @@
 // up, or the budget of repeats. The answer goes on when the engine does.
 func TestSilenceEndsNoAnswer(t *testing.T) {
 	const silent = 2200 * time.Millisecond
-	pauses := func(f *fake, c net.Conn, q *http.Request) bool {
+	pauses := func(_ *fake, c net.Conn, q *http.Request) bool {
 		from, err := strconv.Atoi(q.Header.Get("Last"))
 		if err != nil {
 			from = 0
