Keep one sleep and one ticker loop: internal/timing

A wait that ends with its context stood in six packages and once inline, the loop that calls something at each interval in eleven. timing.Sleep and timing.Every serve all of them; loops that also wait for something else stay. The layers of internal/rules name the new packages.

--- a/internal/auth/live.go
+++ b/internal/auth/live.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
 // followEvery is how often files are looked at for changes.
@@ -50,16 +52,8 @@
 // Run follows the files until ctx ends. A file that can't be read, or is
 // wrong, leaves the value as it was.
 func (l *Live[T]) Run(ctx context.Context) error {
-	tick := time.NewTicker(followEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			l.follow()
-		}
-	}
+	timing.Every(ctx, followEvery, l.follow)
+	return nil
 }
 
 func (l *Live[T]) follow() {
--- a/internal/ctrl/server.go
+++ b/internal/ctrl/server.go
@@ -10,6 +10,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/lease"
 	"github.com/bambooproxy/bambooproxy/internal/member"
 	"github.com/bambooproxy/bambooproxy/internal/quorum"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
@@ -51,16 +52,9 @@
 
 // Run sweeps lapsed members until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		s.sweep(ctx)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-	}
+	s.sweep(ctx)
+	timing.Every(ctx, sweepEvery, func() { s.sweep(ctx) })
+	return nil
 }
 
 // beat answers a member or a relay with its lease and what it lacks.
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -13,6 +13,7 @@
 	"go.opentelemetry.io/otel/trace"
 
 	"github.com/bambooproxy/bambooproxy/internal/ledger"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
@@ -115,7 +116,7 @@
 		case ledger.Mismatch:
 			return verd.New(verd.NotRun, verd.Conflict, "the key was used for another request")
 		default:
-			pause(o.x.ctx, ledgerPause) // The key is free again.
+			timing.Sleep(o.x.ctx, ledgerPause) // The key is free again.
 		}
 	}
 }
--- a/internal/entry/permit.go
+++ b/internal/entry/permit.go
@@ -8,6 +8,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/member"
 	"github.com/bambooproxy/bambooproxy/internal/policy"
 	"github.com/bambooproxy/bambooproxy/internal/sched"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
 
@@ -107,16 +108,8 @@
 
 // Run renews the grants in use until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	tick := time.NewTicker(renewEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			s.renew(ctx)
-		}
-	}
+	timing.Every(ctx, renewEvery, func() { s.renew(ctx) })
+	return nil
 }
 
 // renew renews all grants in use, and tells schedulers of those that they
--- a/internal/entry/seek.go
+++ b/internal/entry/seek.go
@@ -14,6 +14,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/policy"
 	"github.com/bambooproxy/bambooproxy/internal/prompt"
 	"github.com/bambooproxy/bambooproxy/internal/sched"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
@@ -153,7 +154,7 @@
 	if sh := k.x.s.shards(k.shards[0].Pool); len(sh) > 0 {
 		k.shards, k.at = sh, 0
 	}
-	pause(ctx, seekPause)
+	timing.Sleep(ctx, seekPause)
 	return nil
 }
 
@@ -220,13 +221,3 @@
 	}
 	return out
 }
-
-// pause waits, or less if ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/fake/send.go
+++ b/internal/fake/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
 
@@ -64,7 +65,7 @@
 		<-ctx.Done()
 		return false
 	}
-	pause(ctx, l.faults.Late)
+	timing.Sleep(ctx, l.faults.Late)
 	if l.faults.Foreign && l.count == 2 {
 		f := c
 		f.ID, f.Text = "somebody-else", "not yours "
@@ -104,16 +105,3 @@
 		f.Flush()
 	}
 }
-
-// pause waits, or less if ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/gate/broker.go
+++ b/internal/gate/broker.go
@@ -11,6 +11,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
 const (
@@ -188,12 +189,7 @@
 			c.Step(time.Now(), place.Withdraw{ID: a.ID})
 			b.mu.Unlock()
 		}
-		t := time.NewTimer(alonePause)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		timing.Sleep(ctx, alonePause)
 	}
 	return place.Grant{}, errNoEngine
 }
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
 const (
@@ -76,17 +77,9 @@
 
 // Run keeps the upkeep going until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			s.Targets.Close()
-			return nil
-		case <-tick.C:
-			s.Targets.Sweep()
-		}
-	}
+	timing.Every(ctx, sweepEvery, s.Targets.Sweep)
+	s.Targets.Close()
+	return nil
 }
 
 // IsReady says whether callers should come here.
--- a/internal/hub/calls.go
+++ b/internal/hub/calls.go
@@ -7,6 +7,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/meter"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
@@ -91,7 +92,7 @@
 		if err == nil {
 			return m.Revision, nil
 		}
-		if !wait(ctx, againEvery) {
+		if !timing.Sleep(ctx, againEvery) {
 			return 0, err
 		}
 	}
@@ -180,20 +181,8 @@
 			}
 			return r, err
 		}
-		if verd.From(err).Reason == verd.TooLarge || !wait(ctx, againEvery) {
+		if verd.From(err).Reason == verd.TooLarge || !timing.Sleep(ctx, againEvery) {
 			return reg.Result{}, err
 		}
 	}
 }
-
-// wait pauses and returns false if ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/hub/lead.go
+++ b/internal/hub/lead.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
 const (
@@ -15,17 +17,10 @@
 
 // watchLead follows whether this instance leads.
 func (s *Server) watchLead(ctx context.Context) error {
-	tick := time.NewTicker(leadEvery)
-	defer tick.Stop()
-	for {
-		s.setLeads(s.checkLead(ctx))
-		select {
-		case <-ctx.Done():
-			s.setLeads(false)
-			return nil
-		case <-tick.C:
-		}
-	}
+	s.setLeads(s.checkLead(ctx))
+	timing.Every(ctx, leadEvery, func() { s.setLeads(s.checkLead(ctx)) })
+	s.setLeads(false)
+	return nil
 }
 
 // checkLead says whether the lease of the leader holds here.
--- a/internal/hub/sched.go
+++ b/internal/hub/sched.go
@@ -10,6 +10,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
 const (
@@ -263,18 +264,12 @@
 
 // sweep takes targets that fell silent out of the registry, until ctx ends.
 func (s *Server) sweep(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
+	timing.Every(ctx, sweepEvery, func() {
 		s.sched.report()
 		for _, t := range s.sched.silent() {
 			_, err := s.propose(ctx, reg.Command{Depart: &reg.Depart{ID: t.ID, Born: t.Born, Silent: true}})
 			s.Log.Warn().Str("target", t.ID).Str("pool", t.Pool).Err(err).Msg("target silent; taken out")
 		}
-	}
+	})
+	return nil
 }
--- a/internal/inst/drain.go
+++ b/internal/inst/drain.go
@@ -6,6 +6,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/entry"
 	"github.com/bambooproxy/bambooproxy/internal/member"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
 const (
@@ -26,7 +27,7 @@
 	if err := i.agent.SetState(ctx, member.Leaving); err != nil {
 		i.Log.Warn().Err(err).Msg("leaving without word to control")
 	}
-	pause(ctx, min(entry.EntriesLifetime+spreadTime, time.Duration(i.Settings.Drain)))
+	timing.Sleep(ctx, min(entry.EntriesLifetime+spreadTime, time.Duration(i.Settings.Drain)))
 	ctx, stop := context.WithTimeout(ctx, max(time.Duration(i.Settings.Drain), i.longest()+lastGrace))
 	defer stop()
 	i.entries.Wait(ctx)
@@ -47,13 +48,3 @@
 	}
 	return d
 }
-
-// pause waits, or less if ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
 
@@ -41,8 +42,7 @@
 	// Listed takes in all ready instances, and Counted their number.
 	Listed(entries []Entry)
 	Counted(n int)
-	// Linked says that a link to an instance has come about, or was lost.
-	Linked(leads bool)
+	// Lost says that the link was lost.
 	Lost()
 	// Pulse fills in what the follower tells with each sign of life.
 	Pulse(u *Up)
@@ -103,7 +103,7 @@
 	for i := 0; ctx.Err() == nil; i++ {
 		addrs := c.candidates(i)
 		if len(addrs) == 0 || c.Idle != nil && c.Idle() {
-			pause(ctx, retryEvery)
+			timing.Sleep(ctx, retryEvery)
 			continue
 		}
 		for _, addr := range addrs {
@@ -111,7 +111,7 @@
 				break
 			}
 		}
-		pause(ctx, retryEvery)
+		timing.Sleep(ctx, retryEvery)
 	}
 	return nil
 }
@@ -278,12 +278,11 @@
 
 func (c *Client) attach(s *Session[Down, Up], w *Welcome, addr string) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.session, c.leads = s, w.Leads
 	if w.Leads {
 		c.leader = addr
 	}
-	c.mu.Unlock()
-	c.Follower.Linked(w.Leads)
 }
 
 func (c *Client) detach(s *Session[Down, Up]) {
@@ -294,13 +293,3 @@
 	c.mu.Unlock()
 	c.Follower.Lost()
 }
-
-// pause waits, or less if ctx ends.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
 // Run is one run of a plan.
@@ -53,7 +55,7 @@
 	due := began
 	for n := 0; ; n++ {
 		due = due.Add(time.Duration(rnd.ExpFloat64() / r.Plan.Rate * float64(time.Second)))
-		if due.Sub(began) > r.Plan.Duration || !sleep(ctx, time.Until(due)) {
+		if due.Sub(began) > r.Plan.Duration || !timing.Sleep(ctx, time.Until(due)) {
 			return
 		}
 		j := r.job(rnd, n, due)
@@ -98,15 +100,3 @@
 		r.Call(j.key, res.outcome)
 	}
 }
-
-// sleep returns false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/meter/process.go
+++ b/internal/meter/process.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
 // sampleEvery is how often the figures of the runtime are read.
@@ -21,16 +23,9 @@
 // Run reads the figures until ctx ends.
 func (p *Process) Run(ctx context.Context) error {
 	began := time.Now()
-	tick := time.NewTicker(sampleEvery)
-	defer tick.Stop()
-	for {
-		p.sample(began)
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-		}
-	}
+	p.sample(began)
+	timing.Every(ctx, sampleEvery, func() { p.sample(began) })
+	return nil
 }
 
 func (p *Process) sample(began time.Time) {
--- a/internal/plan/driver.go
+++ b/internal/plan/driver.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/bambooproxy/bambooproxy/internal/member"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
@@ -86,16 +87,8 @@
 // Run plans until ctx ends. One goroutine does it all, so that none of its
 // orders is on its way when it confirms a handover.
 func (d *Driver) Run(ctx context.Context) error {
-	tick := time.NewTicker(stepTime)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-tick.C:
-			d.step(ctx)
-		}
-	}
+	timing.Every(ctx, stepTime, func() { d.step(ctx) })
+	return nil
 }
 
 // holds says whether this instance may issue orders.
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/member"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
@@ -55,19 +56,11 @@
 
 // Run renews loans until ctx ends, and then gives back what is left.
 func (c *Client) Run(ctx context.Context) error {
-	tick := time.NewTicker(renewEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			last, stop := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
-			defer stop()
-			c.renew(last)
-			return nil
-		case <-tick.C:
-			c.renew(ctx)
-		}
-	}
+	timing.Every(ctx, renewEvery, func() { c.renew(ctx) })
+	last, stop := context.WithTimeout(context.WithoutCancel(ctx), callTimeout)
+	defer stop()
+	c.renew(last)
+	return nil
 }
 
 // Wallets returns the number of accounts with something borrowed.
--- a/internal/quota/owner.go
+++ b/internal/quota/owner.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/bambooproxy/bambooproxy/internal/member"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
@@ -40,16 +41,8 @@
 
 // Run drops quiet accounts until ctx ends.
 func (o *Owner) Run(ctx context.Context) error {
-	tick := time.NewTicker(sweepEvery)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case now := <-tick.C:
-			o.sweep(now)
-		}
-	}
+	timing.Every(ctx, sweepEvery, func() { o.sweep(time.Now()) })
+	return nil
 }
 
 // Accounts returns the number of accounts that are not quiet.
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -25,6 +25,7 @@
 // layers below its own. Only what is named there has a place.
 func layers() [][]string {
 	return [][]string{
+		{"internal/seed", "internal/timing"},
 		{"pkg/verd", "pkg/table", "internal/lease", "internal/certs", "internal/memnet", "internal/meter", "internal/mutate", "internal/red", "internal/store", "internal/trail", "internal/rules"},
 		{"internal/site"},
 		{"pkg/engine", "pkg/caller", "internal/member", "internal/auth", "internal/trace", "internal/wire", "internal/prompt"},
