Share one backoff between placement and entries

Both left failing targets out by code of their own, and the mend that counts failures at once as one had to be made twice. place.Backoff serves both, with their own times. An entry now also forgets targets with nothing against them: it kept one record for each that ever was, with a time that nobody read.

--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/place"
 )
 
 const (
@@ -20,10 +22,8 @@
 }
 
 type condition struct {
-	failures int
-	out      time.Time
-	busy     int
-	used     time.Time
+	place.Backoff
+	busy int
 }
 
 func (h *health) setup() { h.byID = make(map[string]*condition) }
@@ -34,7 +34,6 @@
 		c = &condition{}
 		h.byID[id] = c
 	}
-	c.used = time.Now()
 	return c
 }
 
@@ -48,26 +47,24 @@
 func (h *health) add(id string, n int) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.of(id).busy += n
+	c := h.of(id)
+	c.busy += n
+	if c.busy == 0 && c.IsClear(time.Now()) {
+		delete(h.byID, id) // Targets come and go; what is unknown is clear, too.
+	}
 }
 
-// failed leaves a target out for a while. Requests that fail while it is out fail
-// of the same cause, and count as one.
+// failed leaves a target out for a while.
 func (h *health) failed(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	c := h.of(id)
-	if time.Now().Before(c.out) {
-		return
-	}
-	c.out = time.Now().Add(min(maxOut, firstOut<<min(c.failures, 6)))
-	c.failures++
+	h.of(id).Fail(time.Now(), firstOut, maxOut)
 }
 
 func (h *health) worked(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.of(id).failures = 0
+	h.of(id).Worked()
 }
 
 // state returns how much a target has in progress and whether it is left out.
@@ -78,5 +75,5 @@
 	if c == nil {
 		return 0, false
 	}
-	return c.busy, time.Now().Before(c.out)
+	return c.busy, c.IsOut(time.Now())
 }
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -172,7 +172,7 @@
 	}
 	j.begun = true
 	j.spoilt = j.spoilt || now.After(j.due)
-	j.lead.failures = 0
+	j.lead.Worked()
 	if len(j.helpers) == 0 {
 		j.lead.observe(now, j.first.Sub(j.granted), b.After)
 	}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -52,16 +52,15 @@
 	pace float64
 	seen time.Time
 
-	// out is when it may get work again after failures.
-	out      time.Time
-	failures int
-	heard    time.Time
+	// Backoff leaves it out after failures.
+	Backoff
+	heard time.Time
 }
 
 // free says whether an engine takes work. A core that stands alone hears nothing
 // of targets, so their silence tells it nothing.
 func (c *Core) free(now time.Time, e *engine) bool {
-	return e.State == site.Ready && !now.Before(e.out) && (c.Alone || now.Sub(e.heard) < maxSilence)
+	return e.State == site.Ready && !e.IsOut(now) && (c.Alone || now.Sub(e.heard) < maxSilence)
 }
 
 // changed says that the work of the engine is not what it was.
@@ -81,18 +80,13 @@
 	return e.pause
 }
 
-// failed takes an engine out for a while. Requests that fail while it is out fail
-// of the same cause, and count as one.
+// failed takes an engine out for a while.
 func (e *engine) failed(now time.Time, hard bool) {
-	if now.Before(e.out) {
-		return
-	}
-	e.failures++
-	wait := firstOut << min(e.failures-1, 8)
+	first := firstOut
 	if !hard {
-		wait /= softPart
+		first /= softPart
 	}
-	e.out = now.Add(min(wait, maxOut))
+	e.Fail(now, first, maxOut)
 }
 
 // observe learns the pace from a predicted and an observed time.
