Count idle engines once for each number of parts, not for each engine

A decision counted the engines that write nothing anew for every engine that it looked at. The answer is the same for all of them. Decisions are as they were (replays and properties of internal/place).

--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -111,18 +111,24 @@
 	return lateShare * lack * c.demand.shorts(now) * busy.Seconds()
 }
 
-// writing is what it costs to write an answer on an engine.
-func (c *Core) writing(now time.Time, j *job, e *engine) float64 {
+// writing is what it costs to write an answer on an engine, where idle engines are
+// scarce or not.
+func (c *Core) writing(j *job, e *engine, scarce bool) float64 {
 	if j.isLong() || c.Alone {
 		return 0
 	}
 	cost := packCost * float64(e.Slots-e.writers) / float64(e.Slots)
-	if e.writers == 0 && c.idle(now) <= c.demand.engines(now)+1 {
+	if e.writers == 0 && scarce {
 		cost += openCost
 	}
 	return cost * j.value
 }
 
+// isScarce says whether long prompts want about as many engines as write nothing.
+func (c *Core) isScarce(now time.Time) bool {
+	return c.idle(now) <= c.demand.engines(now)+1
+}
+
 // idle is how many engines write nothing.
 func (c *Core) idle(now time.Time) float64 {
 	n := 0.0
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -42,7 +42,7 @@
 	if lead < 0 || len(opts) < parts {
 		return plan{}, false
 	}
-	p := plan{lead: opts[lead].e, part: part, first: opts[lead].first, harm: opts[lead].harm, wish: c.writing(now, j, opts[lead].e)}
+	p := plan{lead: opts[lead].e, part: part, first: opts[lead].first, harm: opts[lead].harm, wish: c.writing(j, opts[lead].e, c.isScarce(now))}
 	for i, o := range opts {
 		if len(p.helpers) == parts-1 {
 			break
@@ -75,6 +75,7 @@
 func (c *Core) options(now time.Time, j *job, parts int, part time.Duration) []option {
 	var opts []option
 	tokens := float64(j.ask.Prompt) / float64(parts)
+	scarce := c.isScarce(now)
 	for _, e := range c.engines {
 		if !c.free(now, e) || slices.Contains(j.ask.Avoid, e.ID) {
 			continue
@@ -90,7 +91,7 @@
 		case c.Alone:
 			o.score += spreadCost * chance(j.ask.ID, e.ID) * j.value
 		case parts == 1:
-			o.score += c.writing(now, j, e)
+			o.score += c.writing(j, e, scarce)
 		}
 		opts = append(opts, o)
 	}
