--- a/internal/sched/main_test.go
+++ b/internal/sched/main_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"flag"
-	"os"
 	"slices"
 	"strings"
 	"sync"
@@ -15,19 +13,13 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/member"
 	"github.com/bambooproxy/bambooproxy/internal/policy"
+	"github.com/bambooproxy/bambooproxy/internal/seed"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
-// TestMain fixes the seed of the property tests, so that every run has the
-// same verdict.
-func TestMain(m *testing.M) {
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seed.Main(m) }
 
 // memory is the room of the one engine in tokens.
 const memory = 1000
