--- a/internal/gate/follow.go
+++ b/internal/gate/follow.go
@@ -37,13 +37,18 @@
 	s.broker.refresh(v)
 }
 
+// offer hands a value to a reader that has none yet: the link must not wait for it.
+func offer[T any](c chan<- T, v T) {
+	select {
+	case c <- v:
+	default:
+	}
+}
+
 // Granted takes in a grant for an ask.
 func (s *Server) Granted(g place.Grant) {
 	if p := s.broker.waiting(g.ID); p != nil {
-		select {
-		case p.granted <- g:
-		default: // It has one already; the link must not wait for its reader.
-		}
+		offer(p.granted, g)
 		return
 	}
 	// Nobody waits for it any more.
@@ -53,20 +58,14 @@
 // Refused takes in a refusal.
 func (s *Server) Refused(r place.Refuse) {
 	if p := s.broker.waiting(r.ID); p != nil {
-		select {
-		case p.refused <- r:
-		default:
-		}
+		offer(p.refused, r)
 	}
 }
 
 // Waiting takes in that an ask waits.
 func (s *Server) Waiting(id string) {
 	if p := s.broker.waiting(id); p != nil {
-		select {
-		case p.waiting <- struct{}{}:
-		default:
-		}
+		offer(p.waiting, struct{}{})
 	}
 }
 
@@ -99,9 +98,6 @@
 // Counted takes in how many instances share the budget of repeats.
 func (s *Server) Counted(n int) { s.others.Store(int64(n)) }
 
-// Linked takes in nothing: asks find the link by themselves.
-func (*Server) Linked(bool) {}
-
 // Lost lets the asks that wait be placed by the own view.
 func (s *Server) Lost() {
 	b := &s.broker
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -38,9 +38,6 @@
 // Counted takes in nothing.
 func (*follower) Counted(int) {}
 
-// Linked takes in nothing.
-func (*follower) Linked(bool) {}
-
 // Lost takes in nothing.
 func (*follower) Lost() {}
 
--- a/internal/hub/site_test.go
+++ b/internal/hub/site_test.go
@@ -111,7 +111,6 @@
 	return e.held
 }
 func (*entry) Counted(int) {}
-func (*entry) Linked(bool) {}
 func (*entry) Lost()       {}
 
 func (e *entry) Listed(list []link.Entry) {
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -123,12 +124,7 @@
 		who = x.Source
 	}
 	fmt.Fprintf(&b, "%s %-20s %s", x.Time.UTC().Format("15:04:05.000"), who, x.Message)
-	names := make([]string, 0, len(x.Fields))
-	for k := range x.Fields {
-		names = append(names, k)
-	}
-	slices.Sort(names)
-	for _, k := range names {
+	for _, k := range slices.Sorted(maps.Keys(x.Fields)) {
 		if v := x.Fields[k]; v != nil && v != "" {
 			fmt.Fprintf(&b, " %s=%v", k, v)
 		}
--- a/internal/trial/result.go
+++ b/internal/trial/result.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -177,11 +178,7 @@
 
 // jain returns Jain's fairness index of answered over offered work.
 func (s shares) jain() float64 {
-	names := make([]string, 0, len(s.offered))
-	for o := range s.offered {
-		names = append(names, o)
-	}
-	slices.Sort(names)
+	names := slices.Sorted(maps.Keys(s.offered))
 	var sum, squares float64
 	for _, o := range names {
 		x := s.answered[o].Seconds() / s.offered[o].Seconds()
