Drop parameters and fields that nobody reads, and share what stood twice

One link.Lister for platform/ and internal/node, and one list of the headers of a hop for platform/ and internal/entry. Dialect.Reply had a status that no dialect read, responses a Kept and views a since that nobody asked for. A scheduler that reads its fleet asks for the targets, and no longer packs the tables for it.

--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -41,7 +41,7 @@
 		Settings: s, Path: path, Dialect: platform.Dialect{}, Log: lines,
 		Handlers: node.Handlers{
 			Control:   func(h *hub.Server) http.Handler { return platform.Control(h) },
-			Directory: func(l node.Lister) http.Handler { return platform.Directory(l) },
+			Directory: platform.Directory,
 			Ready:     platform.Ready,
 		},
 	}
--- a/internal/entry/forward.go
+++ b/internal/entry/forward.go
@@ -12,17 +12,12 @@
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 
+	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/prompt"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
-// hopHeaders concern one connection only and are not passed on.
-var hopHeaders = [...]string{
-	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-	"Proxy-Connection", "Te", "Trailer", "Transfer-Encoding", "Upgrade",
-}
-
 // forward passes a call to a plain service.
 func (s *Server) forward(x *exchange) error {
 	rt, p, stop, err := x.route("")
@@ -100,7 +95,7 @@
 	if x.r.ContentLength == 0 {
 		out.Body = http.NoBody
 	}
-	for _, h := range hopHeaders {
+	for _, h := range hop.OwnHeaders() {
 		out.Header.Del(h)
 	}
 	x.s.hideIdentity(out.Header, x.org)
@@ -109,7 +104,7 @@
 
 // relay passes a service's answer to the caller.
 func (x *exchange) relay(resp *http.Response) error {
-	for _, k := range hopHeaders {
+	for _, k := range hop.OwnHeaders() {
 		resp.Header.Del(k)
 	}
 	maps.Copy(x.out.w.Header(), resp.Header)
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -74,7 +74,7 @@
 	// Send returns the headers for a target.
 	Send(h http.Header, s Send) http.Header
 	// Reply reads the headers of an answer.
-	Reply(status int, h http.Header) Reply
+	Reply(h http.Header) Reply
 	// Answer returns the headers of an answer that the caller gets.
 	Answer(h http.Header) http.Header
 	// Reserve makes the call that sets memory aside on an engine for a while, or
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -212,7 +212,7 @@
 
 // blame returns the ID of the engine that a refusal names, or that of the lead.
 func (s *stream) blame(lead site.Target, resp *hop.Response) string {
-	fault := s.server.Dialect.Reply(resp.StatusCode, resp.Header).Fault
+	fault := s.server.Dialect.Reply(resp.Header).Fault
 	if fault == "" || fault == lead.Address {
 		return lead.ID
 	}
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -214,7 +214,7 @@
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: d.Send(x.r.Header, s), Body: x.body,
 		Fresh: !x.route.MayRepeat(),
 		Mine: func(h http.Header) bool {
-			c := d.Reply(0, h).Call
+			c := d.Reply(h).Call
 			return c == "" || c == id
 		},
 	}
@@ -235,7 +235,7 @@
 
 // judge classifies the head of an answer; nil means that it is to be read.
 func (x *exchange) judge(t site.Target, resp *hop.Response) outcome {
-	reply := x.server.Dialect.Reply(resp.StatusCode, resp.Header)
+	reply := x.server.Dialect.Reply(resp.Header)
 	code := resp.StatusCode
 	switch {
 	case reply.NotRun || code == http.StatusMisdirectedRequest:
--- a/internal/gate/stand_test.go
+++ b/internal/gate/stand_test.go
@@ -52,7 +52,7 @@
 	return out
 }
 
-func (plainDialect) Reply(_ int, h http.Header) Reply {
+func (plainDialect) Reply(h http.Header) Reply {
 	return Reply{Call: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
 }
 
--- a/internal/gate/view.go
+++ b/internal/gate/view.go
@@ -1,7 +1,9 @@
 package gate
 
 import (
+	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -18,8 +20,6 @@
 	targets  map[string]site.Target
 	// pools are the targets that take work, by pool.
 	pools map[string][]site.Target
-	// since is when the picture came.
-	since time.Time
 }
 
 // world holds the view and replaces it by newer ones only.
@@ -56,7 +56,7 @@
 	if u.Revision <= old.revision {
 		return nil, nil
 	}
-	next := &view{revision: u.Revision, index: old.index, targets: make(map[string]site.Target, len(old.targets)), since: time.Now()}
+	next := &view{revision: u.Revision, index: old.index, targets: make(map[string]site.Target, len(old.targets))}
 	if u.Packed != nil {
 		t, err := reg.Unpack(u.Packed)
 		if err != nil {
@@ -66,9 +66,7 @@
 			next.index = site.NewIndex(t)
 		}
 	}
-	for id, t := range old.targets {
-		next.targets[id] = t
-	}
+	maps.Copy(next.targets, old.targets)
 	for _, t := range u.Targets {
 		if t.State == site.Gone {
 			delete(next.targets, t.ID)
@@ -92,12 +90,7 @@
 		}
 	}
 	for _, list := range v.pools {
-		slices.SortFunc(list, func(a, b site.Target) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b site.Target) int { return cmp.Compare(a.ID, b.ID) })
 	}
 }
 
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -59,9 +59,6 @@
 // Response is the answer of a target. It must be closed.
 type Response struct {
 	*http.Response
-	// Kept says that the connection was used before.
-	Kept bool
-
 	client *Client
 	conn   *conn
 	stop   func() bool
@@ -75,8 +72,6 @@
 	if err != nil {
 		return nil, &engine.Unreachable{Cause: err}
 	}
-	kept := cn.used
-	cn.used = true
 	stop := context.AfterFunc(ctx, func() { cn.Close() })
 	sent := make(chan error, 1)
 	head := r.encode()
@@ -102,7 +97,7 @@
 		}
 		return nil, err
 	}
-	return &Response{Response: resp, Kept: kept, client: c, conn: cn, stop: stop, sent: sent}, nil
+	return &Response{Response: resp, client: c, conn: cn, stop: stop, sent: sent}, nil
 }
 
 // smallBody is the size in bytes up to which a request is sent in one write: it
@@ -126,7 +121,6 @@
 	net.Conn
 	addr string
 	r    *bufio.Reader
-	used bool
 	// until is when the target may close it.
 	until time.Time
 }
--- a/internal/hub/sched.go
+++ b/internal/hub/sched.go
@@ -74,13 +74,8 @@
 	if tables == nil {
 		return
 	}
-	u, err := d.server.machine.Since(0)
-	if err != nil {
-		d.server.Log.Error().Err(err).Msg("fleet not read")
-		return
-	}
 	byPool := make(map[string][]site.Target)
-	for _, t := range u.Targets {
+	for _, t := range d.server.machine.Targets() {
 		byPool[t.Pool] = append(byPool[t.Pool], t)
 	}
 	for i := range tables.Pools {
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -47,6 +47,11 @@
 	return all[:min(len(all), maxEntries)]
 }
 
+// Lister knows which instances callers of a data centre may use.
+type Lister interface {
+	Entries(dataCentre string) []Entry
+}
+
 // Hello opens a link.
 type Hello struct {
 	Name string `cbor:"1,keyasint"`
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -55,15 +55,10 @@
 	controlStay = 300 * time.Millisecond
 )
 
-// Lister knows which instances callers may use.
-type Lister interface {
-	Entries(dataCentre string) []link.Entry
-}
-
 // Handlers are what a process serves, made by the adapter to the platform.
 type Handlers struct {
 	Control   func(*hub.Server) http.Handler
-	Directory func(Lister) http.Handler
+	Directory func(link.Lister) http.Handler
 	Ready     func(ready func() bool) http.Handler
 }
 
@@ -198,7 +193,7 @@
 }
 
 // lister is what answers look-ups here.
-func (p *Process) lister() Lister {
+func (p *Process) lister() link.Lister {
 	if p.hub != nil {
 		return p.hub
 	}
