Count the pauses of answers that are about to begin, and pack long answers

Their first events came as predicted; pauses of 1 to 2 s behind them were not predicted at all. Besides, answers of long prompts were written on any engine that read a part, so that no engine stayed free of answers.

Change: harm counts answers whose last part is read or being read; the lead of a long prompt is chosen with the cost of writing there; worth within a kind is linear in its size, as the users state it, and only the mean of a kind counts pairs of tokens. Sums over the jobs of an engine are in the order of grants.

TestPartBesideWhatIsAboutToBegin and TestLongAnswersArePacked fail without it, and so does the replay on 54 engines.

--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -228,7 +228,7 @@
 			e.helping++
 			e.held += j.heldBy(i - 1)
 		}
-		e.jobs[j.ask.ID] = j
+		e.jobs = append(e.jobs, j)
 		e.changed()
 		c.give(now, e, &part{job: j, tokens: tokens, cost: float64(p.part) / max(1, tokens), apart: len(list) > 1})
 	}
@@ -246,7 +246,7 @@
 			e.helping--
 			e.held -= j.heldBy(i - 1)
 		}
-		delete(e.jobs, j.ask.ID)
+		e.jobs = slices.DeleteFunc(e.jobs, func(o *job) bool { return o == j })
 		e.changed()
 	}
 	if j.read {
@@ -325,7 +325,7 @@
 		case e == nil && t.State == site.Gone:
 			continue
 		case e == nil:
-			e = &engine{jobs: make(map[string]*job), pace: 1, heard: now}
+			e = &engine{pace: 1, heard: now}
 			c.byID[t.ID] = e
 		case e.Born != t.Born:
 			// A new process under the same ID has none of the old one's work.
--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -130,6 +130,20 @@
 	quicktest.Assert(t, refused, quicktest.Equals, 100)
 }
 
+// place asks for engines and lets time pass until they are granted.
+func place(c *Core, now time.Time, ask Ask) (Grant, time.Time) {
+	var e Event = Arrive{ask}
+	for end := now.Add(10 * time.Second); now.Before(end); now = now.Add(20 * time.Millisecond) {
+		for _, d := range c.Step(now, e) {
+			if g, ok := d.(Grant); ok && g.ID == ask.ID {
+				return g, now
+			}
+		}
+		e = Tick{}
+	}
+	return Grant{}, now
+}
+
 // TestMemoryOfTheLargest plans a prompt of a million tokens over engines of
 // 405,000: no engine gets more than it has, and all is given back.
 func TestMemoryOfTheLargest(t *testing.T) {
@@ -144,18 +158,7 @@
 	ask := Ask{
 		ID: "large", Pool: "p", Prompt: 1_000_000, Output: 650, Aim: l.aim, Whole: l.aim, Pause: l.pause, Gap: l.patience(), Left: l.limit,
 	}
-	var g Grant
-	for at := now; g.ID == "" && at.Before(now.Add(10*time.Second)); at = at.Add(20 * time.Millisecond) {
-		var e Event = Tick{}
-		if at.Equal(now) {
-			e = Arrive{ask}
-		}
-		for _, d := range c.Step(at, e) {
-			if x, ok := d.(Grant); ok {
-				g = x
-			}
-		}
-	}
+	g, _ := place(c, now, ask)
 	quicktest.Assert(t, g.ID, quicktest.Equals, "large")
 	kept := ask.Prompt + ask.Output
 	for _, n := range g.Memory {
@@ -169,3 +172,55 @@
 		quicktest.Assert(t, len(e.jobs)+e.helping+e.writers, quicktest.Equals, 0)
 	}
 }
+
+// TestPartBesideWhatIsAboutToBegin gives an engine a part to read while an answer that
+// it leads waits for its helper: the pause that this makes once the answer begins is
+// a loss. It was none before, and answers of long prompts paused for seconds.
+func TestPartBesideWhatIsAboutToBegin(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := &Core{}
+	f := Fleet{Engine: published()}
+	for _, id := range []string{"a", "b"} {
+		f.Targets = append(f.Targets, site.Target{ID: id, Pool: "p", State: site.Ready, Slots: 16})
+	}
+	c.Step(now, f)
+	l := long()
+	ask := Ask{
+		ID: "long", Pool: "p", Prompt: 100_000, Output: 650, Aim: l.aim, Whole: l.aim, Pause: l.pause, Gap: l.patience(), Left: l.limit,
+	}
+	g, now := place(c, now, ask)
+	quicktest.Assert(t, g.Helpers, quicktest.HasLen, 1)
+	lead := c.byID[g.Lead]
+	j := c.jobs["long"]
+	for lead.waits(j) {
+		now = now.Add(time.Millisecond)
+		c.advance(now, lead)
+	}
+	quicktest.Assert(t, j.begun, quicktest.IsFalse)
+	quicktest.Assert(t, c.harm(now, lead, 30_000, 2*l.pause) > lateShare*j.value/2, quicktest.IsTrue)
+}
+
+// TestLongAnswersArePacked wants the answers of long prompts written where others are,
+// while engines that write nothing are scarce.
+func TestLongAnswersArePacked(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := &Core{}
+	f := Fleet{Engine: published()}
+	for i := range 8 {
+		f.Targets = append(f.Targets, site.Target{ID: string(rune('a' + i)), Pool: "p", State: site.Ready, Slots: 16})
+	}
+	c.Step(now, f)
+	m := medium()
+	leads := make(map[string]int)
+	for i := range 12 {
+		ask := Ask{
+			ID: fmt.Sprint(i), Pool: "p", Prompt: 45_000, Output: 780, Aim: m.aim, Whole: m.aim, Pause: m.pause, Gap: m.patience(), Left: m.limit,
+		}
+		for _, d := range c.Step(now, Arrive{ask}) {
+			leads[d.(Grant).Lead]++
+		}
+		now = now.Add(200 * time.Millisecond)
+		c.Step(now, Begin{ID: ask.ID, After: 180 * time.Millisecond})
+	}
+	quicktest.Assert(t, len(leads) <= 3, quicktest.IsTrue, quicktest.Commentf("%v", leads))
+}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -31,7 +31,9 @@
 // it does with it by the declared model.
 type engine struct {
 	site.Target
-	jobs map[string]*job
+	// jobs are those that it leads or helps, in the order of their grants: sums over
+	// them must not differ from run to run.
+	jobs []*job
 	// held is the memory that its answers take, in tokens.
 	held int
 	// writers is how many answers it writes, or will write, and shorts how many of
@@ -66,14 +68,15 @@
 // changed says that the work of the engine is not what it was.
 func (e *engine) changed() { e.known = false }
 
-// shortest returns the shortest pause that one of its answers may have.
+// shortest returns the shortest pause that one of its answers, begun or not, may
+// have.
 func (e *engine) shortest() time.Duration {
 	if e.known {
 		return e.pause
 	}
 	e.pause, e.known = math.MaxInt64, true
 	for _, j := range e.jobs {
-		if j.read && j.lead == e {
+		if j.lead == e {
 			e.pause = min(e.pause, j.ask.Pause)
 		}
 	}
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -48,7 +48,8 @@
 	sum := 0.0
 	if next >= scale(e.shortest(), onTime) {
 		for _, o := range e.jobs {
-			if o.begun && o.lead == e {
+			// What is read, or in the pass in progress, is written in the next one.
+			if o.lead == e && (o.begun || !e.waits(o)) {
 				sum += o.pausing(next) - o.pausing(old)
 			}
 		}
@@ -114,14 +115,19 @@
 // writing is what it costs to write an answer on an engine, where idle engines are
 // scarce or not.
 func (c *Core) writing(j *job, e *engine, scarce bool) float64 {
-	if j.isLong() || c.Alone {
+	if c.Alone {
 		return 0
 	}
+	v := j.value
+	if j.isLong() {
+		// A slot is a slot: it costs no more because the answer is worth more.
+		v = min(v, c.worth.least())
+	}
 	cost := packCost * float64(e.Slots-e.writers) / float64(e.Slots)
 	if e.writers == 0 && scarce {
 		cost += openCost
 	}
-	return cost * j.value
+	return cost * v
 }
 
 // isScarce says whether long prompts want about as many engines as write nothing.
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -33,6 +33,8 @@
 	first time.Duration
 	lead  bool
 	score float64
+	// write is what it costs to write the answer there.
+	write float64
 }
 
 // spread returns the best plan with a number of parts.
@@ -42,7 +44,7 @@
 	if lead < 0 || len(opts) < parts {
 		return plan{}, false
 	}
-	p := plan{lead: opts[lead].e, part: part, first: opts[lead].first, harm: opts[lead].harm, wish: c.writing(j, opts[lead].e, c.isScarce(now))}
+	p := plan{lead: opts[lead].e, part: part, first: opts[lead].first, harm: opts[lead].harm, wish: opts[lead].write}
 	for i, o := range opts {
 		if len(p.helpers) == parts-1 {
 			break
@@ -84,14 +86,14 @@
 		if !canLead && (parts == 1 || e.helping >= e.Slots) {
 			continue
 		}
-		o := option{e: e, harm: c.harm(now, e, tokens, part), first: c.first(now, e, tokens, part), lead: canLead}
+		o := option{e: e, write: c.writing(j, e, scarce), harm: c.harm(now, e, tokens, part), first: c.first(now, e, tokens, part), lead: canLead}
 		// The harm done there and the request's own delay.
 		o.score = o.harm + c.late(now, j, o.first) + j.tardy(o.first)
 		switch {
 		case c.Alone:
 			o.score += spreadCost * chance(j.ask.ID, e.ID) * j.value
 		case parts == 1:
-			o.score += c.writing(j, e, scarce)
+			o.score += o.write
 		}
 		opts = append(opts, o)
 	}
@@ -106,20 +108,24 @@
 	return float64(xxhash.Sum64String(request+"\x00"+engine)) / math.MaxUint64
 }
 
-// lead returns the first option that has room for the whole request, or the one
-// with most room if none has; -1 if none can lead.
+// lead returns the best option to write the answer that has room for the whole
+// request, or the one with most room if none has; -1 if none can lead.
 func (c *Core) lead(j *job, opts []option) int {
-	best := -1
+	best, roomiest := -1, -1
+	cost := func(i int) float64 { return opts[i].score + opts[i].write }
 	for i, o := range opts {
 		if !o.lead {
 			continue
 		}
-		if o.e.held+j.size() <= c.model.Memory {
-			return i
-		}
-		if best < 0 || o.e.held < opts[best].e.held {
+		if o.e.held+j.size() <= c.model.Memory && (best < 0 || cost(i) < cost(best)) {
 			best = i
 		}
+		if roomiest < 0 || o.e.held < opts[roomiest].e.held {
+			roomiest = i
+		}
+	}
+	if best < 0 {
+		return roomiest
 	}
 	return best
 }
--- a/internal/place/replay_test.go
+++ b/internal/place/replay_test.go
@@ -55,6 +55,8 @@
 	play func(s *sim)
 	// from and to are the span that counts.
 	from, to time.Duration
+	// fleet makes the engines; nil means 16 of the published model.
+	fleet func(p placer) *sim
 	// inTime are the least parts of each kind's worth to be earned: the targets.
 	inTime map[string]float64
 	// lead is by how much the whole must be ahead of the best baseline.
@@ -134,6 +136,25 @@
 			},
 			inTime: map[string]float64{"short": 0.75}, lead: 0.1,
 		},
+		{
+			// Bursts of long, short and long requests in turn, up to nine tenths of what the
+			// engines can do: parts of large prompts must not stop the answers beside them.
+			// The parts of long prompts' worth are the users' targets for the whole.
+			name: "three bursts", from: 0, to: 28 * second,
+			play:   func(s *sim) { s.bursts(long(), medium(), 30, 1.7, 0.78) },
+			inTime: map[string]float64{"short": 0.95, "medium": 0.95, "long": 0.67}, lead: 0.2,
+		},
+		{
+			// The same on the grown fleet, with longer prompts.
+			name: "three bursts on 54 engines", from: 0, to: 28 * second,
+			fleet: func(p placer) *sim { return newSimOf(1, 54, grown(), p) },
+			play: func(s *sim) {
+				l, m := long(), medium()
+				l.prompt, l.aim, l.worth, m.worth = 260_000, 4*second, 34, 3.3
+				s.bursts(l, m, 84, 5.9, 1.9)
+			},
+			inTime: map[string]float64{"short": 0.95, "medium": 0.95, "long": 0.72}, lead: 0.2,
+		},
 	}
 }
 
@@ -142,7 +163,12 @@
 	for _, p := range patterns() {
 		t.Run(p.name, func(t *testing.T) {
 			play := func(pl placer) (map[string]score, score) {
-				s := newSim(1, 16, pl)
+				var s *sim
+				if p.fleet != nil {
+					s = p.fleet(pl)
+				} else {
+					s = newSim(1, 16, pl)
+				}
 				p.play(s)
 				s.run(p.to + 15*second)
 				return s.scores(p.from, p.to)
--- a/internal/place/shadow.go
+++ b/internal/place/shadow.go
@@ -153,6 +153,11 @@
 	}
 }
 
+// waits says whether a part of a job waits to be read.
+func (e *engine) waits(j *job) bool {
+	return slices.ContainsFunc(e.reads, func(p *part) bool { return p.job == j })
+}
+
 // rest is what is left of the pass in progress.
 func (e *engine) rest(now time.Time) time.Duration {
 	if e.ends.IsZero() {
--- a/internal/place/sim_test.go
+++ b/internal/place/sim_test.go
@@ -83,6 +83,8 @@
 	all     []*simJob
 	events  simQueue
 	lost    map[string]bool
+	// declared is what the placer is told of the engines.
+	declared site.Engine
 }
 
 // placer decides like a Core.
@@ -129,14 +131,25 @@
 	}
 }
 
-// newSim returns a sim with so many engines; make makes the placer.
-func newSim(seed uint64, engines int, p placer) *sim {
+// grown is the model of the engines after the sites have grown.
+func grown() site.Engine {
+	e := published()
+	e.Slots, e.Memory, e.Stride = 12, 344_250, 38
+	return e
+}
+
+// newSim returns a sim with so many engines of the published model.
+func newSim(seed uint64, engines int, p placer) *sim { return newSimOf(seed, engines, published(), p) }
+
+// newSimOf returns a sim with so many engines of a model.
+func newSimOf(seed uint64, engines int, m site.Engine, p placer) *sim {
 	s := &sim{
-		start: time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, 1)), place: p,
+		declared: m,
+		start:    time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, 1)), place: p,
 		jobs: make(map[string]*simJob), lost: make(map[string]bool),
 	}
 	for i := range engines {
-		s.engines = append(s.engines, &simEngine{id: fmt.Sprintf("e%02d", i), model: model{published()}, pace: 1})
+		s.engines = append(s.engines, &simEngine{id: fmt.Sprintf("e%02d", i), model: model{m}, pace: 1})
 	}
 	s.fleet()
 	return s
@@ -144,7 +157,7 @@
 
 // fleet tells the placer which engines there are.
 func (s *sim) fleet() {
-	f := Fleet{Engine: published()}
+	f := Fleet{Engine: s.declared}
 	for _, e := range s.engines {
 		if !s.lost[e.id] {
 			f.Targets = append(f.Targets, site.Target{ID: e.id, Pool: "p", State: site.Ready, Slots: f.Engine.Slots})
@@ -164,14 +177,25 @@
 		}
 		sigma := math.Sqrt(math.Log(1 + c.spread*c.spread))
 		prompt := min(c.maxPrompt, int(c.prompt*math.Exp(sigma*s.rng.NormFloat64()-sigma*sigma/2)))
-		output := max(published().Stride, int(c.output*math.Exp(0.6*s.rng.NormFloat64()-0.18)))
+		output := max(s.declared.Stride, int(c.output*math.Exp(0.6*s.rng.NormFloat64()-0.18)))
 		// Callers' estimates are right at the median, and often far off.
-		guess := max(published().Stride, int(float64(output)*math.Exp(0.5*s.rng.NormFloat64())))
+		guess := max(s.declared.Stride, int(float64(output)*math.Exp(0.5*s.rng.NormFloat64())))
 		j := &simJob{class: c, prompt: max(50, prompt), output: output, guess: guess, arrived: at}
 		s.events.add(at, func() { s.arrive(j) })
 	}
 }
 
+// bursts adds three bursts of 9.5 s, of long, short and long requests, at so many of
+// each kind in a second on average.
+func (s *sim) bursts(l, m *simClass, shorts, mediums, longs float64) {
+	for i, x := range []struct{ short, medium, long float64 }{{0.31, 1.3, 2.8}, {2.4, 0.5, 0.05}, {0.38, 1.3, 2.6}} {
+		from, to := time.Duration(i)*9500*time.Millisecond, time.Duration(i+1)*9500*time.Millisecond
+		s.load(short(), from, to, shorts*x.short)
+		s.load(m, from, to, mediums*x.medium)
+		s.load(l, from, to, longs*x.long)
+	}
+}
+
 func (s *sim) arrive(j *simJob) {
 	j.id = fmt.Sprintf("j%05d", len(s.all))
 	s.all = append(s.all, j)
--- a/internal/place/worth.go
+++ b/internal/place/worth.go
@@ -18,22 +18,41 @@
 	meanShare = 1.0 / 32
 )
 
-// worth estimates what answers are worth, in tokens: mostly by their size, beside
-// the mean of the requests of their kind. Kinds are told by the wanted time.
-type worth struct{ means map[time.Duration]float64 }
+// worth estimates what answers are worth, in tokens. The mean answer of a kind is
+// worth what it costs to read, and the others of the kind by their size beside the
+// mean. Kinds are told by the wanted time.
+type worth struct{ means map[time.Duration]*mean }
+
+// mean is that of a kind.
+type mean struct {
+	// size is in tokens, cost with what pairs of tokens add.
+	size, cost float64
+}
 
 func (w *worth) of(a Ask) float64 {
 	// A request that names no tokens is worth something, too.
 	size := max(1, float64(a.Prompt+outputWeight*a.Output))
-	size *= 1 + size/quadratic
+	cost := size * (1 + size/quadratic)
 	if w.means == nil {
-		w.means = make(map[time.Duration]float64)
+		w.means = make(map[time.Duration]*mean)
+	}
+	m := w.means[a.Whole]
+	if m == nil {
+		m = &mean{size, cost}
+		w.means[a.Whole] = m
 	}
-	mean, ok := w.means[a.Whole]
-	if !ok {
-		mean = size
+	m.size += (size - m.size) * meanShare
+	m.cost += (cost - m.cost) * meanShare
+	return m.cost * min(maxWorth, plainWorth+(1-plainWorth)*size/m.size)
+}
+
+// least is the mean worth of the kind whose answers are worth least.
+func (w *worth) least() float64 {
+	least := 0.0
+	for _, m := range w.means {
+		if least == 0 || m.cost < least {
+			least = m.cost
+		}
 	}
-	mean += (size - mean) * meanShare
-	w.means[a.Whole] = mean
-	return min(maxWorth*mean, plainWorth*mean+(1-plainWorth)*size)
+	return least
 }
