--- a/internal/soak/proxy_test.go
+++ b/internal/soak/proxy_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"time"
 
@@ -96,7 +98,12 @@
 	to := Place{81, Plain, 1}
 	quicktest.Assert(t, p.Listen(to, targetPort), quicktest.IsNil)
 	defer p.Close()
-	_, r := open(t, Place{81, Outside, 1}, to)
-	_, err := r.ReadString('\n')
+	c, err := dialFrom(Place{81, Outside, 1}.Own())(t.Context(), to.At(targetPort))
+	if err != nil {
+		return // It was reset before the dial had returned.
+	}
+	defer c.Close()
+	_, err = c.Read(make([]byte, 1))
 	quicktest.Assert(t, err, quicktest.IsNotNil)
+	quicktest.Assert(t, errors.Is(err, os.ErrDeadlineExceeded), quicktest.IsFalse)
 }
