--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -81,7 +81,10 @@
 }
 
 // ticket is memory set aside.
-type ticket struct{ until, used time.Time }
+type ticket struct {
+	tokens      int
+	until, used time.Time
+}
 
 // Start begins a new process under an ID.
 func (t *Target) Start(id, pool string) error {
@@ -189,9 +192,13 @@
 	if err != nil {
 		return
 	}
-	if r.URL.Path == platform.OrderPath {
+	switch r.URL.Path {
+	case platform.OrderPath:
 		t.order(w, body)
 		return
+	case platform.ReportPath:
+		t.report(w)
+		return
 	}
 	q, send, err := platform.DecodeSend(r.Header)
 	t.mu.Lock()
@@ -343,11 +350,27 @@
 	if o.Tokens == 0 {
 		delete(t.tickets, o.Ticket)
 	} else {
-		t.tickets[o.Ticket] = &ticket{until: time.Now().Add(o.Hold), used: time.Now()}
+		t.tickets[o.Ticket] = &ticket{tokens: o.Tokens, until: time.Now().Add(o.Hold), used: time.Now()}
 	}
 	w.WriteHeader(http.StatusOK)
 }
 
+// report tells the memory that is set aside.
+func (t *Target) report(w http.ResponseWriter) {
+	t.mu.Lock()
+	used := 0
+	for _, k := range t.tickets {
+		used += k.tokens
+	}
+	t.mu.Unlock()
+	b, err := platform.EncodeLoad(site.Load{Used: used})
+	if err != nil {
+		t.Book.Find("soak", "%v", err)
+	}
+	// The connection tells the other side if this fails.
+	_, _ = w.Write(b)
+}
+
 // CheckMemory wants nothing set aside for longer than allowed after its last renewal.
 func (t *Target) CheckMemory() {
 	t.mu.Lock()
