--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -77,7 +78,11 @@
 	if x.sends >= max(1, x.route.Attempts) {
 		return false
 	}
-	return x.server.Budget.take(x.pool.Name, int(x.server.others.Load()))
+	if !x.server.Budget.take(x.pool.Name, int(x.server.others.Load())) {
+		metrics.GetOrRegisterCounter("gate.repeats_refused", x.server.Metrics).Inc(1)
+		return false
+	}
+	return true
 }
 
 // mayTryOther says whether a request that t does not answer may go to another
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // Core places the requests of one pool. Start it with a Fleet event.
@@ -25,35 +23,6 @@
 	refused int
 }
 
-// job is a request from its ask to its end.
-type job struct {
-	ask     Ask
-	arrived time.Time
-	// value is what an answer in time is worth, in tokens.
-	value float64
-
-	granted time.Time
-	lead    *engine
-	helpers []*engine
-	// memory is what each helper keeps of the prompt, in tokens; nil if the lead
-	// keeps all.
-	memory []int
-	// part is the time that each engine reads.
-	part time.Duration
-	// first is when the first event is predicted, due when it is wanted.
-	first, due time.Time
-	begun      bool
-	// parts is how many parts are not yet read by the shadows of the engines; read
-	// says that all are, and ended that the request needs no engine any more.
-	parts       int
-	read, ended bool
-	// spoilt says that the answer is late already, so that nothing is lost by a
-	// further delay.
-	spoilt bool
-	// gone is when it was found to come late, while it waited.
-	gone time.Time
-}
-
 // Step takes in one event and returns what follows from it.
 func (c *Core) Step(now time.Time, e Event) []Decision {
 	if c.byID == nil {
@@ -198,9 +167,6 @@
 	j.lead.changed()
 }
 
-// engines are all that read parts of the prompt, the lead first.
-func (j *job) engines() []*engine { return append([]*engine{j.lead}, j.helpers...) }
-
 func (c *Core) end(now time.Time, e End) {
 	j := c.jobs[e.ID]
 	if j == nil {
@@ -265,29 +231,6 @@
 	}
 }
 
-// size is the memory of a request in tokens.
-func (j *job) size() int { return j.ask.Prompt + j.ask.Output }
-
-// heldBy is what helper i keeps in tokens.
-func (j *job) heldBy(i int) int {
-	if i >= len(j.memory) {
-		return 0
-	}
-	return j.memory[i]
-}
-
-// kept is what the lead keeps in tokens.
-func (j *job) kept() int {
-	n := j.size()
-	for _, m := range j.memory {
-		n -= m
-	}
-	return n
-}
-
-// share is the context that a step at the lead reads.
-func (j *job) share() int { return j.ask.Prompt / (len(j.helpers) + 1) }
-
 // adopt takes over a grant that an entry has from another scheduler.
 func (c *Core) adopt(now time.Time, h Holding) {
 	lead := c.byID[h.Lead]
@@ -321,68 +264,6 @@
 	}
 }
 
-// fleet takes in which engines there are.
-func (c *Core) fleet(now time.Time, f Fleet) {
-	c.model = model{f.Engine}
-	for _, e := range c.byID {
-		e.State = site.Gone
-	}
-	for _, t := range f.Targets {
-		e := c.byID[t.ID]
-		switch {
-		case e == nil && t.State == site.Gone:
-			continue
-		case e == nil:
-			e = &engine{pace: 1, heard: now}
-			c.byID[t.ID] = e
-		case e.Born != t.Born:
-			// A new process under the same ID has none of the old one's work.
-			e.pace, e.failures, e.heard, e.shadow = 1, 0, now, shadow{}
-			e.strange, e.strangers = 0, 0
-		}
-		e.Target = t
-	}
-	c.engines = c.engines[:0]
-	for id, e := range c.byID {
-		if e.State == site.Gone && len(e.jobs) == 0 {
-			delete(c.byID, id)
-			continue
-		}
-		c.engines = append(c.engines, e)
-	}
-	slices.SortFunc(c.engines, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
-}
-
-// audit takes in what an engine says of its work: what is more than its grants is work
-// that nobody told of.
-func (c *Core) audit(now time.Time, a Audit) {
-	e := c.byID[a.Target]
-	if e == nil {
-		return
-	}
-	e.strange, e.strangers = 0, max(0, a.Load.Running-e.writers)
-	if over := a.Load.Used - e.held; over > memoryMargin {
-		e.strange = over
-	}
-	if a.Load.Pace > 1 {
-		e.pace, e.seen = min(maxPace, a.Load.Pace), now
-	}
-}
-
-// Strange returns the memory of an engine, in tokens, that no grant accounts for.
-func (c *Core) Strange(id string) int {
-	if e := c.byID[id]; e != nil {
-		return e.strange
-	}
-	return 0
-}
-
-func (c *Core) heard(now time.Time, id string) {
-	if e := c.byID[id]; e != nil {
-		e.heard = now
-	}
-}
-
 // tick marks what is late, as its delay costs no more, and what can't come in
 // time any more, which then waits behind what can.
 func (c *Core) tick(now time.Time) {
