--- a/internal/soak/book_test.go
+++ b/internal/soak/book_test.go
@@ -126,3 +126,25 @@
 		quicktest.Assert(t, all, quicktest.Contains, kind)
 	}
 }
+
+// TestMemoryChecks wants memory found that is set aside for too long, or still after the
+// last request.
+func TestMemoryChecks(t *testing.T) {
+	now := time.Now()
+	for name, c := range map[string]struct {
+		ticket      ticket
+		hold, freed int
+	}{
+		"ended":     {ticket{until: now.Add(-time.Second), used: now.Add(-2 * time.Second)}, 0, 0},
+		"too long":  {ticket{until: now.Add(-time.Second), used: now.Add(-time.Second - 2*freeBound)}, 1, 0},
+		"not freed": {ticket{until: now.Add(time.Hour), used: now.Add(time.Hour)}, 0, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			x := &Target{Place: Place{82, Engine, 0}, Book: NewBook(), tickets: map[string]*ticket{"t": &c.ticket}}
+			x.CheckMemory()
+			quicktest.Assert(t, x.Book.Findings(), quicktest.HasLen, c.hold)
+			x.CheckFree()
+			quicktest.Assert(t, x.Book.Findings(), quicktest.HasLen, c.hold+c.freed)
+		})
+	}
+}
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -201,6 +201,13 @@
 	s.Play(outer, rng, s.Draw(rng, s.Length, s.Planned))
 	s.say("all faults have ended")
 	s.recover(outer)
+	halt()
+	around.Wait()
+	if sleep(ctx, freeBound) {
+		for _, t := range s.targets {
+			t.CheckFree()
+		}
+	}
 	return ctx.Err()
 }
 
