Take no slots for good from engines that were audited

Cause: found when reading the change again. An audit compares what an engine says of some hundred milliseconds ago with the grants of now; where it wrote more answers than were granted but held no memory beyond them, those slots were left alone and never asked for again.

--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -47,9 +47,10 @@
 	if e == nil {
 		return
 	}
-	e.strange, e.strangers = 0, max(0, a.Load.Running-e.writers)
+	e.strange, e.strangers = 0, 0
+	// Reports lag behind grants, so that answers alone say nothing.
 	if over := a.Load.Used - e.held; over > memoryMargin {
-		e.strange = over
+		e.strange, e.strangers = over, max(0, a.Load.Running-e.writers)
 	}
 	if a.Load.Pace > 1 {
 		e.pace, e.seen = min(maxPace, a.Load.Pace), now
