Read again: one HTTP client of the soak, one idle fleet in the tests of placement

The soak built the same client in four places, and the tests of placement the same fleet in four; both now stand once. Book.Counts was read by nobody. No program of the product, no check, bound or expectation changes.

--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -10,6 +10,17 @@
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
+// idle returns a core with so many engines, a, b and so on, that do nothing.
+func idle(now time.Time, engines int) *Core {
+	c := &Core{}
+	f := Fleet{Engine: published()}
+	for i := range engines {
+		f.Targets = append(f.Targets, site.Target{ID: string(rune('a' + i)), Pool: "p", State: site.Ready, Slots: 16})
+	}
+	c.Step(now, f)
+	return c
+}
+
 // busy returns a core whose only engine reads and writes all that it can.
 func busy(now time.Time) *Core {
 	c := &Core{}
@@ -148,12 +159,7 @@
 // 405,000: no engine gets more than it has, and all is given back.
 func TestMemoryOfTheLargest(t *testing.T) {
 	now := time.Unix(0, 0)
-	c := &Core{}
-	f := Fleet{Engine: published()}
-	for i := range 16 {
-		f.Targets = append(f.Targets, site.Target{ID: string(rune('a' + i)), Pool: "p", State: site.Ready, Slots: 16})
-	}
-	c.Step(now, f)
+	c := idle(now, 16)
 	l := long()
 	ask := Ask{
 		ID: "large", Pool: "p", Prompt: 1_000_000, Output: 650, Aim: l.aim, Whole: l.aim, Pause: l.pause, Gap: l.patience(), Left: l.limit,
@@ -178,12 +184,7 @@
 // a loss. It was none before, and answers of long prompts paused for seconds.
 func TestPartBesideWhatIsAboutToBegin(t *testing.T) {
 	now := time.Unix(0, 0)
-	c := &Core{}
-	f := Fleet{Engine: published()}
-	for _, id := range []string{"a", "b"} {
-		f.Targets = append(f.Targets, site.Target{ID: id, Pool: "p", State: site.Ready, Slots: 16})
-	}
-	c.Step(now, f)
+	c := idle(now, 2)
 	l := long()
 	ask := Ask{
 		ID: "long", Pool: "p", Prompt: 100_000, Output: 650, Aim: l.aim, Whole: l.aim, Pause: l.pause, Gap: l.patience(), Left: l.limit,
@@ -204,12 +205,7 @@
 // while engines that write nothing are scarce.
 func TestLongAnswersArePacked(t *testing.T) {
 	now := time.Unix(0, 0)
-	c := &Core{}
-	f := Fleet{Engine: published()}
-	for i := range 8 {
-		f.Targets = append(f.Targets, site.Target{ID: string(rune('a' + i)), Pool: "p", State: site.Ready, Slots: 16})
-	}
-	c.Step(now, f)
+	c := idle(now, 8)
 	m := medium()
 	leads := make(map[string]int)
 	for i := range 12 {
@@ -266,12 +262,7 @@
 // limit, and long prompts waited there for seconds.
 func TestStrangeWorkTakesRoom(t *testing.T) {
 	now := time.Unix(0, 0)
-	c := &Core{}
-	f := Fleet{Engine: published()}
-	for _, id := range []string{"a", "b"} {
-		f.Targets = append(f.Targets, site.Target{ID: id, Pool: "p", State: site.Ready, Slots: 16})
-	}
-	c.Step(now, f)
+	c := idle(now, 2)
 	c.Step(now, Audit{Target: "a", Load: site.Load{Used: published().Memory - 10_000, Running: 3}})
 	quicktest.Assert(t, c.Strange("a"), quicktest.Equals, published().Memory-10_000)
 	m := medium()
--- a/internal/soak/book.go
+++ b/internal/soak/book.go
@@ -126,13 +126,6 @@
 	b.counts[how]++
 }
 
-// Counts returns how many requests ended so.
-func (b *Book) Counts(how string) int {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.counts[how]
-}
-
 // Report writes what was seen.
 func (b *Book) Report(w io.Writer) {
 	b.mu.Lock()
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -108,7 +108,7 @@
 // entry picks an instance from the last look-up.
 func (c *Caller) entry(ctx context.Context) (string, bool) {
 	if time.Now().After(c.until) || len(c.entries) == 0 {
-		client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialHTTP(c.Own())}}
+		client := newClient(c.Own())
 		for _, d := range c.Directories {
 			status, b, err := call(ctx, client, http.MethodGet, "http://"+d+platform.ResolvePath(hostName, c.DataCentre()), nil)
 			if err != nil || status != http.StatusOK {
--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -51,7 +51,7 @@
 
 // Run changes, reads and probes until ctx ends.
 func (o *Operator) Run(ctx context.Context) {
-	o.client = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialHTTP(o.Own())}}
+	o.client = newClient(o.Own())
 	o.probes = &hop.Client{Dial: dialFrom(o.Own())}
 	o.docs, o.ackedAt, o.seen = make(map[int64][]byte), make(map[int64]time.Time), make(map[string]int64)
 	var wg sync.WaitGroup
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -114,7 +114,7 @@
 	t.mu.Unlock()
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	client := &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialHTTP(t.Own())}}
+	client := newClient(t.Own())
 	if body, err := platform.EncodeDeparture(self.Born); err == nil {
 		for _, c := range t.Control {
 			if status, _, err := call(ctx, client, http.MethodDelete, "http://"+c+platform.TargetPath(self.ID), body); err == nil && status/100 == 2 {
@@ -137,9 +137,7 @@
 
 // Run announces the target until ctx ends.
 func (t *Target) Run(ctx context.Context) {
-	client := &http.Client{
-		Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true, DialContext: dialHTTP(t.Own())},
-	}
+	client := newClient(t.Own())
 	for ctx.Err() == nil {
 		t.mu.Lock()
 		t.self.Seq++
@@ -300,10 +298,14 @@
 	_, _ = w.Write(body)
 }
 
-// dialHTTP is dialFrom as net/http wants it.
-func dialHTTP(host string) func(ctx context.Context, network, addr string) (net.Conn, error) {
+// newClient returns a client for calls to the site's own interfaces, each on a connection
+// of its own from an IP, and each within the second that the platform's callers wait.
+func newClient(host string) *http.Client {
 	dial := dialFrom(host)
-	return func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) }
+	return &http.Client{Timeout: time.Second, Transport: &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(ctx context.Context, _, addr string) (net.Conn, error) { return dial(ctx, addr) },
+	}}
 }
 
 // call makes one HTTP call and reads the whole answer.
