Targets that leave or ask for a pause get no more requests

Cause: the header with which a target says in a response that it is leaving was not read, and the Retry-After of a target's 503 served nothing: such targets were used until control heard of the drain, and granted again at once. Ruled out: a new command on the log, which replicas of the former build would not apply; the drain is committed as an announcement with the next number of the same process. A request that no ready engine takes is refused at once.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -86,7 +87,7 @@
 	req := place.Request{
 		ID: s.server.placer.newID(), Pool: s.pool.Name, Prompt: s.call.PromptTokens, Output: s.call.MaxOutputTokens,
 		TTFTLeft: s.route.Aim - age, TTFTTarget: s.route.Aim, MaxPause: s.route.Pause, TimeLeft: s.firstEventTimeout() - age, Rank: s.rank,
-		DataCentre: s.server.DataCentre, Avoid: s.failedTargets, PauseTimeout: s.eventTimeout(), Resumed: s.headSent,
+		DataCentre: s.server.DataCentre, Avoid: s.avoidedTargets(), PauseTimeout: s.eventTimeout(), Resumed: s.headSent,
 	}
 	s.grantID = req.ID
 	if s.call.ExpectedOutputTokens > 0 {
@@ -99,6 +100,19 @@
 	return req
 }
 
+// avoidedTargets returns the engines that failed the request, and those that accept no
+// request from this instance now.
+func (s *stream) avoidedTargets() []string {
+	out := slices.Clone(s.failedTargets)
+	closed, _ := s.server.health.closedTargets(s.server.views.load().pools[s.pool.Name])
+	for _, t := range closed {
+		if !slices.Contains(out, t.ID) {
+			out = append(out, t.ID)
+		}
+	}
+	return out
+}
+
 // firstEventTimeout is how long the caller waits for the first event.
 func (s *stream) firstEventTimeout() time.Duration {
 	return min(s.eventTimeout(), s.deadline.Sub(s.start))
@@ -126,6 +140,11 @@
 		return false, "memory reservation on a helper engine failed"
 	}
 	defer reserved.release()
+	// The reservations took a while, in which an engine may have begun to leave.
+	if _, _, ok := s.resolve(g); !ok {
+		s.refusals++
+		return false, "a granted engine is no longer ready"
+	}
 	return s.sendToLead(ctx, g, lead, helpers, &end)
 }
 
@@ -142,6 +161,7 @@
 	reuse := false
 	defer func() { resp.Close(reuse) }()
 	s.sends++
+	end.Pause = s.recordNotice(lead, resp)
 	if o := s.classify(lead, resp); o != nil {
 		end.FailedTarget = s.faultyTarget(lead, resp)
 		_, refused := o.(notRun)
@@ -177,18 +197,18 @@
 	return s.handleFailedAttempt(lead, s.classifySendError(lead, err))
 }
 
-// resolve finds the engines of a grant in the current view. An engine that drains gets no
-// request even if the scheduler granted it.
+// resolve finds the engines of a grant in the current view. An engine that drains, or wants
+// no requests from this instance, gets none even if the scheduler granted it.
 func (s *stream) resolve(g place.Grant) (lead site.Target, helpers []PrefillHelper, ok bool) {
 	v := s.server.views.load()
 	lead, ok = v.readyTarget(g.Lead, s.pool.Name)
-	if !ok {
+	if !ok || s.server.health.isClosed(lead) {
 		s.failedTargets = append(s.failedTargets, g.Lead)
 		return lead, nil, false
 	}
 	for i, id := range g.Helpers {
 		t, ok := v.readyTarget(id, s.pool.Name)
-		if !ok {
+		if !ok || s.server.health.isClosed(t) {
 			s.failedTargets = append(s.failedTargets, id)
 			return lead, nil, false
 		}
--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -6,6 +6,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // Server implements link.Follower: it receives the messages of the leader.
@@ -34,6 +35,7 @@
 		e.Int64("version", v.index.Tables.Version).Int("routes", len(v.index.Tables.Routes))
 	}
 	e.Msg("registry update applied")
+	s.health.dropNotices(v)
 	s.placer.updateCores(v)
 }
 
@@ -113,7 +115,19 @@
 // FillHeartbeat adds to a heartbeat whether this instance is ready for callers.
 func (s *Server) FillHeartbeat(m *link.FollowerMessage) {
 	m.HasEntries, m.Entries = true, nil
+	if v := s.views.load(); v != nil {
+		m.Leaving = departures(s.health.leavingTargets(v))
+	}
 	if s.IsReady() {
 		m.Entries = []link.Entry{{Name: s.Name, DataCentre: s.DataCentre, Address: s.Address}}
 	}
 }
+
+// departures returns the processes of targets that are leaving.
+func departures(list []site.Target) []link.Departure {
+	var out []link.Departure
+	for _, t := range list {
+		out = append(out, link.Departure{ID: t.ID, StartedMs: t.StartedMs})
+	}
+	return out
+}
--- a/internal/gate/headercodec.go
+++ b/internal/gate/headercodec.go
@@ -67,6 +67,11 @@
 	NotRun bool
 	// FaultyAddress is the address of the target that caused the failure; "" if unknown.
 	FaultyAddress string
+	// Leaving reports that the target is about to shut down and wants no more requests.
+	Leaving bool
+	// RetryAfter is how long the target wants no requests from this instance after it has
+	// refused one; 0 if it does not say.
+	RetryAfter time.Duration
 }
 
 // HeaderCodec reads and writes the headers exchanged with callers and targets.
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 const (
@@ -24,8 +25,24 @@
 type targetHealth struct {
 	place.Backoff
 	inFlight int
+	// notice is what the target last asked of this instance.
+	notice notice
 }
 
+// notice is what a process of a target asked of this instance in its responses. It binds
+// until the process has been replaced.
+type notice struct {
+	// startedMs identifies the process.
+	startedMs int64
+	// leaving is set once the process has said that it is about to shut down.
+	leaving bool
+	// pausedUntil is when the process accepts requests from this instance again.
+	pausedUntil time.Time
+}
+
+// isClosed reports whether the process wants no request from this instance now.
+func (n *notice) isClosed(now time.Time) bool { return n.leaving || now.Before(n.pausedUntil) }
+
 func (h *health) setup() { h.byID = make(map[string]*targetHealth) }
 
 func (h *health) target(id string) *targetHealth {
@@ -48,8 +65,94 @@
 	defer h.mu.Unlock()
 	t := h.target(id)
 	t.inFlight += n
-	if t.inFlight == 0 && t.IsHealthy(time.Now()) {
-		delete(h.byID, id) // Targets come and go, and an entry without state is not needed.
+	h.dropIdle(id, t)
+}
+
+// dropIdle forgets a target without state: targets come and go. The caller holds mu.
+func (h *health) dropIdle(id string, t *targetHealth) {
+	now := time.Now()
+	if t.inFlight == 0 && t.IsHealthy(now) && !t.notice.isClosed(now) {
+		delete(h.byID, id)
+	}
+}
+
+// recordNotice records that the process of a target is leaving, or wants no requests for
+// the duration pause. It reports whether the target has not said so before.
+func (h *health) recordNotice(t site.Target, leaving bool, pause time.Duration) bool {
+	if !leaving && pause <= 0 {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n := &h.target(t.ID).notice
+	if n.startedMs != t.StartedMs {
+		*n = notice{startedMs: t.StartedMs}
+	}
+	now := time.Now()
+	news := leaving && !n.leaving || pause > 0 && !now.Before(n.pausedUntil)
+	n.leaving = n.leaving || leaving
+	if until := now.Add(pause); until.After(n.pausedUntil) {
+		n.pausedUntil = until
+	}
+	return news
+}
+
+// isClosed reports whether the process of a target wants no request from this instance now.
+func (h *health) isClosed(t site.Target) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x := h.byID[t.ID]
+	return x != nil && x.notice.startedMs == t.StartedMs && x.notice.isClosed(time.Now())
+}
+
+// closedTargets returns the targets of a pool that want no request from this instance now,
+// and how long it takes until the first of them accepts one again; 0 if all are leaving.
+func (h *health) closedTargets(pool []site.Target) (closed []site.Target, reopens time.Duration) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.byID) == 0 {
+		return nil, 0
+	}
+	now := time.Now()
+	for _, t := range pool {
+		x := h.byID[t.ID]
+		if x == nil || x.notice.startedMs != t.StartedMs || !x.notice.isClosed(now) {
+			continue
+		}
+		closed = append(closed, t)
+		if left := x.notice.pausedUntil.Sub(now); !x.notice.leaving && (reopens == 0 || left < reopens) {
+			reopens = left
+		}
+	}
+	return closed, reopens
+}
+
+// leavingTargets returns the targets of a view that are ready there although their
+// processes have told this instance that they are leaving.
+func (h *health) leavingTargets(v *view) []site.Target {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []site.Target
+	for id, x := range h.byID {
+		if !x.notice.leaving {
+			continue
+		}
+		if t, ok := v.targets[id]; ok && t.State == site.Ready && t.StartedMs == x.notice.startedMs {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+// dropNotices forgets what processes asked that a view no longer has.
+func (h *health) dropNotices(v *view) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for id, x := range h.byID {
+		if t, ok := v.targets[id]; !ok || t.StartedMs != x.notice.startedMs {
+			x.notice = notice{}
+			h.dropIdle(id, x)
+		}
 	}
 }
 
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -14,6 +14,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
+	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
@@ -41,6 +42,9 @@
 	for x.timeLeft() > minAttemptTime && ctx.Err() == nil {
 		t, ok := x.pickTarget()
 		if !ok {
+			if reopens := x.closedFor(); reopens > 0 {
+				retry = reopens
+			}
 			break
 		}
 		if x.sends > 0 && !x.acquireRetry() {
@@ -93,7 +97,7 @@
 		return false
 	}
 	for _, o := range x.server.views.load().pools[x.pool.Name] {
-		if o.ID != t.ID && !slices.Contains(x.failedTargets, o.ID) {
+		if o.ID != t.ID && !slices.Contains(x.failedTargets, o.ID) && !x.server.health.isClosed(o) {
 			return true
 		}
 	}
@@ -108,7 +112,7 @@
 	bestCost, found := 0.0, false
 	for _, wantHealthy := range [...]bool{true, false} {
 		for _, t := range v.pools[x.pool.Name] {
-			if slices.Contains(x.failedTargets, t.ID) {
+			if slices.Contains(x.failedTargets, t.ID) || x.server.health.isClosed(t) {
 				continue
 			}
 			inFlight, ejected := x.server.health.state(t.ID)
@@ -130,6 +134,13 @@
 	return best, found
 }
 
+// closedFor returns how long it takes until a target of the pool accepts requests of this
+// instance again; 0 if none says so.
+func (x *exchange) closedFor() time.Duration {
+	_, reopens := x.server.health.closedTargets(x.server.views.load().pools[x.pool.Name])
+	return reopens
+}
+
 // outcome is the result of one send.
 type outcome interface{ outcome() }
 
@@ -174,6 +185,7 @@
 	reuse := false
 	defer func() { resp.Close(reuse) }()
 	x.sends++
+	x.recordNotice(t, resp)
 	if o := x.classify(t, resp); o != nil {
 		_, ok := o.(notRun)
 		reuse = ok && drainBody(resp)
@@ -242,6 +254,34 @@
 	return mayHaveRun{"the connection to a target ended early"}
 }
 
+// recordNotice records what a target asks of this instance in its response: that it is
+// leaving, or a pause after a refusal. It returns the pause. A response to another request
+// is ignored.
+func (x *exchange) recordNotice(t site.Target, resp *hop.Response) (pause time.Duration) {
+	reply := x.server.HeaderCodec.DecodeReply(resp.Header)
+	if reply.RequestID != x.call.ID {
+		return 0
+	}
+	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
+		pause = reply.RetryAfter
+	}
+	x.server.recordNotice(t, reply.Leaving, pause)
+	return pause
+}
+
+// recordNotice records that a target is leaving, which it also reports to the leader, or
+// that it wants no requests for the duration pause.
+func (s *Server) recordNotice(t site.Target, leaving bool, pause time.Duration) {
+	if !s.health.recordNotice(t, leaving, pause) {
+		return
+	}
+	s.Log.Info().Str("target", t.ID).Str("address", t.Address).Int64("born", t.StartedMs).Bool("leaving", leaving).Dur("pause", pause).
+		Msg("target asked for no more requests")
+	if leaving {
+		s.Link.Send(func(m *link.FollowerMessage) { m.Leaving = append(m.Leaving, departures([]site.Target{t})...) })
+	}
+}
+
 // classify returns the outcome that follows from the response headers alone, or nil if
 // the body must be read. It records a refusal or an invalid response as a failure of the
 // target.
--- a/internal/gate/reservation.go
+++ b/internal/gate/reservation.go
@@ -7,6 +7,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooproxy/bambooproxy/internal/hop"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 const (
@@ -84,6 +87,7 @@
 	status := 0
 	if err == nil {
 		status = resp.StatusCode
+		r.recordNotice(h.Target, resp)
 		resp.Close(drainBody(resp))
 		if status != http.StatusOK {
 			err = errReservationRefused
@@ -94,6 +98,17 @@
 	return err
 }
 
+// recordNotice records what a helper engine asks of this instance in its response to an
+// order.
+func (r *reservations) recordNotice(t site.Target, resp *hop.Response) {
+	reply := r.server.HeaderCodec.DecodeReply(resp.Header)
+	var pause time.Duration
+	if resp.StatusCode == http.StatusServiceUnavailable {
+		pause = reply.RetryAfter
+	}
+	r.server.recordNotice(t, reply.Leaving, pause)
+}
+
 // renewUntilStopped renews the reservations until release is called.
 func (r *reservations) renewUntilStopped(ctx context.Context) {
 	defer close(r.done)
--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -53,7 +53,12 @@
 }
 
 func (testCodec) DecodeReply(h http.Header) ReplyInfo {
-	return ReplyInfo{RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != ""}
+	// The zero value stands for a header that is missing or invalid.
+	pause, _ := time.ParseDuration(h.Get("Pause"))
+	return ReplyInfo{
+		RequestID: h.Get("Id"), Sealed: h.Get("Seal") != "", NotRun: h.Get("Not-Run") != "",
+		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
+	}
 }
 
 func (testCodec) CallerHeader(h http.Header) http.Header {
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/meter"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -147,6 +148,33 @@
 	return err
 }
 
+// drainLeaving marks a target as draining that has told another instance that it is about to
+// shut down. It returns before the change is committed. Instances repeat the report until
+// they see the change.
+func (s *Server) drainLeaving(reporter string, d link.Departure) {
+	t, ok := s.registry.Target(d.ID)
+	if !ok || t.State != site.Ready || t.StartedMs != d.StartedMs {
+		return
+	}
+	s.mu.Lock()
+	pending := s.pendingDrains[d]
+	s.pendingDrains[d] = true
+	s.mu.Unlock()
+	if pending {
+		return
+	}
+	go func() {
+		// The next number orders the change after the announcement that it is based on.
+		t.State, t.Sequence = site.Draining, t.Sequence+1
+		r, err := s.propose(context.Background(), reg.Command{Announce: &t})
+		s.mu.Lock()
+		delete(s.pendingDrains, d)
+		s.mu.Unlock()
+		s.Log.Info().Str("target", d.ID).Str("peer", reporter).Int64("born", d.StartedMs).Bool("changed", r.Changed).Err(err).
+			Msg("target reported as leaving")
+	}()
+}
+
 // hasPool reports whether the tables declare a pool.
 func hasPool(t *site.Tables, name string) bool {
 	for i := range t.Pools {
@@ -161,8 +189,13 @@
 // but the sequence number, or it is outdated. An outdated one that gives a ready target
 // another state is no refresh.
 func isRefresh(known, t site.Target) bool {
-	if t.Sequence <= known.Sequence && t.StartedMs == known.StartedMs {
-		return known.State != site.Ready || t.State == known.State
+	if t.StartedMs == known.StartedMs {
+		if t.Sequence <= known.Sequence {
+			return known.State != site.Ready || t.State == known.State
+		}
+		if known.State == site.Draining && t.State == site.Ready {
+			return true // Drained on the report of an instance, which binds until a restart.
+		}
 	}
 	t.Sequence = known.Sequence
 	return t == known
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -109,6 +109,7 @@
 	}
 	s.syncFleets()
 	for _, g := range msg.ActiveGrants {
+		g.Request.Instance = sess.hello.Name
 		if c := s.assign(sess, g.Request); c != nil {
 			s.step(c, place.Adopt{Grant: g})
 		}
@@ -132,6 +133,7 @@
 			})
 			continue
 		}
+		r.Instance = sess.hello.Name
 		s.step(c, place.Arrive{Request: r})
 		if s.sessions[r.ID] != nil && c.Waiting() > 0 {
 			sess.Enqueue(func(m *link.ControlMessage) { m.Queued = append(m.Queued, r.ID) })
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -68,6 +68,8 @@
 	sessions map[*session]struct{}
 	// pendingHeartbeats are the targets whose heartbeats are not yet forwarded to the leader.
 	pendingHeartbeats map[string]bool
+	// pendingDrains are the departures of targets that are being committed.
+	pendingDrains map[link.Departure]bool
 
 	// auditGroup holds the audit that runs while this instance leads; cancelAudit ends it.
 	auditGroup  sync.WaitGroup
@@ -78,6 +80,7 @@
 func (s *Server) Setup() ([]wire.Method, []wire.StreamMethod) {
 	s.sessions = make(map[*session]struct{})
 	s.pendingHeartbeats = make(map[string]bool)
+	s.pendingDrains = make(map[link.Departure]bool)
 	s.scheduler.server = s
 	s.client = &link.Client{
 		Self:  link.Hello{Name: s.Name, PeerAddr: s.PeerAddr, IsControl: true},
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -149,6 +149,9 @@
 	for _, id := range msg.Heartbeats {
 		s.recordHeartbeat(id)
 	}
+	for _, d := range msg.Leaving {
+		s.drainLeaving(sess.hello.Name, d)
+	}
 	s.scheduler.handle(sess, msg)
 }
 
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -87,6 +87,16 @@
 	Started      []place.FirstEvent  `cbor:"7,keyasint,omitempty"`
 	Ended        []place.End         `cbor:"8,keyasint,omitempty"`
 	ActiveGrants []place.ActiveGrant `cbor:"9,keyasint,omitempty"`
+	// Leaving are targets that have told the sender that they are about to shut down, and
+	// that are ready in its view.
+	Leaving []Departure `cbor:"10,keyasint,omitempty"`
+}
+
+// Departure names a process of a target that is about to shut down.
+type Departure struct {
+	ID string `cbor:"1,keyasint"`
+	// StartedMs identifies the process by its start time in Unix milliseconds.
+	StartedMs int64 `cbor:"2,keyasint"`
 }
 
 // Welcome answers a Hello.
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -179,6 +179,9 @@
 	if j == nil {
 		return
 	}
+	if e.Pause > 0 && j.lead != nil {
+		j.lead.pause(now, j.request.Instance, e.Pause)
+	}
 	if t := c.byID[e.FailedTarget]; t != nil {
 		t.eject(now, e.Unreachable)
 	} else if j.started {
--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -290,3 +290,51 @@
 	c.Step(now, LoadReport{Target: "gone"})
 	quicktest.Assert(t, c.UnaccountedMemory("gone"), quicktest.Equals, 0)
 }
+
+// TestPauseBindsOneInstance: an engine that wants a pause from one instance must get none of
+// its requests, queued ones among them, while those of others may go there. An instance for
+// which every engine pauses is refused at once and told when the first one opens.
+func TestPauseBindsOneInstance(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := idleCore(now, 2)
+	send := func(at time.Time, id, instance string) Decision {
+		req := shortRequest(id)
+		req.Instance = instance
+		d := c.Step(at, Arrive{req})
+		quicktest.Assert(t, len(d), quicktest.Equals, 1)
+		return d[0]
+	}
+	first := send(now, "1", "x").(Grant)
+	c.Step(now, End{ID: "1", FailedTarget: first.Lead, Pause: 5 * time.Second})
+	later := now.Add(time.Second)
+	for _, id := range []string{"2", "3", "4"} {
+		quicktest.Assert(t, send(later, id, "x").(Grant).Lead, quicktest.Not(quicktest.Equals), first.Lead)
+	}
+	leads := make(map[string]bool)
+	for _, id := range []string{"5", "6", "7", "8", "9"} {
+		leads[send(later, id, "y").(Grant).Lead] = true
+	}
+	quicktest.Assert(t, leads[first.Lead], quicktest.IsTrue)
+
+	c.Step(later, End{ID: "2", Pause: 20 * time.Second})
+	r := send(later, "10", "x").(Refuse)
+	quicktest.Assert(t, r.RetryAfter, quicktest.Equals, 4*time.Second)
+	c.Step(now.Add(5*time.Second), Heartbeat{Target: first.Lead})
+	_, granted := send(now.Add(5*time.Second), "11", "x").(Grant)
+	quicktest.Assert(t, granted, quicktest.IsTrue)
+}
+
+// TestNoEngineIsRefusedAtOnce: without a ready engine, or with none that has not failed the
+// request, waiting can't help.
+func TestNoEngineIsRefusedAtOnce(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := idleCore(now, 0)
+	d := c.Step(now, Arrive{shortRequest("1")})
+	quicktest.Assert(t, d, quicktest.DeepEquals, []Decision{Refuse{ID: "1", Reason: "no engine takes the request", RetryAfter: closedRetryAfter}})
+	c = idleCore(now, 2)
+	req := shortRequest("2")
+	req.Avoid = []string{"a", "b"}
+	_, refused := c.Step(now, Arrive{req})[0].(Refuse)
+	quicktest.Assert(t, refused, quicktest.IsTrue)
+	quicktest.Assert(t, c.Waiting(), quicktest.Equals, 0)
+}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // decide grants or refuses a request, or returns nil if the request should wait.
@@ -11,6 +13,9 @@
 	if left < minTimeLeft {
 		return c.refuse(j, "its time is nearly over", time.Second)
 	}
+	if wait, closed := c.closedFor(now, j); closed && !j.request.Resumed {
+		return c.refuse(j, "no engine takes the request", wait)
+	}
 	if j.late && !j.request.Resumed && !c.Standalone && c.isCrowded(now) {
 		return c.refuse(j, "no engine can answer in time", c.retryAfter(left))
 	}
@@ -31,6 +36,25 @@
 	return g
 }
 
+// closedFor reports whether every ready engine is closed to a request, so that it can't be
+// served however long it waits, and how long it takes until the first of them opens again.
+func (c *Core) closedFor(now time.Time, j *job) (wait time.Duration, closed bool) {
+	wait = closedRetryAfter
+	paused := false
+	for _, e := range c.engines {
+		if e.State != site.Ready {
+			continue
+		}
+		if !e.isClosed(now, j) {
+			return 0, false
+		}
+		if left := e.pausedUntil[j.request.Instance].Sub(now); left > 0 && (!paused || left < wait) {
+			wait, paused = left, true
+		}
+	}
+	return wait, true
+}
+
 // isCrowded reports whether so many slots are in use that a late answer would make others
 // late.
 func (c *Core) isCrowded(now time.Time) bool {
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -67,6 +68,8 @@
 	Backoff
 	// lastHeartbeat is the time of its last heartbeat or event of an answer.
 	lastHeartbeat time.Time
+	// pausedUntil is when it accepts requests of an instance again, by the instance's name.
+	pausedUntil map[string]time.Time
 	// Until uncertainUntil the slowdown is not updated, because the engine may run grants
 	// of other schedulers whose progress this core does not know.
 	uncertainUntil time.Time
@@ -78,6 +81,28 @@
 	return e.State == site.Ready && !e.IsEjected(now) && (c.Standalone || now.Sub(e.lastHeartbeat) < heartbeatTimeout)
 }
 
+// pause keeps the requests of one instance away from the engine. Others may still use it: an
+// engine that is full for all of them refuses them, too.
+func (e *engine) pause(now time.Time, instance string, d time.Duration) {
+	if e.pausedUntil == nil {
+		e.pausedUntil = make(map[string]time.Time)
+	}
+	for name, until := range e.pausedUntil {
+		if !now.Before(until) {
+			delete(e.pausedUntil, name)
+		}
+	}
+	if until := now.Add(d); until.After(e.pausedUntil[instance]) {
+		e.pausedUntil[instance] = until
+	}
+}
+
+// isClosed reports whether the engine accepts no request j, because it failed the request
+// before or wants no requests from its instance.
+func (e *engine) isClosed(now time.Time, j *job) bool {
+	return slices.Contains(j.request.Avoid, e.ID) || now.Before(e.pausedUntil[j.request.Instance])
+}
+
 // used returns the KV cache that is not free, in tokens.
 func (e *engine) used() int { return e.reserved + e.unaccounted }
 
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -34,8 +34,11 @@
 	Rank int `cbor:"9,keyasint"`
 	// DataCentre is the data centre of the requesting instance.
 	DataCentre string `cbor:"10,keyasint"`
-	// Avoid lists targets that failed this request before.
+	// Avoid lists targets that failed this request before, and those that accept no request
+	// from its instance now.
 	Avoid []string `cbor:"11,keyasint,omitempty"`
+	// Instance is the name of the requesting instance. The scheduler sets it.
+	Instance string `cbor:"-"`
 }
 
 // Event is an input of Core.Step.
@@ -61,6 +64,9 @@
 	FailedTarget string
 	// Unreachable is set if that target could not be reached or stopped responding.
 	Unreachable bool
+	// Pause is how long the lead wants no further request from the same instance; 0 if it
+	// does not say.
+	Pause time.Duration
 }
 
 // Adopt hands over a grant in use that another scheduler issued.
--- a/internal/place/weights.go
+++ b/internal/place/weights.go
@@ -56,6 +56,9 @@
 	minRetryAfter   = 400 * time.Millisecond
 	retryAfterStep  = 100 * time.Millisecond
 	retryAfterSteps = 10
+	// closedRetryAfter is the retry time if no engine takes the request and none says for how
+	// long.
+	closedRetryAfter = time.Second
 	// ttftMargin multiplies the shortest possible time to the first event.
 	ttftMargin = 1.8
 	// packingCost is the cost of a short answer on an engine without answers, as a fraction
