Bound what targets in trouble can send: heads, bodies, comments and repeats without end

Cause: http.ReadResponse reads a head of any size, so a target that sent header bytes without end took all memory of the entry; each response of a service could take 32 MiB; the body of a refusal held the request until its deadline; comments and repeated events put off the stall limit for ever; empty lines before an event cost quadratic time. Ruled out: trailers and chunk lengths without end (net/http bounds them, tested). Change: named limits for each, progress of a stream is a new event only, idle connections with unexpected bytes are closed every second, responses are buffered in counted chunks.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -32,6 +32,8 @@
 	// stallShare is the fraction of that timeout for which an engine may stall in the
 	// middle of an answer before another engine continues it.
 	stallShare = 0.8
+	// maxIdleBytes bounds the comments and repeated events between two new events.
+	maxIdleBytes = 64 << 10
 	// maxRefusals bounds the number of engines that may refuse one request.
 	maxRefusals = 4
 )
@@ -255,16 +257,21 @@
 // handleErrorResponse relays the engine's error response, or leaves the request to another
 // engine.
 func (s *stream) handleErrorResponse(lead site.Target, resp *hop.Response, end *place.End) (done bool, reason string) {
-	body, err := readResponse(resp.Body)
 	s.mayHaveRun = true
 	end.FailedTarget = lead.ID
-	if err != nil || s.headSent || resp.StatusCode >= http.StatusInternalServerError && s.route.MayRetry() {
-		s.failedTargets = append(s.failedTargets, lead.ID)
-		s.logFailedAttempt(lead, "error response: "+http.StatusText(resp.StatusCode), err)
-		return false, "an engine answered with an error"
+	var err error
+	if !s.headSent && (resp.StatusCode < http.StatusInternalServerError || !s.route.MayRetry()) {
+		resp.SetReadDeadline(time.Now().Add(s.eventTimeout()))
+		var b *body
+		if b, err = s.server.buffers.read(resp.Body); err == nil {
+			defer b.release()
+			s.writeResponse(&response{status: resp.StatusCode, header: resp.Header, body: b})
+			return true, ""
+		}
 	}
-	s.writeResponse(&response{status: resp.StatusCode, header: resp.Header, body: body})
-	return true, ""
+	s.failedTargets = append(s.failedTargets, lead.ID)
+	s.logFailedAttempt(lead, "error response: "+http.StatusText(resp.StatusCode), err)
+	return false, "an engine answered with an error"
 }
 
 // streamAttempt describes one send while its events are relayed.
@@ -279,8 +286,9 @@
 // event, and otherwise the reason why the stream ended early.
 func (s *stream) relayEvents(ctx context.Context, resp *hop.Response, att streamAttempt) (reason string) {
 	events := hop.NewEventReader(resp.Body)
-	for count := 0; ; count++ {
-		resp.SetReadDeadline(s.nextEventDeadline(count == 0, att.canRetry))
+	resp.SetReadDeadline(s.nextEventDeadline(true, att.canRetry))
+	first, idleBytes := true, 0
+	for {
 		ev, err := events.Next()
 		switch {
 		case errors.Is(err, io.EOF):
@@ -293,7 +301,8 @@
 		case err != nil:
 			return "the event stream of an engine ended early: " + err.Error()
 		}
-		if count == 0 {
+		isNew := !ev.IsComment && !s.isRepeated(ev)
+		if first && isNew {
 			s.server.placer.reportFirstEvent(att.grantID, time.Since(att.sentAt))
 		}
 		if reason := s.relayEvent(resp, ev); reason != "" {
@@ -302,32 +311,38 @@
 		if ctx.Err() != nil {
 			return s.endReason()
 		}
+		if isNew {
+			first, idleBytes = false, 0
+			resp.SetReadDeadline(s.nextEventDeadline(false, att.canRetry))
+			continue
+		}
+		if idleBytes += len(ev.Raw); idleBytes > maxIdleBytes {
+			return "the event stream of an engine has no new event in 64 KiB"
+		}
 	}
 }
 
+// isRepeated reports whether the caller already has an event.
+func (s *stream) isRepeated(ev hop.Event) bool { return ev.HasID && s.hasLastID && ev.ID <= s.lastID }
+
 // relayEvent writes one event to the caller, unless the caller already has it. It returns
 // the reason for a failure, or "".
 func (s *stream) relayEvent(resp *hop.Response, ev hop.Event) (reason string) {
-	if ev.HasID && s.hasLastID {
-		if ev.ID <= s.lastID {
-			return ""
-		}
-		if s.eventCount > 0 && ev.ID != s.lastID+1 {
-			return "an event is missing"
-		}
+	if s.isRepeated(ev) {
+		return ""
+	}
+	if ev.HasID && s.hasLastID && s.eventCount > 0 && ev.ID != s.lastID+1 {
+		return "an event is missing"
 	}
 	if !s.headSent {
 		s.writeHead(resp)
-		s.firstEvent = time.Since(s.start)
 	}
 	if ev.HasID {
 		s.lastID, s.hasLastID = ev.ID, true
 	}
-	if s.eventCount > 0 {
-		s.maxPause = max(s.maxPause, time.Since(s.lastEventAt))
+	if !ev.IsComment {
+		s.countEvent()
 	}
-	s.lastEventAt = time.Now()
-	s.eventCount++
 	if _, err := s.w.Write(ev.Raw); err != nil {
 		return "the caller disconnected"
 	}
@@ -337,6 +352,17 @@
 	return ""
 }
 
+// countEvent updates the times of the first event and of the longest pause.
+func (s *stream) countEvent() {
+	if s.eventCount == 0 {
+		s.firstEvent = time.Since(s.start)
+	} else {
+		s.maxPause = max(s.maxPause, time.Since(s.lastEventAt))
+	}
+	s.lastEventAt = time.Now()
+	s.eventCount++
+}
+
 // nextEventDeadline returns when the wait for the next event ends. After a stall in the
 // middle of an answer another engine continues it. If no other engine may be tried, the
 // stream is kept until the request's deadline, and the caller decides how long to wait.
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"math/rand/v2"
@@ -20,9 +19,9 @@
 )
 
 const (
-	// maxResponseBytes bounds the response of a plain service, which is buffered
-	// completely before the caller gets any of it.
-	maxResponseBytes = 32 << 20
+	// refusalBodyTimeout bounds the wait for the body of a refusal, which is read only to
+	// reuse the connection. It normally comes with the head.
+	refusalBodyTimeout = 100 * time.Millisecond
 	// minAttemptTime is the remaining time below which no further target is tried.
 	minAttemptTime = 20 * time.Millisecond
 	// latencyFactor times the route's target latency, and at least minHeadTimeout, is how
@@ -38,6 +37,7 @@
 func (x *exchange) servePlain(ctx context.Context) {
 	// fallback is an error response that is passed on if no other target succeeds.
 	var fallback *response
+	defer func() { fallback.release() }()
 	reason, retry := "no target is available", shortRetryAfter
 	for x.timeLeft() > minAttemptTime && ctx.Err() == nil {
 		t, ok := x.pickTarget()
@@ -54,8 +54,10 @@
 		switch o := o.(type) {
 		case delivered:
 			x.writeResponse(resp)
+			resp.release()
 			return
 		case serverError:
+			fallback.release()
 			fallback = resp
 			reason = "targets answered with an error"
 			x.mayHaveRun = true
@@ -165,7 +167,14 @@
 type response struct {
 	status int
 	header http.Header
-	body   []byte
+	body   *body
+}
+
+// release returns the memory of the response, if there is one.
+func (r *response) release() {
+	if r != nil {
+		r.body.release()
+	}
 }
 
 // send sends the request to one target and buffers the response.
@@ -191,8 +200,13 @@
 		reuse = ok && drainBody(resp)
 		return nil, o
 	}
-	body, err := readResponse(resp.Body)
+	if q.HeadTimeout > 0 {
+		// The body may stall as well as the head.
+		resp.SetReadDeadline(time.Now().Add(x.timeLeft() / 2))
+	}
+	body, err := s.buffers.read(resp.Body)
 	if err != nil {
+		s.health.recordFailure(t.ID)
 		x.logFailedAttempt(t, "response ended early", err)
 		return nil, mayHaveRun{"the response of a target ended early"}
 	}
@@ -205,22 +219,11 @@
 	return buffered, delivered{}
 }
 
-// errResponseTooLarge reports that a response is too large to be buffered.
-var errResponseTooLarge = errors.New("response exceeds 32 MiB")
-
-// readResponse reads a complete body. It returns an error rather than a truncated one.
-func readResponse(r io.Reader) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, maxResponseBytes+1))
-	if err == nil && len(b) > maxResponseBytes {
-		return nil, errResponseTooLarge
-	}
-	return b, err
-}
-
 // drainBody discards what is left of a refusal, so that the connection can be reused. It
-// returns false if the body is too long or broken.
+// returns false if the body is too long, too slow or broken.
 func drainBody(resp *hop.Response) bool {
 	const maxBytes = 64 << 10
+	resp.SetReadDeadline(time.Now().Add(refusalBodyTimeout))
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxBytes))
 	return err == nil && n < maxBytes
 }
@@ -331,8 +334,12 @@
 	}
 	x.status = resp.status
 	h.Del("Transfer-Encoding")
-	h.Set("Content-Length", strconv.Itoa(len(resp.body)))
+	h.Set("Content-Length", strconv.Itoa(resp.body.length))
 	x.w.WriteHeader(resp.status)
-	// A failed write closes the connection, which the caller sees.
-	_, _ = io.Copy(x.w, bytes.NewReader(resp.body))
+	for _, chunk := range resp.body.chunks {
+		// A failed write closes the connection, which the caller sees.
+		if _, err := x.w.Write(chunk); err != nil {
+			return
+		}
+	}
 }
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -91,11 +92,15 @@
 // TestOversizedResponseIsAnError: a response above the limit must not be passed on in
 // part, because the caller would take it for complete.
 func TestOversizedResponseIsAnError(t *testing.T) {
-	_, err := readResponse(strings.NewReader(strings.Repeat("x", maxResponseBytes+1)))
+	buffers := responseBuffers{limit: defaultBufferBytes}
+	_, err := buffers.read(strings.NewReader(strings.Repeat("x", maxResponseBytes+1)))
 	quicktest.Assert(t, err, quicktest.Equals, errResponseTooLarge)
-	b, err := readResponse(strings.NewReader(strings.Repeat("x", maxResponseBytes)))
+	b, err := buffers.read(strings.NewReader(strings.Repeat("x", maxResponseBytes)))
 	quicktest.Assert(t, err, quicktest.IsNil)
-	quicktest.Assert(t, len(b), quicktest.Equals, maxResponseBytes)
+	quicktest.Assert(t, b.length, quicktest.Equals, maxResponseBytes)
+	quicktest.Assert(t, len(slices.Concat(b.chunks...)), quicktest.Equals, maxResponseBytes)
+	b.release()
+	quicktest.Assert(t, buffers.used.Load(), quicktest.Equals, int64(0))
 }
 
 // TestDeadline has a target that never responds. The caller must get 504 at its own or
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -47,12 +47,16 @@
 	TargetClient *hop.Client
 	Link         *link.Client
 	Budget       *RetryBudget
-	Log          *log.Logger
-	Metrics      metrics.Registry
+	// BufferBytes bounds the memory for buffered responses; 0 means defaultBufferBytes.
+	BufferBytes int64
+	Log         *log.Logger
+	Metrics     metrics.Registry
 
 	views  viewStore
 	placer placer
 	health health
+	// buffers holds the responses of plain services until they are complete.
+	buffers responseBuffers
 	// entries are the ready instances that are listed for callers.
 	entries atomic.Pointer[[]link.Entry]
 	// instanceCount is the number of ready instances of the site.
@@ -73,6 +77,9 @@
 	s.placer.server = s
 	s.placer.setup()
 	s.health.setup()
+	if s.buffers.limit = s.BufferBytes; s.buffers.limit == 0 {
+		s.buffers.limit = defaultBufferBytes
+	}
 }
 
 // Run closes expired idle connections until ctx ends.
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -26,6 +26,9 @@
 	// readBufferBytes is the size of a read buffer; stream events are a few hundred bytes
 	// long.
 	readBufferBytes = 4 << 10
+	// maxHeadBytes bounds the status line and headers of a response, and those of the
+	// informational responses before it.
+	maxHeadBytes = 64 << 10
 	// maxStaleResponses bounds the responses that are read until one belongs to the
 	// request. It counts informational responses (1xx), too.
 	maxStaleResponses = 4
@@ -128,10 +131,32 @@
 	net.Conn
 	addr string
 	r    *bufio.Reader
+	// headLeft is how many bytes of a response head may still be read; -1 while a body is
+	// read.
+	headLeft int
 	// expiresAt is when the target may close the connection.
 	expiresAt time.Time
 }
 
+// errHeadTooLong reports that a response head exceeds maxHeadBytes.
+var errHeadTooLong = errors.Newf("response head exceeds %d bytes", maxHeadBytes)
+
+// bodyUnlimited is the value of conn.headLeft while a body is read.
+const bodyUnlimited = -1
+
+// Read reads from the connection, and no more than is left of a response head.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.headLeft == bodyUnlimited {
+		return c.Conn.Read(b)
+	}
+	if c.headLeft == 0 {
+		return 0, errHeadTooLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
+	c.headLeft -= n
+	return n, err
+}
+
 func (c *conn) writeRequest(head, body []byte) error {
 	_, err := c.Write(head)
 	if err == nil {
@@ -144,7 +169,9 @@
 // responses to other requests before them.
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	for range maxStaleResponses {
+		c.headLeft = maxHeadBytes
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
+		c.headLeft = bodyUnlimited
 		if err != nil {
 			var netErr net.Error
 			if errors.As(err, &netErr) && netErr.Timeout() {
--- a/internal/hop/event.go
+++ b/internal/hop/event.go
@@ -22,6 +22,9 @@
 	// ID is the number of the event, if HasID is set.
 	ID    int64
 	HasID bool
+	// IsComment is set if there is nothing but comment lines, which targets send to keep a
+	// connection open.
+	IsComment bool
 }
 
 // EventReader reads the events of a stream.
@@ -37,37 +40,38 @@
 // reader.
 func (r *EventReader) Next() (Event, error) {
 	var ev Event
+	// hasContent is set once a line was not empty; isContinued is set in the middle of a
+	// line that exceeds the buffer.
+	hasContent, isContinued := false, false
 	for {
 		line, err := r.r.ReadSlice('\n')
 		ev.Raw = append(ev.Raw, line...)
+		isEmpty := !isContinued && len(bytes.TrimRight(line, "\r\n")) == 0
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(ev.Raw) < maxEventBytes:
+			hasContent, isContinued = true, true
 			continue
-		case errors.Is(err, io.EOF) && len(bytes.TrimSpace(ev.Raw)) > 0:
+		case errors.Is(err, io.EOF) && (hasContent || !isEmpty):
 			return ev, io.ErrUnexpectedEOF
 		case err != nil:
 			return ev, err
 		case len(ev.Raw) > maxEventBytes:
 			return ev, errors.Wrapf(ErrInvalidEvent, "longer than %d bytes", maxEventBytes)
+		case isEmpty && hasContent:
+			return ev, ev.parse()
 		}
-		if endsEvent(ev.Raw) {
-			break
-		}
-	}
-	return ev, ev.parseID()
-}
-
-// endsEvent reports whether raw ends with an empty line and so is a complete event.
-func endsEvent(raw []byte) bool {
-	if len(bytes.TrimRight(raw, "\r\n")) == 0 {
-		return false // An empty line before the event belongs to it.
+		// Empty lines before an event belong to it.
+		hasContent, isContinued = hasContent || !isEmpty, false
 	}
-	return bytes.HasSuffix(raw, []byte("\n\n")) || bytes.HasSuffix(raw, []byte("\n\r\n"))
 }
 
-// parseID sets the ID of the event from its last "id:" line.
-func (e *Event) parseID() error {
+// parse sets the fields from the lines of the event. It returns ErrInvalidEvent if an ID is
+// no number, or if no line is of an event or a comment.
+func (e *Event) parse() error {
+	hasData, hasComment := false, false
 	for line := range bytes.Lines(e.Raw) {
+		hasComment = hasComment || line[0] == ':'
+		hasData = hasData || bytes.HasPrefix(line, []byte("data"))
 		v, ok := bytes.CutPrefix(line, []byte("id:"))
 		if !ok {
 			continue
@@ -78,5 +82,11 @@
 		}
 		e.ID, e.HasID = n, true
 	}
+	if !e.HasID && !hasData {
+		if !hasComment {
+			return errors.Wrap(ErrInvalidEvent, "no line is an id, data or a comment")
+		}
+		e.IsComment = true
+	}
 	return nil
 }
--- a/internal/hop/idlepool.go
+++ b/internal/hop/idlepool.go
@@ -47,7 +47,9 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: nc, addr: addr, r: bufio.NewReaderSize(nc, readBufferBytes)}, nil
+	cn := &conn{Conn: nc, addr: addr, headLeft: bodyUnlimited}
+	cn.r = bufio.NewReaderSize(cn, readBufferBytes)
+	return cn, nil
 }
 
 // get removes the connection to an address that was put last, and returns it; nil if there
@@ -104,15 +106,15 @@
 	}
 }
 
-// CloseExpired closes the idle connections that have expired.
+// CloseExpired closes the idle connections that have expired, that their targets closed, and
+// those on which targets send bytes that no request asked for.
 func (c *Client) CloseExpired() {
-	now := time.Now()
 	c.idle.mu.Lock()
 	defer c.idle.mu.Unlock()
 	for addr, list := range c.idle.byAddr {
 		kept := list[:0]
 		for _, cn := range list {
-			if now.Before(cn.expiresAt) {
+			if cn.isUsable() {
 				kept = append(kept, cn)
 				continue
 			}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -41,6 +41,8 @@
 	// heapLimitShare is the share of Settings.Memory that the Go runtime may use before
 	// it collects garbage more often.
 	heapLimitShare = 0.6
+	// bufferDivisor divides Settings.Memory into the part for buffered responses.
+	bufferDivisor = 4
 	// shutdownDivisor and minDrainDivisor divide the grace period. A tenth of it is kept
 	// for stopping the components after the drain. An entry drains for at least a third of
 	// it, until lookups of callers no longer return it.
@@ -140,7 +142,8 @@
 	p.gate = &gate.Server{
 		Name: s.Name, DataCentre: s.DataCentre, Address: s.Callers, HeaderCodec: p.HeaderCodec,
 		TargetClient: &hop.Client{Dial: p.network.dial}, Log: p.Log, Metrics: p.metrics,
-		Budget: &gate.RetryBudget{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: time.Duration(s.Repeats.Window)},
+		BufferBytes: s.Memory << 20 / bufferDivisor,
+		Budget:      &gate.RetryBudget{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: time.Duration(s.Repeats.Window)},
 	}
 	p.link = &link.Client{Self: link.Hello{Name: s.Name, PeerAddr: s.Peers, DataCentre: s.DataCentre}, Calls: p.peerPool, Follower: p.gate, Log: p.Log}
 	p.link.SetSeeds(p.peerAddrs(s.Seeds))
