A new leader ends its own link; jitter by name; smaller look at closed targets

Cause: TestEntriesReceiveNearbyEntries failed once in a few runs: an instance that became the leader kept its link to a follower for up to 2 s, which reported the leader's former list of ready entries back to it, so that an entry that had left stayed listed. Ruled out: a lost broadcast (the timers had run). Change: setLeading ends the link, and a link that opens meanwhile is dropped; the jitter of reconnects is drawn from the name and the round, so tests repeat; entries look at the few targets with notices instead of at the whole pool; a control instance with an empty disk doesn't confirm the registry; the log joins a request sent to a second scheduler.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -63,7 +63,9 @@
 			break
 		}
 		s.pauseCount = x.server.pauses.pauseCount()
-		g, err := x.server.placer.acquire(ctx, s.placementRequest())
+		req := s.placementRequest()
+		g, err := x.server.placer.acquire(ctx, &req)
+		s.grantID = req.ID
 		if err != nil {
 			var r *refusedError
 			if errors.As(err, &r) {
@@ -94,7 +96,6 @@
 		TTFTLeft: s.route.Aim - age, TTFTTarget: s.route.Aim, MaxPause: s.route.Pause, TimeLeft: s.firstEventTimeout() - age, Rank: s.rank,
 		DataCentre: s.server.DataCentre, Avoid: s.avoidedTargets(), PauseTimeout: s.eventTimeout(), Resumed: s.headSent,
 	}
-	s.grantID = req.ID
 	if s.call.ExpectedOutputTokens > 0 {
 		req.Output = min(req.Output, s.call.ExpectedOutputTokens)
 	}
@@ -109,10 +110,10 @@
 // request from this instance now.
 func (s *stream) avoidedTargets() []string {
 	out := slices.Clone(s.failedTargets)
-	closed, _ := s.server.health.closedTargets(s.server.views.load().pools[s.pool.Name])
-	for _, t := range closed {
-		if !slices.Contains(out, t.ID) {
-			out = append(out, t.ID)
+	closed, _ := s.server.health.closedTargets(s.server.views.load(), s.pool.Name)
+	for _, id := range closed {
+		if !slices.Contains(out, id) {
+			out = append(out, id)
 		}
 	}
 	return out
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -105,21 +105,18 @@
 	return x != nil && x.notice.startedMs == t.StartedMs && x.notice.isClosed(time.Now())
 }
 
-// closedTargets returns the targets of a pool that want no request from this instance now,
-// and how long it takes until the first of them accepts one again; 0 if all are leaving.
-func (h *health) closedTargets(pool []site.Target) (closed []site.Target, reopens time.Duration) {
+// closedTargets returns the ready targets of a pool that want no request from this instance
+// now, and how long it takes until the first of them accepts one again; 0 if all are leaving.
+func (h *health) closedTargets(v *view, pool string) (closed []string, reopens time.Duration) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if len(h.byID) == 0 {
-		return nil, 0
-	}
 	now := time.Now()
-	for _, t := range pool {
-		x := h.byID[t.ID]
-		if x == nil || x.notice.startedMs != t.StartedMs || !x.notice.isClosed(now) {
+	for id, x := range h.byID {
+		t, ok := v.readyTarget(id, pool)
+		if !ok || x.notice.startedMs != t.StartedMs || !x.notice.isClosed(now) {
 			continue
 		}
-		closed = append(closed, t)
+		closed = append(closed, id)
 		if left := x.notice.pausedUntil.Sub(now); !x.notice.leaving && (reopens == 0 || left < reopens) {
 			reopens = left
 		}
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -88,16 +88,17 @@
 }
 
 // acquire returns engines for a request; the caller must call release when it is done. It
-// returns a *refusedError or errNoEngine if there are none.
-func (p *placer) acquire(ctx context.Context, req place.Request) (place.Grant, error) {
-	g, err := p.requestGrant(ctx, req)
-	if errors.Is(err, errSchedulerUnavailable) && p.awaitScheduler(ctx, &req) {
-		g, err = p.requestGrant(ctx, req)
+// returns a *refusedError or errNoEngine if there are none. It updates the ID and the times
+// left if the request was sent to a second scheduler.
+func (p *placer) acquire(ctx context.Context, req *place.Request) (place.Grant, error) {
+	g, err := p.requestGrant(ctx, *req)
+	if errors.Is(err, errSchedulerUnavailable) && p.awaitScheduler(ctx, req) {
+		g, err = p.requestGrant(ctx, *req)
 	}
 	if !errors.Is(err, errSchedulerUnavailable) {
 		return g, err
 	}
-	return p.placeLocally(ctx, req)
+	return p.placeLocally(ctx, *req)
 }
 
 // awaitScheduler waits for a new scheduler if the last one has only just been lost and the
@@ -109,23 +110,23 @@
 		return false
 	}
 	began := time.Now()
-	wait := min(scaleDuration(req.TTFTLeft, gapWaitShare), schedulerGap-p.server.Link.SinceLeader())
-	for time.Since(began) < wait && ctx.Err() == nil {
-		timing.Sleep(ctx, linkPollInterval)
+	defer func() {
+		waited := time.Since(began)
+		req.TTFTLeft, req.TimeLeft = req.TTFTLeft-waited, req.TimeLeft-waited
+	}()
+	wait := min(time.Duration(gapWaitShare*float64(req.TTFTLeft)), schedulerGap-p.server.Link.SinceLeader())
+	for time.Since(began) < wait && timing.Sleep(ctx, linkPollInterval) {
 		if p.server.Link.IsLinkedToLeader() {
-			waited := time.Since(began)
+			// The last scheduler may still answer under the former ID.
+			former := req.ID
 			req.ID = p.newID()
-			req.TTFTLeft, req.TimeLeft = req.TTFTLeft-waited, req.TimeLeft-waited
+			p.server.Log.Info().Str("ask", former).Str("again", req.ID).Dur("after", time.Since(began)).Msg("request sent to a new scheduler")
 			return true
 		}
 	}
-	waited := time.Since(began)
-	req.TTFTLeft, req.TimeLeft = req.TTFTLeft-waited, req.TimeLeft-waited
 	return false
 }
 
-func scaleDuration(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
-
 // awaitLink waits for the link to a control instance if this instance has only just started:
 // other instances don't know what it places locally, and could choose the same engines. It
 // returns as soon as any control instance is linked, even one that knows no leader: then
--- a/internal/gate/placer_test.go
+++ b/internal/gate/placer_test.go
@@ -41,7 +41,7 @@
 				time.Sleep(c.outage)
 				req := place.Request{ID: s.gate.placer.newID(), Pool: "engines", Prompt: 1000, Output: 10, TTFTLeft: c.target, TTFTTarget: c.target, TimeLeft: 10 * time.Second, Resumed: c.resumed}
 				began := time.Now()
-				g, err := s.gate.placer.acquire(ctx, req)
+				g, err := s.gate.placer.acquire(ctx, &req)
 				quicktest.Assert(t, err, quicktest.IsNil)
 				took := time.Since(began)
 				quicktest.Assert(t, took >= c.want && took <= c.want+2*linkPollInterval, quicktest.IsTrue, quicktest.Commentf("%s", took))
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -140,7 +140,7 @@
 // closedFor returns how long it takes until a target of the pool accepts requests of this
 // instance again; 0 if none says so.
 func (x *exchange) closedFor() time.Duration {
-	_, reopens := x.server.health.closedTargets(x.server.views.load().pools[x.pool.Name])
+	_, reopens := x.server.health.closedTargets(x.server.views.load(), x.pool.Name)
 	return reopens
 }
 
--- a/internal/hub/leadership.go
+++ b/internal/hub/leadership.go
@@ -60,6 +60,8 @@
 	s.counter("hub.leadership_changes").Inc(1)
 	s.Log.Info().Bool("leads", leading).Uint64("revision", revision).Msg("leadership changed")
 	if leading {
+		// The instance at the other end would report the entries linked here back to here.
+		s.client.Reset()
 		s.scheduler.start()
 		ctx, s.cancelAudit = context.WithCancel(ctx)
 		s.auditGroup.Go(func() { s.audit(ctx) })
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
-	"math/rand/v2"
+	"math"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
@@ -168,7 +170,7 @@
 				}
 			}
 		}
-		timing.Sleep(ctx, jitter(backoff(retryInterval, failures, maxRetryInterval)))
+		timing.Sleep(ctx, c.jitter(backoff(retryInterval, failures, maxRetryInterval), i))
 	}
 	return nil
 }
@@ -181,8 +183,12 @@
 // maxBackoffDoublings bounds the shift in backoff, so that it can't overflow.
 const maxBackoffDoublings = 8
 
-// jitter returns a random duration from half of d to one and a half times d.
-func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
+// jitter returns a duration from half of d to one and a half times d. It differs between the
+// instances of a fleet and between rounds, but is the same in every run of a test.
+func (c *Client) jitter(d time.Duration, round int) time.Duration {
+	h := xxhash.Sum64String(c.Self.Name + "/" + strconv.Itoa(round))
+	return d/2 + time.Duration(float64(d)*float64(h)/math.MaxUint64)
+}
 
 // dialOrder returns the addresses to try: that of the leader first, then the others, rotated
 // by the number of the round.
@@ -215,6 +221,9 @@
 		return false
 	}
 	defer s.Stream.Close()
+	if c.Suspended != nil && c.Suspended() {
+		return true
+	}
 	confirmed := c.confirm(addr, w)
 	if !w.IsLeader && w.LeaderAddr != "" && w.LeaderAddr != addr && c.setLeader(w.LeaderAddr) {
 		// The next round tries the leader first.
@@ -253,7 +262,8 @@
 		c.heard = make(map[string]bool)
 	}
 	c.heard[addr] = true
-	c.confirmed = w.IsLeader || 2*len(c.heard) > len(w.ControlAddrs)
+	// A control instance with an empty disk names none.
+	c.confirmed = w.IsLeader || len(w.ControlAddrs) > 0 && 2*len(c.heard) > len(w.ControlAddrs)
 	confirmed, heard := c.confirmed, len(c.heard)
 	c.mu.Unlock()
 	if confirmed {
