Retry-After of a pool with paused targets is true; a caller that left is no fault of the target

Cause: read in the diff: where one target pauses for long and another one only failed the request, the caller was told to come back after the pause; a response that ended because its caller left, or for want of our memory, counted as a failure of the target; a refusal without a request ID was not heeded. Change: the pause is told only if every ready target is closed; both engines and services.

--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -169,3 +169,17 @@
 	h.dropNotices(&view{targets: map[string]site.Target{"t": reborn}})
 	quicktest.Assert(t, len(h.byID), quicktest.Equals, 0)
 }
+
+// TestPausedBesideFailedTarget: a target that failed a request may serve the next one, so the
+// caller must not be told to wait for another target's pause.
+func TestPausedBesideFailedTarget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, []script{respond(503, "", notRunHeader, "Pause: 500s\r\n"), respond(503, "", notRunHeader)}, nil)
+		s.callUntilReached(s.targets[0], nonIdempotentPath, 1)
+		res := s.call(nonIdempotentPath, "body")
+		quicktest.Assert(t, res.status, quicktest.Equals, 503)
+		retry, err := strconv.ParseFloat(res.header.Get("Retry-After"), 64)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, retry <= longRetryAfter.Seconds(), quicktest.IsTrue, quicktest.Commentf("%f", retry))
+	})
+}
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -43,7 +43,7 @@
 		x.server.pauses.await(ctx)
 		t, ok := x.pickTarget()
 		if !ok {
-			if reopens := x.closedFor(); reopens > 0 {
+			if reopens, ok := x.poolReopens(); ok {
 				retry = reopens
 			}
 			break
@@ -137,11 +137,13 @@
 	return best, found
 }
 
-// closedFor returns how long it takes until a target of the pool accepts requests of this
-// instance again; 0 if none says so.
-func (x *exchange) closedFor() time.Duration {
-	_, reopens := x.server.health.closedTargets(x.server.views.load(), x.pool.Name)
-	return reopens
+// poolReopens returns how long it takes until a target of the pool accepts requests of this
+// instance again. It returns false if one of them accepts other requests now, or if none says
+// how long.
+func (x *exchange) poolReopens() (time.Duration, bool) {
+	v := x.server.views.load()
+	closed, reopens := x.server.health.closedTargets(v, x.pool.Name)
+	return reopens, reopens > 0 && len(closed) == len(v.pools[x.pool.Name])
 }
 
 // outcome is the result of one send.
@@ -207,7 +209,9 @@
 	}
 	body, err := s.buffers.read(resp.Body)
 	if err != nil {
-		s.health.recordFailure(t.ID)
+		if ctx.Err() == nil && !errors.Is(err, errBuffersFull) {
+			s.health.recordFailure(t.ID)
+		}
 		x.logFailedAttempt(t, "response ended early", err)
 		return nil, mayHaveRun{"the response of a target ended early"}
 	}
@@ -260,11 +264,11 @@
 }
 
 // recordNotice records what a target asks of this instance in its response: that it is
-// leaving, or a pause after a refusal. It returns the pause. A response to another request
-// is ignored.
+// leaving, or a pause after a refusal. It returns the pause. A response with the ID of another
+// request is ignored.
 func (x *exchange) recordNotice(t site.Target, resp *hop.Response) (pause time.Duration) {
 	reply := x.server.HeaderCodec.DecodeReply(resp.Header)
-	if reply.RequestID != x.call.ID {
+	if reply.RequestID != "" && reply.RequestID != x.call.ID {
 		return 0
 	}
 	if resp.StatusCode == http.StatusServiceUnavailable || resp.StatusCode == http.StatusTooManyRequests {
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -39,8 +39,6 @@
 // closedFor reports whether every ready engine is closed to a request, so that it can't be
 // served however long it waits, and how long it takes until the first of them opens again.
 func (c *Core) closedFor(now time.Time, j *job) (wait time.Duration, closed bool) {
-	wait = closedRetryAfter
-	paused := false
 	for _, e := range c.engines {
 		if e.State != site.Ready {
 			continue
@@ -48,9 +46,17 @@
 		if !e.isClosed(now, j) {
 			return 0, false
 		}
-		if left := e.pausedUntil[j.request.Instance].Sub(now); left > 0 && (!paused || left < wait) {
-			wait, paused = left, true
+		left := e.pausedUntil[j.request.Instance].Sub(now)
+		if left <= 0 {
+			// It failed this request, and may serve the next one.
+			left = closedRetryAfter
 		}
+		if wait == 0 || left < wait {
+			wait = left
+		}
+	}
+	if wait == 0 {
+		wait = closedRetryAfter
 	}
 	return wait, true
 }
