--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -107,31 +107,43 @@
 	}
 }
 
+// listenOnLoopback runs a script on the first connection to a real socket, after its first
+// request. It returns the socket's address and a channel that is closed when the script ends.
+func listenOnLoopback(t *testing.T, script func(c net.Conn)) (addr string, ended <-chan struct{}) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	t.Cleanup(func() { ln.Close() })
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		readRequest(bufio.NewReader(c))
+		script(c)
+	}()
+	return ln.Addr().String(), done
+}
+
+// newSocketClient returns a client that dials real sockets.
+func newSocketClient() *Client {
+	return &Client{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}}
+}
+
 // TestEndlessHeadOnSocket is TestEndlessHead on real sockets.
 func TestEndlessHeadOnSocket(t *testing.T) {
 	for name, c := range endlessHeads() {
 		t.Run(name, func(t *testing.T) {
-			ln, err := net.Listen("tcp", "127.0.0.1:0")
-			quicktest.Assert(t, err, quicktest.IsNil)
-			defer ln.Close()
-			closed := make(chan struct{})
-			go func() {
-				defer close(closed)
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				readRequest(bufio.NewReader(conn))
-				sendWithoutEnd(conn, c[0], c[1], 0)
-			}()
-			cl := &Client{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-				return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-			}}
-			_, err = cl.Do(t.Context(), ln.Addr().String(), newRequest("1"))
+			addr, ended := listenOnLoopback(t, func(conn net.Conn) { sendWithoutEnd(conn, c[0], c[1], 0) })
+			_, err := newSocketClient().Do(t.Context(), addr, newRequest("1"))
 			var garbled *engine.Garbled
 			quicktest.Assert(t, errors.As(err, &garbled), quicktest.IsTrue, quicktest.Commentf("%v", err))
-			<-closed
+			<-ended
 		})
 	}
 }
@@ -139,25 +151,12 @@
 // TestBytesAfterResponse has a target send bytes without end after a whole response. The
 // connection must be closed without a further request on it.
 func TestBytesAfterResponse(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	quicktest.Assert(t, err, quicktest.IsNil)
-	defer ln.Close()
-	closed := make(chan struct{})
-	go func() {
-		defer close(closed)
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		readRequest(bufio.NewReader(conn))
+	addr, ended := listenOnLoopback(t, func(c net.Conn) {
 		whole := strings.Replace(response("1", "whole"), "Id:", "Keep-Alive: timeout=86400\r\nId:", 1)
-		sendWithoutEnd(conn, whole, strings.Repeat("x", 512), 0)
-	}()
-	cl := &Client{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
-		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
-	}}
-	resp, err := cl.Do(t.Context(), ln.Addr().String(), newRequest("1"))
+		sendWithoutEnd(c, whole, strings.Repeat("x", 512), 0)
+	})
+	cl := newSocketClient()
+	resp, err := cl.Do(t.Context(), addr, newRequest("1"))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	b, err := io.ReadAll(resp.Body)
 	quicktest.Assert(t, err, quicktest.IsNil)
@@ -166,7 +165,7 @@
 	for {
 		cl.CloseExpired()
 		select {
-		case <-closed:
+		case <-ended:
 			return
 		default:
 		}
