gate: the log of the testbed takes lines of concurrent requests

Ruled out: the product's logger, whose writer queues lines. Change: a buffer with a lock, in tests only. Figures: go test -race ./internal/gate passes.

--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -188,6 +188,24 @@
 	}
 }
 
+// logBuffer collects the log lines of concurrent requests.
+type logBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *logBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *logBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // testbed is a Server in front of fake targets.
 type testbed struct {
 	t       *testing.T
@@ -195,7 +213,7 @@
 	gate    *Server
 	tables  site.Tables
 	targets []*fakeTarget
-	logs    strings.Builder
+	logs    logBuffer
 }
 
 // Paths of the routes of a testbed.
