Links to control instances that know no leader are short again

The core was cut in two then (its two parts linked to each other and refused announcements for want of a leader). Change: such links last 0.3 s, then 0.6 and 1 s if they come in a row. Figures: TestEntriesLeaveCutOffControl plays such a cut; it holds the bound with the new times.

--- a/internal/hub/fleet_test.go
+++ b/internal/hub/fleet_test.go
@@ -85,3 +85,31 @@
 		})
 	})
 }
+
+// TestEntriesLeaveCutOffControl cuts the leader off from the other control instances, while
+// entries reach all of them. It steps down, knows no leader, and its registry falls behind.
+// Tables that the others acknowledge must be at every entry in time.
+func TestEntriesLeaveCutOffControl(t *testing.T) {
+	// inForce is the least time that the platform grants for acknowledged tables.
+	const inForce = 2 * time.Second
+	runCluster(t, 3, 20, func(t *testing.T, cl *cluster) {
+		cl.publish(1)
+		time.Sleep(time.Second)
+		cut := cl.leader()
+		for a := range cl.controls {
+			if a != cut.PeerAddr {
+				cl.net.Cut(a, cut.PeerAddr)
+			}
+		}
+		time.Sleep(2 * electionTimeout)
+		delete(cl.controls, cut.PeerAddr)
+		cl.publish(2)
+		cl.controls[cut.PeerAddr] = cut
+		time.Sleep(inForce)
+		for _, e := range cl.entries {
+			e.withLock(func() {
+				quicktest.Check(t, e.version, quicktest.Equals, int64(2), quicktest.Commentf("%s", e.name))
+			})
+		}
+	})
+}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -33,11 +33,12 @@
 	// leaderBackoff is the time after a failed link to the leader in which the client keeps
 	// its link to another control instance, even if that one names a leader.
 	leaderBackoff = 500 * time.Millisecond
-	// maxFollowerLink is how long a link to a control instance that does not lead is kept.
-	// After that the client tries to link to the leader again. It bounds the case in which
-	// the control instance knows no leader although there is one; normally it names the
-	// leader as soon as it knows it.
-	maxFollowerLink = 2 * time.Second
+	// followerLink is how long a link to a control instance that does not lead is kept. It
+	// doubles with each such link in a row, up to maxFollowerLink. The peer names the leader
+	// as soon as it knows it, but one that is cut off from the others never does, and its
+	// registry falls behind.
+	followerLink    = 300 * time.Millisecond
+	maxFollowerLink = time.Second
 )
 
 // Follower handles what a Client receives, and supplies what it sends.
@@ -97,6 +98,8 @@
 	// confirmed is set.
 	heard     map[string]bool
 	confirmed bool
+	// followerLinks counts the links to instances that don't lead since the last one that did.
+	followerLinks int
 	// cancelSession ends the session.
 	cancelSession context.CancelFunc
 }
@@ -238,7 +241,7 @@
 	c.logRevision(c.Log.Info().Str("peer", addr).Bool("leads", w.IsLeader)).Msg("linked to control instance")
 	if !w.IsLeader {
 		// End the link after a while, to try the leader again.
-		time.AfterFunc(maxFollowerLink, cancel)
+		time.AfterFunc(backoff(followerLink, c.countFollowerLink(), maxFollowerLink), cancel)
 	}
 	err = s.Run(ctx)
 	c.detach(s)
@@ -249,6 +252,15 @@
 	return true
 }
 
+// countFollowerLink counts a link to an instance that does not lead, and returns how many came
+// before it.
+func (c *Client) countFollowerLink() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.followerLinks++
+	return c.followerLinks - 1
+}
+
 // confirm notes that a control instance has sent its registry, and reports whether the updates
 // received so far are confirmed: by the leader, or by a majority of the control instances.
 // Each committed change is known to at least one instance of any majority.
@@ -422,7 +434,7 @@
 	c.mu.Lock()
 	c.session, c.peerLeads, c.lastReceived, c.cancelSession = s, w.IsLeader, time.Now(), cancel
 	if w.IsLeader {
-		c.leaderAddr, c.lastFromLeader = addr, c.lastReceived
+		c.leaderAddr, c.lastFromLeader, c.followerLinks = addr, c.lastReceived, 0
 	}
 	c.mu.Unlock()
 	if w.IsLeader {
