--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 # FUZZTIME limits each fuzz target by its number of inputs instead of by time.
 FUZZTIME ?= 2000x
 
-.PHONY: bin/soak build test fmt lint tidy unit soak-short soak soak-seeds fuzz try trial slopes drill clean
+.PHONY: bin/soak build test fmt lint tidy unit soak-short soak soak-seeds fuzz try trial slopes drill regress clean
 
 build:
 	$(GO) build -o bin/bamboo ./cmd/bamboo
@@ -76,5 +76,10 @@
 drill: build
 	./scripts/drill.sh
 
+# make regress plays the regression sites on the users' bench. FLEETBENCH and KIT name it and
+# the folder of its pages.
+regress:
+	./scripts/regress.sh
+
 clean:
 	rm -rf bin
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -27,6 +27,12 @@
 	// instance; linkPollInterval is how often it checks for it.
 	linkStartupWait  = 400 * time.Millisecond
 	linkPollInterval = 20 * time.Millisecond
+	// schedulerGap is how long after the last word of the scheduler a long prompt still waits
+	// for the next one: the silence is noticed, and a leader elected, within that time.
+	schedulerGap = 2500 * time.Millisecond
+	// gapWaitShare is the fraction of the time left until the wanted first event for which
+	// it waits at most. The rest is enough to prefill it on the engines chosen locally.
+	gapWaitShare = 0.4
 	// localRetryInterval is the pause between attempts to place a request locally.
 	localRetryInterval = 50 * time.Millisecond
 )
@@ -85,12 +91,41 @@
 // returns a *refusedError or errNoEngine if there are none.
 func (p *placer) acquire(ctx context.Context, req place.Request) (place.Grant, error) {
 	g, err := p.requestGrant(ctx, req)
+	if errors.Is(err, errSchedulerUnavailable) && p.awaitScheduler(ctx, &req) {
+		g, err = p.requestGrant(ctx, req)
+	}
 	if !errors.Is(err, errSchedulerUnavailable) {
 		return g, err
 	}
 	return p.placeLocally(ctx, req)
 }
 
+// awaitScheduler waits for a new scheduler if the last one has only just been lost and the
+// request is long enough to afford it. Instances that place long prompts at the same time
+// without knowing of each other choose the same engines, and delay the short prompts there.
+// It updates the times left in the request, and returns whether there is a scheduler.
+func (p *placer) awaitScheduler(ctx context.Context, req *place.Request) bool {
+	if !req.IsLong() || req.Resumed {
+		return false
+	}
+	began := time.Now()
+	wait := min(scaleDuration(req.TTFTLeft, gapWaitShare), schedulerGap-p.server.Link.SinceLeader())
+	for time.Since(began) < wait && ctx.Err() == nil {
+		timing.Sleep(ctx, linkPollInterval)
+		if p.server.Link.IsLinkedToLeader() {
+			waited := time.Since(began)
+			req.ID = p.newID()
+			req.TTFTLeft, req.TimeLeft = req.TTFTLeft-waited, req.TimeLeft-waited
+			return true
+		}
+	}
+	waited := time.Since(began)
+	req.TTFTLeft, req.TimeLeft = req.TTFTLeft-waited, req.TimeLeft-waited
+	return false
+}
+
+func scaleDuration(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
+
 // awaitLink waits for the link to a control instance if this instance has only just started:
 // other instances don't know what it places locally, and could choose the same engines. It
 // returns as soon as any control instance is linked, even one that knows no leader: then
--- a/internal/hub/leaving_test.go
+++ b/internal/hub/leaving_test.go
@@ -57,3 +57,11 @@
 		wantState(site.Ready)
 	})
 }
+
+// TestHeartbeatsStayNearby: a target must be sent to the control instance in its data centre
+// once it has found it, and be left its choice by the others.
+func TestHeartbeatsStayNearby(t *testing.T) {
+	s := &Server{DataCentre: "a", ControlAddr: "10.0.0.1:80"}
+	quicktest.Assert(t, s.HeartbeatAddr(site.Target{DataCentre: "a"}), quicktest.Equals, "10.0.0.1:80")
+	quicktest.Assert(t, s.HeartbeatAddr(site.Target{DataCentre: "b"}), quicktest.Equals, "")
+}
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -148,6 +148,16 @@
 	return err
 }
 
+// HeartbeatAddr returns the address of this instance for a target in its data centre, and ""
+// for others. Once a target has found a control instance nearby, its heartbeats cause no
+// traffic between data centres.
+func (s *Server) HeartbeatAddr(t site.Target) string {
+	if t.DataCentre != s.DataCentre {
+		return ""
+	}
+	return s.ControlAddr
+}
+
 // drainLeaving marks a target as draining that has told another instance that it is about to
 // shut down. It returns before the change is committed. Instances repeat the report until
 // they see the change.
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -34,8 +34,9 @@
 // Server runs one control instance. Set the exported fields, then call Setup and Run.
 type Server struct {
 	Name, DataCentre string
-	// PeerAddr is the address of this instance for other instances.
-	PeerAddr string
+	// PeerAddr is the address of this instance for other instances, and ControlAddr that for
+	// operators and targets.
+	PeerAddr, ControlAddr string
 	// SeedAddrs are the peer addresses of the control instances to contact first. If
 	// Bootstrap is set, they bootstrap the replication group; otherwise this instance joins
 	// an existing one.
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -87,8 +87,10 @@
 	leaderFailedAt time.Time
 	session        *Session[ControlMessage, FollowerMessage]
 	peerLeads      bool
-	// lastReceived is when the last message was received.
-	lastReceived time.Time
+	// lastReceived is when the last message was received, and lastFromLeader when the last
+	// one of a leader was; that is the time of the start before there was one.
+	lastReceived   time.Time
+	lastFromLeader time.Time
 	// heard are the control instances that have sent their registry since the start, until
 	// confirmed is set.
 	heard     map[string]bool
@@ -132,6 +134,14 @@
 	return time.Since(c.lastReceived)
 }
 
+// SinceLeader returns the time since the last message of a leader, or since the start if there
+// was none.
+func (c *Client) SinceLeader() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Since(c.lastFromLeader)
+}
+
 // IsLinked reports whether there is a link to any control instance.
 func (c *Client) IsLinked() bool {
 	c.mu.Lock()
@@ -141,6 +151,9 @@
 
 // Run opens a link, and opens another one whenever it ends, until ctx ends.
 func (c *Client) Run(ctx context.Context) error {
+	c.mu.Lock()
+	c.lastFromLeader = time.Now()
+	c.mu.Unlock()
 	failures := 0
 	for i := 0; ctx.Err() == nil; i++ {
 		addrs := c.dialOrder(i)
@@ -352,6 +365,9 @@
 func (c *Client) receive(_ context.Context, m *ControlMessage) error {
 	c.mu.Lock()
 	c.lastReceived = time.Now()
+	if c.peerLeads {
+		c.lastFromLeader = c.lastReceived
+	}
 	c.mu.Unlock()
 	c.dispatch(m)
 	if w := m.Welcome; w != nil && !w.IsLeader && w.LeaderAddr != "" && c.setLeader(w.LeaderAddr) {
@@ -396,7 +412,7 @@
 	c.mu.Lock()
 	c.session, c.peerLeads, c.lastReceived, c.cancelSession = s, w.IsLeader, time.Now(), cancel
 	if w.IsLeader {
-		c.leaderAddr = addr
+		c.leaderAddr, c.lastFromLeader = addr, c.lastReceived
 	}
 	c.mu.Unlock()
 	if w.IsLeader {
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -122,7 +122,7 @@
 	p.peerPool = &wire.Pool{Dial: p.network.dial, Self: s.Peers, Local: p.peerServer}
 	if s.Control != "" {
 		p.hub = &hub.Server{
-			Name: s.Name, DataCentre: s.DataCentre, PeerAddr: s.Peers, SeedAddrs: p.peerAddrs(s.Seeds), Bootstrap: s.First,
+			Name: s.Name, DataCentre: s.DataCentre, PeerAddr: s.Peers, ControlAddr: s.Control, SeedAddrs: p.peerAddrs(s.Seeds), Bootstrap: s.First,
 			Voters: 2*s.Losses + 1, DataDir: s.Data, FS: store.OS{}, Clock: sinceBoot, Calls: p.peerPool, Log: p.Log, Metrics: p.metrics,
 		}
 		if p.Handlers.LoadSource != nil {
--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -338,3 +338,24 @@
 	quicktest.Assert(t, refused, quicktest.IsTrue)
 	quicktest.Assert(t, c.Waiting(), quicktest.Equals, 0)
 }
+
+// TestPriceOfEngineTime: no engine time has a price at low load. At full load a long prompt,
+// which takes an engine for itself, pays more than a short one, and the mean request can pay.
+func TestPriceOfEngineTime(t *testing.T) {
+	now := time.Unix(0, 0)
+	var d demand
+	const engines = 10
+	price := func(isLong bool) float64 { return d.price(now, engines, isLong) }
+	add := func(work time.Duration) {
+		for range 10 {
+			d.add(now, &job{value: 100, request: Request{TTFTTarget: longTarget}}, work, work)
+		}
+	}
+	// Ten requests in the window, each with a tenth of the work of all engines, are full load.
+	add(scale(demandWindow, lowLoad*0.9))
+	quicktest.Assert(t, price(true), quicktest.Equals, 0.0)
+	add(demandWindow)
+	quicktest.Assert(t, price(false) > 0, quicktest.IsTrue)
+	quicktest.Assert(t, price(true) > 2*price(false), quicktest.IsTrue)
+	quicktest.Assert(t, price(true) < d.valueDensity(now), quicktest.IsTrue)
+}
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -74,7 +74,7 @@
 	if j.late {
 		gain *= 1 - latePenalty
 	}
-	return gain-p.ownLoss-p.othersLoss >= c.demand.price(now, len(c.engines))*c.engineTime(j).Seconds()
+	return gain-p.ownLoss-p.othersLoss >= c.demand.price(now, len(c.engines), j.isLong())*c.engineTime(j).Seconds()
 }
 
 // retryAfter returns how long a refused caller should wait before it tries again. It spreads
--- a/internal/place/demand.go
+++ b/internal/place/demand.go
@@ -17,9 +17,12 @@
 	// price of engine time rises from zero to its maximum.
 	lowLoad  = 0.6
 	fullLoad = 1.0
-	// priceFraction is the maximum price of engine time, as a fraction of the mean value
-	// density. It is below 1 so that long prompts can pay it too.
-	priceFraction = 0.5
+	// longPriceFraction and shortPriceFraction are the maximum prices of engine time for long
+	// and short prompts, as fractions of the mean value density. Both are below 1, so that
+	// the mean request can pay them. While an engine prefills a long prompt, nobody else can
+	// use it without a pause; a short one shares it with others, so it pays less.
+	longPriceFraction  = 0.75
+	shortPriceFraction = 0.25
 )
 
 // demand holds exponentially decaying averages over the recent requests.
@@ -87,13 +90,17 @@
 	return d.value / d.work
 }
 
-// price returns the price of a second of engine time in a pool of that many engines. It is
-// zero up to lowLoad.
-func (d *demand) price(now time.Time, engines int) float64 {
+// price returns the price of a second of engine time in a pool of that many engines, for a
+// long prompt or a short one. It is zero up to lowLoad.
+func (d *demand) price(now time.Time, engines int, isLong bool) float64 {
 	if engines == 0 {
 		return 0
 	}
 	rate := d.valueDensity(now)
 	load := d.work / float64(engines)
-	return priceFraction * rate * math.Min(1, math.Max(0, (load-lowLoad)/(fullLoad-lowLoad)))
+	fraction := shortPriceFraction
+	if isLong {
+		fraction = longPriceFraction
+	}
+	return fraction * rate * math.Min(1, math.Max(0, (load-lowLoad)/(fullLoad-lowLoad)))
 }
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -6,8 +6,10 @@
 	"time"
 )
 
-// isLong reports whether the prompt counts as long, by the target for its first event.
-func (j *job) isLong() bool { return j.request.TTFTTarget >= longTarget }
+// IsLong reports whether the prompt counts as long, by the target for its first event.
+func (r *Request) IsLong() bool { return r.TTFTTarget >= longTarget }
+
+func (j *job) isLong() bool { return j.request.IsLong() }
 
 // missRisk returns the risk, from 0 to 1, that a predicted time t exceeds its limit.
 func missRisk(t, limit time.Duration) float64 {
--- a/internal/place/sim_test.go
+++ b/internal/place/sim_test.go
@@ -175,7 +175,7 @@
 
 // addLoad adds requests of a class between two times, at a rate per second.
 func (s *sim) addLoad(c *simClass, from, to time.Duration, rate float64) {
-	for at := from; ; {
+	for at := from; rate > 0; {
 		at += time.Duration(s.rng.ExpFloat64() / rate * float64(time.Second))
 		if at >= to {
 			return
@@ -313,14 +313,19 @@
 	}
 	done := e.finishing
 	e.finishing = nil
+	var started []*simEngine
 	for _, p := range done {
 		if p.job.pendingParts--; p.job.pendingParts == 0 && !p.job.ended {
 			// The pass that prefills the last part writes the first event.
 			p.job.lead.answers = append(p.job.lead.answers, p.job)
 			s.deliver(p.job)
-			s.startPass(p.job.lead)
+			started = append(started, p.job.lead)
 		}
 	}
+	// The next pass decodes all answers that begin now.
+	for _, lead := range started {
+		s.startPass(lead)
+	}
 	s.startPass(e)
 }
 
