gate: log the shared parts of prompts, and target processes that end during a request

Change: the IDs of the shared parts of a prompt are decoded and logged as prefix with each request. When a connection ends under a request, one dial shows whether anything still listens; a connection that is accepted is kept for the next request. Refused means: the process ended. Not counted: silence, bytes that are no response, engines that leave or have left.

--- /dev/null
+++ b/internal/gate/crash.go
@@ -0,0 +1,49 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"strconv"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+// hasCrashed reports whether the process of a target ended without notice: err ended the
+// connection on which it had a request, and nothing listens on its address any more.
+func (s *Server) hasCrashed(t site.Target, err error) bool {
+	if !endsConnection(err) {
+		return false
+	}
+	current, ok := s.views.load().readyTarget(t.ID, t.Pool)
+	if !ok || current.StartedMs != t.StartedMs || s.health.isLeaving(t) {
+		return false
+	}
+	// Many requests notice the end of one process at the same time.
+	key := t.ID + "/" + strconv.FormatInt(t.StartedMs, 10)
+	refused, _, _ := s.processChecks.Do(key, func() (any, error) {
+		return s.TargetClient.IsRefused(context.Background(), t.Address), nil
+	})
+	return refused.(bool)
+}
+
+// endsConnection reports whether err means that the peer closed or reset the connection.
+func endsConnection(err error) bool {
+	for _, end := range [...]error{io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE} {
+		if errors.Is(err, end) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkProcess logs if an attempt failed because the process of the engine ended.
+func (s *stream) checkProcess(lead site.Target, att streamAttempt, err error) {
+	if !s.server.hasCrashed(lead, err) {
+		return
+	}
+	s.server.Log.Warn().Str("id", s.call.ID).Str("ask", s.grantID).Str("target", lead.ID).Str("address", lead.Address).Int64("born", lead.StartedMs).
+		Strs("prefix", s.call.SharedParts).Dur("written", att.written()).Msg("target process ended during a request")
+}
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -183,7 +183,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.handleErrorResponse(lead, resp, end)
 	}
-	if reason = s.relayEvents(ctx, resp, att); reason == "" {
+	reason, err = s.relayEvents(ctx, resp, &att)
+	if reason == "" {
 		reuse = true
 		s.server.health.recordSuccess(lead.ID)
 		return true, ""
@@ -193,6 +194,7 @@
 		end.FailedTarget = lead.ID
 		s.failedTargets = append(s.failedTargets, lead.ID)
 		s.logFailedAttempt(lead, reason, nil)
+		s.checkProcess(lead, att, err)
 	}
 	return false, reason
 }
@@ -206,6 +208,7 @@
 	}
 	var unreachable *engine.Unreachable
 	end.FailedTarget, end.Unreachable = lead.ID, errors.As(err, &unreachable)
+	s.checkProcess(lead, streamAttempt{}, err)
 	return s.handleFailedAttempt(lead, s.classifySendError(lead, err))
 }
 
@@ -290,14 +293,25 @@
 	sentAt  time.Time
 	// canRetry reports that another engine may be tried.
 	canRetry bool
+	// firstEventAt is when the first new event came; zero before that.
+	firstEventAt time.Time
+}
+
+// written returns how long the engine has been writing the answer; 0 before the first event.
+func (a *streamAttempt) written() time.Duration {
+	if a.firstEventAt.IsZero() {
+		return 0
+	}
+	return time.Since(a.firstEventAt)
 }
 
 // relayEvents relays the events of a response to the caller. It returns "" after the last
-// event, and otherwise the reason why the stream ended early.
-func (s *stream) relayEvents(ctx context.Context, resp *hop.Response, att streamAttempt) (reason string) {
+// event, and otherwise the reason why the stream ended early, with the error of reading it if
+// there is one.
+func (s *stream) relayEvents(ctx context.Context, resp *hop.Response, att *streamAttempt) (reason string, err error) {
 	events := hop.NewEventReader(resp.Body)
 	resp.SetReadDeadline(s.nextEventDeadline(true, att.canRetry))
-	first, idleBytes := true, 0
+	idleBytes := 0
 	for {
 		ev, err := events.Next()
 		switch {
@@ -305,29 +319,30 @@
 			if !s.headSent {
 				s.writeHead(resp)
 			}
-			return ""
+			return "", nil
 		case err != nil && ctx.Err() != nil:
-			return s.endReason()
+			return s.endReason(), nil
 		case err != nil:
-			return "the event stream of an engine ended early: " + err.Error()
+			return "the event stream of an engine ended early: " + err.Error(), err
 		}
 		isNew := !ev.IsComment && !s.isRepeated(ev)
-		if first && isNew {
+		if isNew && att.firstEventAt.IsZero() {
+			att.firstEventAt = time.Now()
 			s.server.placer.reportFirstEvent(att.grantID, time.Since(att.sentAt))
 		}
 		if reason := s.relayEvent(resp, ev); reason != "" {
-			return reason
+			return reason, nil
 		}
 		if ctx.Err() != nil {
-			return s.endReason()
+			return s.endReason(), nil
 		}
 		if isNew {
-			first, idleBytes = false, 0
+			idleBytes = 0
 			resp.SetReadDeadline(s.nextEventDeadline(false, att.canRetry))
 			continue
 		}
 		if idleBytes += len(ev.Raw); idleBytes > maxIdleBytes {
-			return "the event stream of an engine has no new event in 64 KiB"
+			return "the event stream of an engine has no new event in 64 KiB", nil
 		}
 	}
 }
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -105,6 +105,14 @@
 	return x != nil && x.notice.startedMs == t.StartedMs && x.notice.isClosed(time.Now())
 }
 
+// isLeaving reports whether the process of a target has said that it is about to shut down.
+func (h *health) isLeaving(t site.Target) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	x := h.byID[t.ID]
+	return x != nil && x.notice.startedMs == t.StartedMs && x.notice.leaving
+}
+
 // closedTargets returns the ready targets of a pool that want no request from this instance
 // now, and how long it takes until the first of them accepts one again; 0 if all are leaving.
 func (h *health) closedTargets(v *view, pool string) (closed []string, reopens time.Duration) {
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -8,6 +8,7 @@
 
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/singleflight"
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/link"
@@ -63,6 +64,8 @@
 	// buffers holds the responses of plain services until they are complete.
 	buffers responseBuffers
 	pauses  pauseGuard
+	// processChecks joins concurrent checks of the same target process.
+	processChecks singleflight.Group
 	// entries are the ready instances that are listed for callers.
 	entries atomic.Pointer[[]link.Entry]
 	// instanceCount is the number of ready instances of the site.
--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -33,6 +33,9 @@
 		return CallInfo{}, err
 	}
 	c := CallInfo{ID: h.Get("Id"), Key: h.Get("Key"), TimeLimit: time.Duration(ms) * time.Millisecond, PromptTokens: 1000, MaxOutputTokens: 100}
+	if parts := h.Get("Parts"); parts != "" {
+		c.SharedParts = strings.Split(parts, ",")
+	}
 	if last := h.Get("Last"); last != "" {
 		c.LastEventID, err = strconv.ParseInt(last, 10, 64)
 		c.HasLastEventID = true
@@ -83,7 +86,8 @@
 type fakeTarget struct {
 	site.Target
 	// script writes a response; it returns false to close the connection.
-	script func(f *fakeTarget, c net.Conn, q *http.Request) bool
+	script   func(f *fakeTarget, c net.Conn, q *http.Request) bool
+	listener net.Listener
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -286,6 +290,7 @@
 	ln, err := s.net.Listen(f.Address)
 	quicktest.Assert(s.t, err, quicktest.IsNil)
 	s.t.Cleanup(func() { ln.Close() })
+	f.listener = ln
 	go f.serve(ln)
 }
 
--- a/internal/hop/idlepool.go
+++ b/internal/hop/idlepool.go
@@ -23,6 +23,9 @@
 	// keepAliveMargin is subtracted from the target's timeout, so that no request is sent
 	// while the target closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
+	// refusalTimeout bounds the wait of IsRefused: a host in the region refuses within
+	// milliseconds.
+	refusalTimeout = 100 * time.Millisecond
 )
 
 // idlePool holds idle connections, by address.
@@ -41,7 +44,11 @@
 			cn.Close()
 		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	return c.dial(ctx, addr, dialTimeout)
+}
+
+func (c *Client) dial(ctx context.Context, addr string, timeout time.Duration) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	nc, err := c.Dial(ctx, addr)
 	if err != nil {
@@ -52,6 +59,18 @@
 	return cn, nil
 }
 
+// IsRefused reports whether an address refuses a new connection, so that no process listens
+// there. A connection that is accepted is kept for the next request.
+func (c *Client) IsRefused(ctx context.Context, addr string) bool {
+	cn, err := c.dial(ctx, addr, refusalTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	cn.expiresAt = time.Now().Add(defaultKeepAlive)
+	c.idle.put(cn)
+	return false
+}
+
 // get removes the connection to an address that was put last, and returns it; nil if there
 // is none.
 func (p *idlePool) get(addr string) *conn {
--- a/internal/memnet/network.go
+++ b/internal/memnet/network.go
@@ -7,6 +7,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -15,7 +16,7 @@
 const maxPendingConns = 128
 
 // ErrRefused is returned by a dial to an address without a listener.
-var ErrRefused = errors.New("connection refused")
+var ErrRefused error = syscall.ECONNREFUSED
 
 // Network connects the hosts of one test. The zero value is ready to use.
 type Network struct {
--- a/pkg/engine/failure.go
+++ b/pkg/engine/failure.go
@@ -48,6 +48,9 @@
 func (f *Aborted) Error() string { return fmt.Sprintf("target aborted the request: %s", f.Message) }
 func (f *Garbled) Error() string { return f.Message }
 
+// Unwrap returns the error that ended the connection.
+func (f *Broken) Unwrap() error { return f.Cause }
+
 func (*Unreachable) failure() {}
 func (*Silent) failure()      {}
 func (*Broken) failure()      {}
