Failing test: a part of prompts that crashes engines

Requests with one part in their prompts ended engine after engine; each was sent to a second one, and everybody else's answers broke off. Reproduced: TestPromptPartThatCrashesEngines plays it with three control instances, four entries and twelve engines that speak the platform's protocol, on an in-memory network.

--- /dev/null
+++ b/internal/node/crash_test.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/gate"
+	"github.com/bambooproxy/bambooproxy/internal/red"
+)
+
+const (
+	// contact is the time in which a finding must reach all entries.
+	contact = 3 * time.Second
+	// crashesToLearn is the number of crashes after which the part must be known, and
+	// maxLateArrivals that of requests with it that engines may get after that.
+	crashesToLearn  = 5
+	maxLateArrivals = 3
+	crasher         = "bad0bad0"
+)
+
+// TestPromptPartThatCrashesEngines guards against a part of prompts that ends each engine which
+// begins to write an answer to it: requests with it, no two alike, come at all entries, and each
+// of them would take an engine with all its other answers. Requests of the same caller with the
+// same other parts must go on.
+func TestPromptPartThatCrashesEngines(t *testing.T) {
+	for name, interval := range map[string]time.Duration{"often": 150 * time.Millisecond, "rarely": 900 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playCrashes(t, interval) })
+		})
+	}
+}
+
+// playCrashes sends sound requests for 8 s, and then for 20 s also one that crashes engines at
+// each interval.
+func playCrashes(t *testing.T, interval time.Duration) {
+	const entries = 4
+	ctx, cancel := context.WithCancel(context.Background())
+	f := newFleet(ctx, t, entries, 12, func(e *testEngine, w http.ResponseWriter, c gate.CallInfo) {
+		if slices.Contains(c.SharedParts, crasher) {
+			time.Sleep(2 * eventPause)
+			e.crash(ctx)
+			return
+		}
+		writeStream(w, c, 30)
+	})
+	defer f.close(cancel)
+
+	start := time.Now()
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	// calls and served count the sound requests sent before the crashes, and when the part must
+	// be known.
+	var calls, served [2]int
+	sendUntil := func(end time.Duration, every time.Duration, send func(i int)) {
+		callers.Go(func() {
+			for i := 0; time.Since(start) < end; i++ {
+				callers.Go(func() { send(i) })
+				time.Sleep(every)
+			}
+		})
+	}
+	sendUntil(30*time.Second, 60*time.Millisecond, func(i int) {
+		sent := time.Now()
+		_, whole := f.call(ctx, i%entries, gate.CallInfo{ID: fmt.Sprintf("a%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7)}})
+		mu.Lock()
+		defer mu.Unlock()
+		period := 0
+		if crashes := f.crashTimes(); len(crashes) > 0 {
+			learnt := crashes[min(len(crashes), crashesToLearn)-1].Add(2 * contact)
+			if sent.Before(learnt) {
+				return
+			}
+			period = 1
+		}
+		calls[period]++
+		if whole {
+			served[period]++
+		}
+	})
+	time.Sleep(8 * time.Second)
+	sendUntil(28*time.Second, interval, func(i int) {
+		f.call(ctx, i%entries, gate.CallInfo{ID: fmt.Sprintf("b%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7), crasher}})
+	})
+	callers.Wait()
+
+	crashes := f.crashTimes()
+	late := 0
+	if len(crashes) >= crashesToLearn {
+		for _, a := range f.arrivals {
+			if a.at.Sub(crashes[crashesToLearn-1]) > contact && slices.Contains(a.call.SharedParts, crasher) {
+				late++
+			}
+		}
+	}
+	before, after := float64(served[0])/float64(calls[0]), float64(served[1])/float64(max(1, calls[1]))
+	t.Logf("%d crashes, %d requests with the part after it must be known, sound ones served %.2f before and %.2f after", len(crashes), late, before, after)
+	red.Check(t, "late", late <= maxLateArrivals, "%d requests with the part reached engines later than %s after the fifth crash, allowed %d", late, contact, maxLateArrivals)
+	red.Check(t, "sound", calls[1] >= 20 && after >= before/2, "%d of %d sound requests served, before the crashes %.2f", served[1], calls[1], before)
+}
+
+// crashTimes returns when engines crashed.
+func (f *fleet) crashTimes() []time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.crashes)
+}
--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,240 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooproxy/bambooproxy/internal/gate"
+	"github.com/bambooproxy/bambooproxy/internal/hop"
+	"github.com/bambooproxy/bambooproxy/internal/hub"
+	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/memnet"
+	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/internal/store"
+	"github.com/bambooproxy/bambooproxy/internal/wire"
+	"github.com/bambooproxy/bambooproxy/platform"
+)
+
+// fleet is a site of three control instances, some entries and engines on an in-memory
+// network, with callers and targets that speak the platform's protocol.
+type fleet struct {
+	t   *testing.T
+	net memnet.Network
+	// serve handles a request at an engine.
+	serve func(e *testEngine, w http.ResponseWriter, c gate.CallInfo)
+
+	controls []*hub.Server
+	entries  []*http.Server
+	wait     sync.WaitGroup
+
+	mu       sync.Mutex
+	arrivals []arrival
+	crashes  []time.Time
+	engines  int
+}
+
+// arrival is a request that reached an engine.
+type arrival struct {
+	at     time.Time
+	call   gate.CallInfo
+	engine string
+}
+
+// testEngine is the process of an engine.
+type testEngine struct {
+	site.Target
+	fleet *fleet
+	http  *http.Server
+	stop  context.CancelFunc
+}
+
+const (
+	entryHost = "10.0.1.%d"
+	// heartbeat is how often engines announce themselves, and restartTime how long it takes
+	// until another process replaces one that crashed.
+	heartbeat   = 1200 * time.Millisecond
+	restartTime = 3 * time.Second
+	eventPause  = 45 * time.Millisecond
+)
+
+// newFleet starts a site and waits until it serves. It ends with the context.
+func newFleet(ctx context.Context, t *testing.T, entries, engines int, serve func(e *testEngine, w http.ResponseWriter, c gate.CallInfo)) *fleet {
+	t.Helper()
+	f := &fleet{t: t, serve: serve}
+	var seeds []string
+	for i := range 3 {
+		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:7", i+1))
+	}
+	logger := &log.Logger{Level: log.PanicLevel}
+	for i, addr := range seeds {
+		local := &wire.Server{}
+		pool := &wire.Pool{Dial: f.net.Dialer(addr), Self: addr, Local: local}
+		c := &hub.Server{
+			Name: addr, DataCentre: "dc", PeerAddr: addr, SeedAddrs: seeds, Bootstrap: true, Voters: 3, Seed: uint64(i + 1),
+			DataDir: "/data", FS: &store.Mem{}, Calls: pool, Log: logger, Metrics: metrics.NewRegistry(),
+		}
+		f.controls = append(f.controls, c)
+		local.Methods, local.Streams = c.Setup()
+		ln, err := f.net.Listen(addr)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		f.wait.Go(func() { _ = local.Serve(ctx, ln) })
+		f.wait.Go(func() { _ = c.Run(ctx); pool.Close() })
+	}
+	time.Sleep(3 * time.Second)
+	f.publish(ctx)
+	for i := range entries {
+		host := fmt.Sprintf(entryHost, i+1)
+		calls := &wire.Pool{Dial: f.net.Dialer(host + ":7"), Self: host + ":7"}
+		g := &gate.Server{
+			Name: host, DataCentre: "dc", Address: host + ":80", HeaderCodec: platform.HeaderCodec{},
+			TargetClient: &hop.Client{Dial: f.net.Dialer(host)}, Metrics: metrics.NewRegistry(), Log: logger,
+			Budget: &gate.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
+		}
+		g.Link = &link.Client{Self: link.Hello{Name: host, PeerAddr: host + ":7", DataCentre: "dc"}, Calls: calls, Follower: g, Log: logger}
+		g.Link.SetSeeds(seeds)
+		g.Setup()
+		ln, err := f.net.Listen(host + ":80")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		srv := &http.Server{Handler: g}
+		f.entries = append(f.entries, srv)
+		f.wait.Go(func() { _ = g.Run(ctx) })
+		f.wait.Go(func() { _ = g.Link.Run(ctx); calls.Close() })
+		f.wait.Go(func() { _ = srv.Serve(ln) })
+	}
+	for range engines {
+		f.startEngine(ctx)
+	}
+	time.Sleep(3 * time.Second)
+	return f
+}
+
+func (f *fleet) publish(ctx context.Context) {
+	tables := &site.Tables{
+		Version: 1, Keyed: true, Organisations: []site.Organisation{{Name: "org", Keys: []string{"key"}}}, Bounds: site.Bounds{Body: 1000},
+		Pools: []site.Pool{{Name: "engines", Engine: &site.Engine{
+			Slots: 16, Memory: 405_000, Step: 1310 * time.Microsecond, Rate: 154_000, Pairs: 162 * time.Microsecond, Chunk: 2048, Stride: 34,
+		}}},
+		Routes: []site.Route{{
+			Name: "chat", Host: "h", Prefix: "/", Kind: site.Streaming, Limit: 10 * time.Second, Aim: 300 * time.Millisecond,
+			Pause: 250 * time.Millisecond, Attempts: 2, Resumable: true, Split: []site.PoolWeight{{Pool: "engines", Weight: 1}},
+		}},
+	}
+	quicktest.Assert(f.t, f.controls[0].Publish(ctx, tables, []byte("{}")), quicktest.IsNil)
+}
+
+// startEngine starts the process of an engine, and announces it until it ends.
+func (f *fleet) startEngine(ctx context.Context) {
+	f.mu.Lock()
+	f.engines++
+	n := f.engines
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	e := &testEngine{fleet: f, stop: cancel, Target: site.Target{
+		ID: fmt.Sprintf("e%03d", n), Pool: "engines", Address: fmt.Sprintf("10.0.2.%d:80", n), DataCentre: "dc", Slots: 16, State: site.Ready, StartedMs: int64(n),
+	}}
+	e.http = &http.Server{Handler: e}
+	ln, err := f.net.Listen(e.Address)
+	quicktest.Assert(f.t, err, quicktest.IsNil)
+	f.wait.Go(func() { _ = e.http.Serve(ln) })
+	f.wait.Go(func() {
+		defer e.http.Close()
+		for ctx.Err() == nil {
+			e.Sequence++
+			// A control instance without a leader refuses, and the next announcement counts.
+			_ = f.controls[n%len(f.controls)].Announce(ctx, e.Target)
+			select {
+			case <-ctx.Done():
+			case <-time.After(heartbeat):
+			}
+		}
+	})
+}
+
+// crash ends the process at once, and starts another one after restartTime.
+func (e *testEngine) crash(ctx context.Context) {
+	f := e.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if e.State == site.Gone {
+		return
+	}
+	e.State = site.Gone
+	f.crashes = append(f.crashes, time.Now())
+	e.stop()
+	e.http.Close()
+	f.wait.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(restartTime):
+			f.startEngine(ctx)
+		}
+	})
+}
+
+// ServeHTTP records a request and serves it.
+func (e *testEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, s, err := platform.DecodeRequest(r.Header)
+	if err != nil || s.TargetID != e.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	f := e.fleet
+	f.mu.Lock()
+	f.arrivals = append(f.arrivals, arrival{time.Now(), c, e.ID})
+	f.mu.Unlock()
+	f.serve(e, w, c)
+}
+
+// writeStream writes the events of an answer after the caller's last one.
+func writeStream(w http.ResponseWriter, c gate.CallInfo, last int64) {
+	for k, v := range platform.EncodeReply(gate.ReplyInfo{RequestID: c.ID}, "seal") {
+		w.Header()[k] = v
+	}
+	for i := c.LastEventID + 1; i <= last; i++ {
+		time.Sleep(eventPause)
+		fmt.Fprintf(w, "id: %d\ndata: e\n\n", i)
+		if http.NewResponseController(w).Flush() != nil {
+			return
+		}
+	}
+}
+
+// call sends a request to an entry and returns its status, and whether the whole answer came.
+func (f *fleet) call(ctx context.Context, entry int, c gate.CallInfo) (status int, whole bool) {
+	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+		return f.net.Dialer("10.0.9.9")(ctx, addr)
+	}, DisableKeepAlives: true}}
+	c.Key, c.TimeLimit, c.PromptTokens, c.MaxOutputTokens = "key", 10*time.Second, 5000, 1000
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fmt.Sprintf(entryHost, entry+1)+":80/x", strings.NewReader("prompt"))
+	quicktest.Assert(f.t, err, quicktest.IsNil)
+	q.Host, q.Header = "h", platform.EncodeCall(c)
+	resp, err := client.Do(q)
+	if err != nil {
+		return 0, false
+	}
+	defer resp.Body.Close()
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode, err == nil && resp.StatusCode == http.StatusOK
+}
+
+// close ends the fleet; cancel ends its context.
+func (f *fleet) close(cancel context.CancelFunc) {
+	cancel()
+	for _, e := range f.entries {
+		e.Close()
+	}
+	f.wait.Wait()
+	time.Sleep(3 * time.Second)
+}
