Block prompts that crash engines

What callers saw: BUDGET.

Cause: an entry takes the end of an engine for the engine's fault alone. It sends the request to the next one, and no instance relates what several engines were doing when they ended. Class of fault: a request that kills its server is retried and spread (a query of death). Ruled out: load alone.

Change: internal/poison joins the reports of all entries on the leader and finds the part that the crashes have in common; prompts with it are refused before they are sent or sent again.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
@@ -39,11 +40,14 @@
 	return false
 }
 
-// checkProcess logs if an attempt failed because the process of the engine ended.
+// checkProcess records if an attempt failed because the process of the engine ended.
 func (s *stream) checkProcess(lead site.Target, att streamAttempt, err error) {
 	if !s.server.hasCrashed(lead, err) {
 		return
 	}
 	s.server.Log.Warn().Str("id", s.call.ID).Str("ask", s.grantID).Str("target", lead.ID).Str("address", lead.Address).Int64("born", lead.StartedMs).
 		Strs("prefix", s.call.SharedParts).Dur("written", att.written()).Msg("target process ended during a request")
+	if att.written() < poison.SurvivalTime {
+		s.server.blocklist.recordCrash(lead, s.call.SharedParts)
+	}
 }
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -7,8 +7,11 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/poison"
 )
 
 // writeText returns a script that writes a text and closes the connection.
@@ -50,3 +53,71 @@
 		})
 	}
 }
+
+// TestBlockedPromptIsRefused: a prompt that crashes engines must be refused at once, with the
+// time until that is reconsidered, and reach none of them.
+func TestBlockedPromptIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, []script{streamEvents(2, 0)})
+		s.gate.ApplyBlocks([]poison.Block{{Parts: []string{"bad"}, Left: 30 * time.Second}})
+		res := s.call(resumableStreamPath, "prompt", "Parts", "a,bad,b")
+		quicktest.Assert(t, res.status, quicktest.Equals, 503)
+		quicktest.Assert(t, res.header.Get("Retry-After"), quicktest.Equals, "30")
+		quicktest.Assert(t, res.took < 100*time.Millisecond, quicktest.IsTrue)
+		quicktest.Assert(t, s.requestCount(), quicktest.Equals, 0)
+		quicktest.Assert(t, s.call(resumableStreamPath, "prompt", "Parts", "a,b").status, quicktest.Equals, 200)
+		time.Sleep(30 * time.Second)
+		quicktest.Assert(t, s.call(resumableStreamPath, "prompt", "Parts", "bad").status, quicktest.Equals, 200)
+	})
+}
+
+// TestBlockEndsRepeats: a request that an engine crashed on must not be sent to another one if
+// its prompt is blocked meanwhile. It may have run, so the caller gets no 503.
+func TestBlockEndsRepeats(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, []script{streamEvents(9, 0), streamEvents(9, 0)})
+		for _, f := range s.targets {
+			f.script = func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+				f.listener.Close()
+				s.gate.ApplyBlocks([]poison.Block{{Parts: []string{"bad"}, Left: 30 * time.Second}})
+				return false
+			}
+		}
+		res := s.call(resumableStreamPath, "prompt", "Parts", "bad")
+		quicktest.Assert(t, res.status, quicktest.Equals, 502)
+		quicktest.Assert(t, s.requestCount(), quicktest.Equals, 1)
+	})
+}
+
+// TestCrashesWithoutLeader: an instance that has no leader blocks what it has seen itself.
+func TestCrashesWithoutLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var scripts []script
+		for range 12 {
+			scripts = append(scripts, func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+				if strings.Contains(q.Header.Get("Parts"), "bad") {
+					f.listener.Close()
+					return false
+				}
+				return streamEvents(2, 0)(f, c, q)
+			})
+		}
+		s := newTestbed(t, nil, scripts)
+		for range 20 {
+			s.call(resumableStreamPath, "prompt", "Parts", "a,bad")
+			s.call(resumableStreamPath, "prompt", "Parts", "a")
+			time.Sleep(time.Second)
+		}
+		crashed := 0
+		for _, f := range s.targets {
+			for i := range f.requestCount() {
+				if strings.Contains(f.request(i).Header.Get("Parts"), "bad") {
+					crashed++
+				}
+			}
+		}
+		const allowed = 5 + 3
+		quicktest.Assert(t, crashed <= allowed, quicktest.IsTrue, quicktest.Commentf("%d requests with the part", crashed))
+		quicktest.Assert(t, s.call(resumableStreamPath, "prompt", "Parts", "a").status, quicktest.Equals, 200)
+	})
+}
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -13,6 +13,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
@@ -59,6 +60,10 @@
 	reason, retry := "no engine was free in time", longRetryAfter
 	x.server.placer.awaitLink(ctx)
 	for ctx.Err() == nil && x.timeLeft() > minAttemptTime && s.refusals < maxRefusals {
+		if left, blocked := x.server.blocklist.find(x.call.SharedParts); blocked {
+			reason, retry = blockedReason, left
+			break
+		}
 		if x.sends > 0 && (!x.acquireRetry() || x.mayHaveRun && !x.route.MayRetry()) {
 			break
 		}
@@ -157,6 +162,10 @@
 		s.refusals++
 		return false, "a granted engine is no longer ready"
 	}
+	if _, blocked := s.server.blocklist.find(s.call.SharedParts); blocked {
+		s.refusals++
+		return false, blockedReason
+	}
 	return s.sendToLead(ctx, g, lead, helpers, &end)
 }
 
@@ -185,6 +194,9 @@
 	}
 	reason, err = s.relayEvents(ctx, resp, &att)
 	if reason == "" {
+		if !att.firstEventAt.IsZero() && !resp.EndsWithConnection() {
+			s.server.blocklist.recordSurvival(s.call.SharedParts, att.firstEventAt)
+		}
 		reuse = true
 		s.server.health.recordSuccess(lead.ID)
 		return true, ""
@@ -295,6 +307,8 @@
 	canRetry bool
 	// firstEventAt is when the first new event came; zero before that.
 	firstEventAt time.Time
+	// survived is set once the engine has written for poison.SurvivalTime.
+	survived bool
 }
 
 // written returns how long the engine has been writing the answer; 0 before the first event.
@@ -337,6 +351,10 @@
 			return s.endReason(), nil
 		}
 		if isNew {
+			if !att.survived && att.written() >= poison.SurvivalTime {
+				att.survived = true
+				s.server.blocklist.recordSurvival(s.call.SharedParts, att.firstEventAt)
+			}
 			idleBytes = 0
 			resp.SetReadDeadline(s.nextEventDeadline(false, att.canRetry))
 			continue
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -61,6 +61,8 @@
 	views  viewStore
 	placer placer
 	health health
+	// blocklist holds the prompts that must not be sent to engines.
+	blocklist blocklist
 	// buffers holds the responses of plain services until they are complete.
 	buffers responseBuffers
 	pauses  pauseGuard
@@ -85,6 +87,7 @@
 	s.views.setup()
 	s.placer.server = s
 	s.placer.setup()
+	s.blocklist.server = s
 	s.health.setup()
 	s.pauses = pauseGuard{Clock: s.Clock, Relink: s.Link.Reset, IsLinked: s.Link.IsLinked}
 	if s.pauses.Clock == nil {
--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -49,6 +49,7 @@
 	out.Set("Left", strconv.FormatInt(s.TimeLimit.Milliseconds(), 10))
 	out.Set("Target", s.TargetID)
 	out.Set("Organisation", s.Organisation)
+	out.Set("Parts", h.Get("Parts"))
 	if s.HasLastEventID {
 		out.Set("Last", strconv.FormatInt(s.LastEventID, 10))
 	}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -210,7 +210,7 @@
 		// connection it would take the rest for the next request.
 		reuse = false
 	}
-	if !reuse || r.Response.Close || r.ContentLength < 0 && len(r.TransferEncoding) == 0 {
+	if !reuse || r.Response.Close || r.EndsWithConnection() {
 		r.conn.Close()
 		return
 	}
@@ -219,6 +219,12 @@
 	r.client.idle.put(r.conn)
 }
 
+// EndsWithConnection reports whether the body has neither a length nor chunks, so that it ends
+// when the target closes the connection.
+func (r *Response) EndsWithConnection() bool {
+	return r.ContentLength < 0 && len(r.TransferEncoding) == 0
+}
+
 // keepAliveTimeout returns how long an idle connection may be reused, from the target's
 // Keep-Alive header.
 func keepAliveTimeout(h http.Header) time.Duration {
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -17,6 +17,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/memnet"
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/store"
@@ -63,6 +64,9 @@
 	// that ended.
 	entryCount, lists, updates, linksLost int
 	activeGrants                          []place.ActiveGrant
+	// blocks holds the blocked parts, and reportedBlocks what it tells a new leader of them.
+	blocks         map[string]bool
+	reportedBlocks []poison.Block
 	// confirmed is set once the registry updates are confirmed.
 	confirmed bool
 	// onFirstUpdate runs once, when the next registry update arrives.
@@ -125,6 +129,19 @@
 	return e.activeGrants
 }
 func (*entryNode) SetEntryCount(int) {}
+
+func (e *entryNode) ApplyBlocks(blocks []poison.Block) {
+	e.withLock(func() {
+		for _, b := range blocks {
+			e.blocks[b.String()] = b.Left > 0
+		}
+	})
+}
+
+func (e *entryNode) FillEvidence(m *link.FollowerMessage) {
+	e.withLock(func() { m.Blocks = e.reportedBlocks })
+}
+
 func (e *entryNode) HandleLinkLost() { e.withLock(func() { e.linksLost++ }) }
 func (e *entryNode) HandleConfirmed() {
 	e.withLock(func() { e.confirmed = true })
@@ -211,7 +228,7 @@
 // startEntry starts an entry. The first letter of its name names its data centre.
 func (cl *cluster) startEntry(name, addr string) *entryNode {
 	e := &entryNode{
-		name: name, done: make(chan struct{}), states: make(map[string]site.State), ready: true,
+		name: name, done: make(chan struct{}), states: make(map[string]site.State), ready: true, blocks: make(map[string]bool),
 		grants: make(chan place.Grant, 100), refused: make(chan place.Refuse, 100),
 	}
 	pool := &wire.Pool{Dial: cl.net.Dialer(addr), Self: addr}
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 )
 
@@ -31,6 +32,12 @@
 // ActiveGrants returns nil: control instances hold no grants.
 func (*follower) ActiveGrants() []place.ActiveGrant { return nil }
 
+// ApplyBlocks does nothing: control instances send no requests to engines.
+func (*follower) ApplyBlocks([]poison.Block) {}
+
+// FillEvidence does nothing: control instances have no requests at engines.
+func (*follower) FillEvidence(*link.FollowerMessage) {}
+
 // SetEntries stores the ready instances.
 func (f *follower) SetEntries(entries []link.Entry) { f.s.directory.set(entries) }
 
--- a/internal/hub/leadership.go
+++ b/internal/hub/leadership.go
@@ -63,10 +63,12 @@
 		// The instance at the other end would report the entries linked here back to here.
 		s.client.Reset()
 		s.scheduler.start()
+		s.blocker.start()
 		ctx, s.cancelAudit = context.WithCancel(ctx)
 		s.auditGroup.Go(func() { s.audit(ctx) })
 	} else {
 		s.scheduler.stop()
+		s.blocker.stop()
 		s.cancelAudit()
 	}
 	for _, sess := range open {
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -61,6 +61,7 @@
 	registry  reg.Machine
 	directory directory
 	scheduler scheduler
+	blocker   blocker
 	client    *link.Client
 
 	mu       sync.Mutex
@@ -90,6 +91,7 @@
 	s.pendingHeartbeats = make(map[string]bool)
 	s.pendingDrains = make(map[link.Departure]bool)
 	s.scheduler.server = s
+	s.blocker.server = s
 	s.client = &link.Client{
 		Self:  link.Hello{Name: s.Name, PeerAddr: s.PeerAddr, IsControl: true},
 		Calls: s.Calls, Follower: &follower{s}, Suspended: s.isLeader, Log: s.Log,
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -56,6 +56,9 @@
 	if leading != s.isLeader() {
 		return nil
 	}
+	if blocks := s.blocker.current(); len(blocks) > 0 {
+		sess.Enqueue(func(m *link.ControlMessage) { m.Blocks = append(m.Blocks, blocks...) })
+	}
 	s.handle(sess, &first)
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -188,6 +191,7 @@
 	for _, d := range msg.Leaving {
 		s.drainLeaving(sess.hello.Name, d)
 	}
+	s.blocker.handle(msg)
 	s.scheduler.handle(sess, msg)
 }
 
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -13,6 +13,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
@@ -54,6 +55,10 @@
 	HandleQueued(id string)
 	// ActiveGrants returns the grants in use, which are reported to a new leader.
 	ActiveGrants() []place.ActiveGrant
+	// ApplyBlocks applies changes of the prompts that must not be sent to engines, and
+	// FillEvidence fills in what a new leader needs to go on with them.
+	ApplyBlocks(blocks []poison.Block)
+	FillEvidence(m *FollowerMessage)
 	// SetEntries receives the ready instances for this follower, and SetEntryCount the number
 	// of all ready instances.
 	SetEntries(entries []Entry)
@@ -417,6 +422,10 @@
 	if m.EntryCount > 0 {
 		c.Follower.SetEntryCount(m.EntryCount)
 	}
+	// Grants are checked against the blocks, so these come first.
+	if len(m.Blocks) > 0 {
+		c.Follower.ApplyBlocks(m.Blocks)
+	}
 	for _, g := range m.Grants {
 		c.Follower.HandleGrant(g)
 	}
@@ -440,7 +449,10 @@
 	if w.IsLeader {
 		// Grants that end from now on are reported by Send, so the leader sees their end
 		// after this list. A list taken earlier could name grants that had ended before.
-		s.Enqueue(func(m *FollowerMessage) { m.ActiveGrants = c.Follower.ActiveGrants() })
+		s.Enqueue(func(m *FollowerMessage) {
+			m.ActiveGrants = c.Follower.ActiveGrants()
+			c.Follower.FillEvidence(m)
+		})
 	}
 }
 
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 )
 
@@ -94,6 +95,11 @@
 	// Leaving are targets that have told the sender that they are about to shut down, and
 	// that are ready in its view.
 	Leaving []Departure `cbor:"10,keyasint,omitempty"`
+	// Crashes and Survivals report what became of engines that had requests of the sender. When
+	// a link opens, they repeat recent ones, and Blocks are those in force at the sender.
+	Crashes   []poison.Crash    `cbor:"11,keyasint,omitempty"`
+	Survivals []poison.Survival `cbor:"12,keyasint,omitempty"`
+	Blocks    []poison.Block    `cbor:"13,keyasint,omitempty"`
 }
 
 // Departure names a process of a target that is about to shut down.
@@ -131,4 +137,6 @@
 	Refusals []place.Refuse `cbor:"7,keyasint,omitempty"`
 	// Queued are the IDs of placement requests that wait for an engine.
 	Queued []string `cbor:"8,keyasint,omitempty"`
+	// Blocks are the prompts that must not be sent to engines, those that have changed or all.
+	Blocks []poison.Block `cbor:"9,keyasint,omitempty"`
 }
