gate: an answer without a length isn't complete if the target's process ended with it

What callers would see: an engine or service that crashes closes its connections. If its answer has neither a length nor chunks, the part that had come looked like all of it: a stream ended between two events without its last ones, a body was cut, and both were passed on as complete. Cause: the end of the connection was taken for the end of the answer, whatever ended it. Change: at such an end the entry checks whether anything still listens at the target. If not, the answer has been broken off: it goes on at another target where it may, or ends visibly. A stream that ends within an event was broken off before, which the test covers, too.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
@@ -40,6 +41,22 @@
 	return false
 }
 
+// endedWithProcess reports whether a response ended with its connection because the process of
+// the target ended, so that it may not be complete.
+func (s *Server) endedWithProcess(t site.Target, resp *hop.Response) bool {
+	return resp.EndsWithConnection() && s.hasCrashed(t, io.EOF)
+}
+
+// readBody reads the whole body of a response of a target.
+func (s *Server) readBody(t site.Target, resp *hop.Response) (*body, error) {
+	b, err := s.buffers.read(resp.Body)
+	if err == nil && s.endedWithProcess(t, resp) {
+		b.release()
+		return nil, io.ErrUnexpectedEOF
+	}
+	return b, err
+}
+
 // checkProcess records if an attempt failed because the process of the engine ended.
 func (s *stream) checkProcess(lead site.Target, att streamAttempt, err error) {
 	if !s.server.hasCrashed(lead, err) {
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -121,3 +122,56 @@
 		quicktest.Assert(t, s.call(resumableStreamPath, "prompt", "Parts", "a").status, quicktest.Equals, 200)
 	})
 }
+
+// unframed returns a script that writes a body which ends with its connection.
+func unframed(body string, crash bool) script {
+	return func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+		if crash {
+			f.listener.Close()
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%s\r\n%s", q.Header.Get("Id"), sealHeader, body)
+		return false
+	}
+}
+
+// TestUnframedAnswerOfCrashedTarget: an answer that has neither a length nor chunks is complete
+// when its connection ends, unless a stream ends within an event, or the process of the target
+// has ended, too: it may have had more to send.
+func TestUnframedAnswerOfCrashedTarget(t *testing.T) {
+	for name, c := range map[string]struct {
+		path, body string
+		crash      bool
+		whole      bool
+	}{
+		"whole stream":         {nonResumableStreamPath, eventText(1, 3), false, true},
+		"stream in an event":   {nonResumableStreamPath, eventText(1, 3) + "id: 4\nda", false, false},
+		"event without an end": {nonResumableStreamPath, eventText(1, 3) + "id: 4\ndata: e\n", false, false},
+		"stream, crashed":      {nonResumableStreamPath, eventText(1, 3), true, false},
+		"whole body":           {nonIdempotentPath, "done", false, true},
+		"body, crashed":        {nonIdempotentPath, "done", true, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPathTestbed(t, c.path, unframed(c.body, c.crash))
+				res := s.call(c.path, "body")
+				quicktest.Assert(t, !res.truncated && res.status == 200, quicktest.Equals, c.whole, quicktest.Commentf("%+v", res))
+			})
+		})
+	}
+	t.Run("resumed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newTestbed(t, nil, []script{nil, nil})
+			for _, f := range s.targets {
+				f.script = func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+					if s.requestCount() > 1 {
+						return streamEvents(5, 0)(f, c, q)
+					}
+					return unframed(eventText(1, 3), true)(f, c, q)
+				}
+			}
+			res := s.call(resumableStreamPath, "prompt")
+			quicktest.Assert(t, res.truncated, quicktest.IsFalse)
+			quicktest.Assert(t, res.body, quicktest.Equals, eventText(1, 5))
+		})
+	})
+}
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -192,9 +192,9 @@
 	if resp.StatusCode != http.StatusOK {
 		return s.handleErrorResponse(lead, resp, end)
 	}
-	reason, err = s.relayEvents(ctx, resp, &att)
+	reason, err = s.relayEvents(ctx, lead, resp, &att)
 	if reason == "" {
-		if !att.firstEventAt.IsZero() && !resp.EndsWithConnection() {
+		if !att.firstEventAt.IsZero() {
 			s.server.blocklist.recordSurvival(s.call.SharedParts, att.firstEventAt)
 		}
 		reuse = true
@@ -288,7 +288,7 @@
 	if !s.headSent && (resp.StatusCode < http.StatusInternalServerError || !s.route.MayRetry()) {
 		resp.SetReadDeadline(time.Now().Add(s.eventTimeout()))
 		var b *body
-		if b, err = s.server.buffers.read(resp.Body); err == nil {
+		if b, err = s.server.readBody(lead, resp); err == nil {
 			defer b.release()
 			s.writeResponse(&response{status: resp.StatusCode, header: resp.Header, body: b})
 			return true, ""
@@ -322,13 +322,15 @@
 // relayEvents relays the events of a response to the caller. It returns "" after the last
 // event, and otherwise the reason why the stream ended early, with the error of reading it if
 // there is one.
-func (s *stream) relayEvents(ctx context.Context, resp *hop.Response, att *streamAttempt) (reason string, err error) {
+func (s *stream) relayEvents(ctx context.Context, lead site.Target, resp *hop.Response, att *streamAttempt) (reason string, err error) {
 	events := hop.NewEventReader(resp.Body)
 	resp.SetReadDeadline(s.nextEventDeadline(true, att.canRetry))
 	idleBytes := 0
 	for {
 		ev, err := events.Next()
 		switch {
+		case errors.Is(err, io.EOF) && s.server.endedWithProcess(lead, resp):
+			return "the process of an engine ended with its event stream", io.ErrUnexpectedEOF
 		case errors.Is(err, io.EOF):
 			if !s.headSent {
 				s.writeHead(resp)
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -207,7 +207,7 @@
 		// The body may stall as well as the head.
 		resp.SetReadDeadline(time.Now().Add(x.timeLeft() / 2))
 	}
-	body, err := s.buffers.read(resp.Body)
+	body, err := s.readBody(t, resp)
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, errBuffersFull) {
 			s.health.recordFailure(t.ID)
