gate: decode and log the request limits that targets name

Change: Server-Limit is decoded, and its changes are logged. A response without it lifts the limit only if its request was sent after the limit was last named.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -182,7 +182,7 @@
 	reuse := false
 	defer func() { resp.Close(reuse) }()
 	s.sends++
-	end.Pause = s.recordNotice(lead, resp)
+	end.Pause = s.recordNotice(lead, resp, att.sentAt)
 	if o := s.classify(lead, resp); o != nil {
 		end.FailedTarget = s.faultyTarget(lead, resp)
 		_, refused := o.(notRun)
--- a/internal/gate/headercodec.go
+++ b/internal/gate/headercodec.go
@@ -75,6 +75,10 @@
 	// RetryAfter is how long the target wants no requests from this instance after it has
 	// refused one; 0 if it does not say.
 	RetryAfter time.Duration
+	// Limit is how many requests a second the target accepts from all instances together, if
+	// HasLimit is set.
+	Limit    float64
+	HasLimit bool
 }
 
 // HeaderCodec reads and writes the headers exchanged with callers and targets.
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -38,6 +38,11 @@
 	leaving bool
 	// pausedUntil is when the process accepts requests from this instance again.
 	pausedUntil time.Time
+	// limit is how many requests a second the process accepts from all instances together, if
+	// hasLimit is set; limitedAt is when it last said so.
+	limit     float64
+	hasLimit  bool
+	limitedAt time.Time
 }
 
 // isClosed reports whether the process wants no request from this instance now.
@@ -71,7 +76,7 @@
 // dropIdle forgets a target without state: targets come and go. The caller holds mu.
 func (h *health) dropIdle(id string, t *targetHealth) {
 	now := time.Now()
-	if t.inFlight == 0 && t.IsHealthy(now) && !t.notice.isClosed(now) {
+	if t.inFlight == 0 && t.IsHealthy(now) && !t.notice.isClosed(now) && !t.notice.hasLimit {
 		delete(h.byID, id)
 	}
 }
@@ -84,10 +89,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	n := &h.target(t.ID).notice
-	if n.startedMs != t.StartedMs {
-		*n = notice{startedMs: t.StartedMs}
-	}
+	n := h.noticeOf(t)
 	now := time.Now()
 	news := leaving && !n.leaving || pause > 0 && !now.Before(n.pausedUntil)
 	n.leaving = n.leaving || leaving
@@ -97,6 +99,37 @@
 	return news
 }
 
+// noticeOf returns the notice of a target's process. The caller holds mu.
+func (h *health) noticeOf(t site.Target) *notice {
+	n := &h.target(t.ID).notice
+	if n.startedMs != t.StartedMs {
+		*n = notice{startedMs: t.StartedMs}
+	}
+	return n
+}
+
+// recordLimit records the limit in the response of a target to a request that was sent at
+// sentAt, or that it names none any more. It reports whether that is a change. A response to
+// a request that was sent before the limit was named may have left before, too.
+func (h *health) recordLimit(t site.Target, limit float64, hasLimit bool, sentAt time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if !hasLimit && h.byID[t.ID] == nil {
+		return false
+	}
+	n := h.noticeOf(t)
+	if !hasLimit {
+		if !n.hasLimit || sentAt.Before(n.limitedAt) {
+			return false
+		}
+		n.limit, n.hasLimit = 0, false
+		return true
+	}
+	isChange := !n.hasLimit || n.limit != limit
+	n.limit, n.hasLimit, n.limitedAt = limit, true, time.Now()
+	return isChange
+}
+
 // isClosed reports whether the process of a target wants no request from this instance now.
 func (h *health) isClosed(t site.Target) bool {
 	h.mu.Lock()
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -190,6 +190,7 @@
 		// If the response is lost, half of the remaining time is left for another target.
 		q.HeadTimeout = min(max(latencyFactor*x.route.Aim, minHeadTimeout), x.timeLeft()/2)
 	}
+	sentAt := time.Now()
 	resp, err := s.TargetClient.Do(ctx, t.Address, q)
 	if err != nil {
 		return nil, x.classifySendError(t, err)
@@ -197,7 +198,7 @@
 	reuse := false
 	defer func() { resp.Close(reuse) }()
 	x.sends++
-	x.recordNotice(t, resp)
+	x.recordNotice(t, resp, sentAt)
 	if o := x.classify(t, resp); o != nil {
 		_, ok := o.(notRun)
 		reuse = ok && drainBody(resp)
@@ -264,9 +265,9 @@
 }
 
 // recordNotice records what a target asks of this instance in its response: that it is
-// leaving, or a pause after a refusal. It returns the pause. A response with the ID of another
-// request is ignored.
-func (x *exchange) recordNotice(t site.Target, resp *hop.Response) (pause time.Duration) {
+// leaving, a pause after a refusal, or a limit. It returns the pause. A response with the ID of
+// another request is ignored. The request was sent at sentAt.
+func (x *exchange) recordNotice(t site.Target, resp *hop.Response, sentAt time.Time) (pause time.Duration) {
 	reply := x.server.HeaderCodec.DecodeReply(resp.Header)
 	if reply.RequestID != "" && reply.RequestID != x.call.ID {
 		return 0
@@ -275,6 +276,10 @@
 		pause = reply.RetryAfter
 	}
 	x.server.recordNotice(t, reply.Leaving, pause)
+	if x.server.health.recordLimit(t, reply.Limit, reply.HasLimit, sentAt) {
+		x.server.Log.Info().Str("target", t.ID).Str("address", t.Address).Int64("born", t.StartedMs).Float64("limit", reply.Limit).
+			Bool("limited", reply.HasLimit).Msg("request limit of target changed")
+	}
 	return pause
 }
 
