--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -41,12 +41,13 @@
 func playCrashes(t *testing.T, interval time.Duration) {
 	const entries = 4
 	ctx, cancel := context.WithCancel(context.Background())
-	f := newFleet(ctx, t, entries, 12, func(e *testEngine, w http.ResponseWriter, c gate.CallInfo) {
+	f := newFleet(ctx, t, entries, 12, 0, func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
 		if slices.Contains(c.SharedParts, crasher) {
 			time.Sleep(2 * eventPause)
 			e.crash(ctx)
 			return
 		}
+		writeHead(w, gate.ReplyInfo{RequestID: c.ID})
 		writeStream(w, c, 30)
 	})
 	defer f.close(cancel)
@@ -67,7 +68,7 @@
 	}
 	sendUntil(30*time.Second, 60*time.Millisecond, func(i int) {
 		sent := time.Now()
-		_, whole := f.call(ctx, i%entries, gate.CallInfo{ID: fmt.Sprintf("a%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7)}})
+		_, whole := f.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("a%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7)}})
 		mu.Lock()
 		defer mu.Unlock()
 		period := 0
@@ -85,7 +86,7 @@
 	})
 	time.Sleep(8 * time.Second)
 	sendUntil(28*time.Second, interval, func(i int) {
-		f.call(ctx, i%entries, gate.CallInfo{ID: fmt.Sprintf("b%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7), crasher}})
+		f.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("b%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7), crasher}})
 	})
 	callers.Wait()
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -26,33 +26,38 @@
 	"github.com/bambooproxy/bambooproxy/platform"
 )
 
-// fleet is a site of three control instances, some entries and engines on an in-memory
+// serveFunc handles a request at a target.
+type serveFunc func(e *testTarget, w http.ResponseWriter, c gate.CallInfo)
+
+// fleet is a site of three control instances, some entries and targets on an in-memory
 // network, with callers and targets that speak the platform's protocol.
 type fleet struct {
-	t   *testing.T
-	net memnet.Network
-	// serve handles a request at an engine.
-	serve func(e *testEngine, w http.ResponseWriter, c gate.CallInfo)
+	t     *testing.T
+	net   memnet.Network
+	serve serveFunc
 
 	controls []*hub.Server
-	entries  []*http.Server
-	wait     sync.WaitGroup
+	// stopControl ends the control instance with the same index.
+	stopControl []context.CancelFunc
+	entries     []*http.Server
+	wait        sync.WaitGroup
 
 	mu       sync.Mutex
 	arrivals []arrival
 	crashes  []time.Time
-	engines  int
+	started  int
 }
 
 // arrival is a request that reached an engine.
 type arrival struct {
 	at     time.Time
 	call   gate.CallInfo
-	engine string
+	target string
+	entry  string
 }
 
-// testEngine is the process of an engine.
-type testEngine struct {
+// testTarget is the process of an engine or a service.
+type testTarget struct {
 	site.Target
 	fleet *fleet
 	http  *http.Server
@@ -61,15 +66,18 @@
 
 const (
 	entryHost = "10.0.1.%d"
-	// heartbeat is how often engines announce themselves, and restartTime how long it takes
+	// heartbeat is how often targets announce themselves, and restartTime how long it takes
 	// until another process replaces one that crashed.
 	heartbeat   = 1200 * time.Millisecond
 	restartTime = 3 * time.Second
 	eventPause  = 45 * time.Millisecond
+	// enginePool and servicePool are the pools, and chatPath and lookupPath their routes.
+	enginePool, servicePool = "engines", "services"
+	chatPath, lookupPath    = "/chat/", "/lookup/"
 )
 
 // newFleet starts a site and waits until it serves. It ends with the context.
-func newFleet(ctx context.Context, t *testing.T, entries, engines int, serve func(e *testEngine, w http.ResponseWriter, c gate.CallInfo)) *fleet {
+func newFleet(ctx context.Context, t *testing.T, entries, engines, services int, serve serveFunc) *fleet {
 	t.Helper()
 	f := &fleet{t: t, serve: serve}
 	var seeds []string
@@ -88,6 +96,8 @@
 		local.Methods, local.Streams = c.Setup()
 		ln, err := f.net.Listen(addr)
 		quicktest.Assert(t, err, quicktest.IsNil)
+		ctx, stop := context.WithCancel(ctx)
+		f.stopControl = append(f.stopControl, stop)
 		f.wait.Go(func() { _ = local.Serve(ctx, ln) })
 		f.wait.Go(func() { _ = c.Run(ctx); pool.Close() })
 	}
@@ -113,7 +123,10 @@
 		f.wait.Go(func() { _ = srv.Serve(ln) })
 	}
 	for range engines {
-		f.startEngine(ctx)
+		f.startTarget(ctx, enginePool)
+	}
+	for range services {
+		f.startTarget(ctx, servicePool)
 	}
 	time.Sleep(3 * time.Second)
 	return f
@@ -122,26 +135,29 @@
 func (f *fleet) publish(ctx context.Context) {
 	tables := &site.Tables{
 		Version: 1, Keyed: true, Organisations: []site.Organisation{{Name: "org", Keys: []string{"key"}}}, Bounds: site.Bounds{Body: 1000},
-		Pools: []site.Pool{{Name: "engines", Engine: &site.Engine{
+		Pools: []site.Pool{{Name: servicePool}, {Name: enginePool, Engine: &site.Engine{
 			Slots: 16, Memory: 405_000, Step: 1310 * time.Microsecond, Rate: 154_000, Pairs: 162 * time.Microsecond, Chunk: 2048, Stride: 34,
 		}}},
 		Routes: []site.Route{{
-			Name: "chat", Host: "h", Prefix: "/", Kind: site.Streaming, Limit: 10 * time.Second, Aim: 300 * time.Millisecond,
-			Pause: 250 * time.Millisecond, Attempts: 2, Resumable: true, Split: []site.PoolWeight{{Pool: "engines", Weight: 1}},
+			Name: "chat", Host: "h", Prefix: chatPath, Kind: site.Streaming, Limit: 10 * time.Second, Aim: 300 * time.Millisecond,
+			Pause: 250 * time.Millisecond, Attempts: 2, Resumable: true, Split: []site.PoolWeight{{Pool: enginePool, Weight: 1}},
+		}, {
+			Name: "lookup", Host: "h", Prefix: lookupPath, Kind: site.Idempotent, Limit: time.Second, Aim: 150 * time.Millisecond,
+			Attempts: 2, Split: []site.PoolWeight{{Pool: servicePool, Weight: 1}},
 		}},
 	}
 	quicktest.Assert(f.t, f.controls[0].Publish(ctx, tables, []byte("{}")), quicktest.IsNil)
 }
 
-// startEngine starts the process of an engine, and announces it until it ends.
-func (f *fleet) startEngine(ctx context.Context) {
+// startTarget starts the process of a target, and announces it until it ends.
+func (f *fleet) startTarget(ctx context.Context, pool string) {
 	f.mu.Lock()
-	f.engines++
-	n := f.engines
+	f.started++
+	n := f.started
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
-	e := &testEngine{fleet: f, stop: cancel, Target: site.Target{
-		ID: fmt.Sprintf("e%03d", n), Pool: "engines", Address: fmt.Sprintf("10.0.2.%d:80", n), DataCentre: "dc", Slots: 16, State: site.Ready, StartedMs: int64(n),
+	e := &testTarget{fleet: f, stop: cancel, Target: site.Target{
+		ID: fmt.Sprintf("%s-%03d", pool, n), Pool: pool, Address: fmt.Sprintf("10.0.2.%d:80", n), DataCentre: "dc", Slots: 16, State: site.Ready, StartedMs: int64(n),
 	}}
 	e.http = &http.Server{Handler: e}
 	ln, err := f.net.Listen(e.Address)
@@ -152,7 +168,7 @@
 		for ctx.Err() == nil {
 			e.Sequence++
 			// A control instance without a leader refuses, and the next announcement counts.
-			_ = f.controls[n%len(f.controls)].Announce(ctx, e.Target)
+			_ = f.controls[int(e.Sequence)%len(f.controls)].Announce(ctx, e.Target)
 			select {
 			case <-ctx.Done():
 			case <-time.After(heartbeat):
@@ -162,7 +178,7 @@
 }
 
 // crash ends the process at once, and starts another one after restartTime.
-func (e *testEngine) crash(ctx context.Context) {
+func (e *testTarget) crash(ctx context.Context) {
 	f := e.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -177,13 +193,13 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(restartTime):
-			f.startEngine(ctx)
+			f.startTarget(ctx, e.Pool)
 		}
 	})
 }
 
 // ServeHTTP records a request and serves it.
-func (e *testEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+func (e *testTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, s, err := platform.DecodeRequest(r.Header)
 	if err != nil || s.TargetID != e.ID {
 		w.WriteHeader(http.StatusMisdirectedRequest)
@@ -192,16 +208,20 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	f := e.fleet
 	f.mu.Lock()
-	f.arrivals = append(f.arrivals, arrival{time.Now(), c, e.ID})
+	f.arrivals = append(f.arrivals, arrival{time.Now(), c, e.ID, r.RemoteAddr})
 	f.mu.Unlock()
 	f.serve(e, w, c)
 }
 
-// writeStream writes the events of an answer after the caller's last one.
-func writeStream(w http.ResponseWriter, c gate.CallInfo, last int64) {
-	for k, v := range platform.EncodeReply(gate.ReplyInfo{RequestID: c.ID}, "seal") {
+// writeHead sets the headers of a response.
+func writeHead(w http.ResponseWriter, r gate.ReplyInfo) {
+	for k, v := range platform.EncodeReply(r, "seal") {
 		w.Header()[k] = v
 	}
+}
+
+// writeStream writes the events of an answer after the caller's last one.
+func writeStream(w http.ResponseWriter, c gate.CallInfo, last int64) {
 	for i := c.LastEventID + 1; i <= last; i++ {
 		time.Sleep(eventPause)
 		fmt.Fprintf(w, "id: %d\ndata: e\n\n", i)
@@ -212,12 +232,12 @@
 }
 
 // call sends a request to an entry and returns its status, and whether the whole answer came.
-func (f *fleet) call(ctx context.Context, entry int, c gate.CallInfo) (status int, whole bool) {
+func (f *fleet) call(ctx context.Context, entry int, path string, c gate.CallInfo) (status int, whole bool) {
 	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return f.net.Dialer("10.0.9.9")(ctx, addr)
 	}, DisableKeepAlives: true}}
 	c.Key, c.TimeLimit, c.PromptTokens, c.MaxOutputTokens = "key", 10*time.Second, 5000, 1000
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fmt.Sprintf(entryHost, entry+1)+":80/x", strings.NewReader("prompt"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fmt.Sprintf(entryHost, entry+1)+":80"+path, strings.NewReader("prompt"))
 	quicktest.Assert(f.t, err, quicktest.IsNil)
 	q.Host, q.Header = "h", platform.EncodeCall(c)
 	resp, err := client.Do(q)
