--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -78,7 +78,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestbed(t, nil, []script{streamEvents(9, 0), streamEvents(9, 0)})
 		for _, f := range s.targets {
-			f.script = func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+			f.script = func(f *fakeTarget, _ net.Conn, _ *http.Request) bool {
 				f.listener.Close()
 				s.gate.ApplyBlocks([]poison.Block{{Parts: []string{"bad"}, Left: 30 * time.Second}})
 				return false
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -328,23 +328,12 @@
 	idleBytes := 0
 	for {
 		ev, err := events.Next()
-		switch {
-		case errors.Is(err, io.EOF) && s.server.endedWithProcess(lead, resp):
-			return "the process of an engine ended with its event stream", io.ErrUnexpectedEOF
-		case errors.Is(err, io.EOF):
-			if !s.headSent {
-				s.writeHead(resp)
-			}
-			return "", nil
-		case err != nil && ctx.Err() != nil:
-			return s.endReason(), nil
-		case err != nil:
-			return "the event stream of an engine ended early: " + err.Error(), err
+		if err != nil {
+			return s.endRelay(ctx, lead, resp, err)
 		}
 		isNew := !ev.IsComment && !s.isRepeated(ev)
-		if isNew && att.firstEventAt.IsZero() {
-			att.firstEventAt = time.Now()
-			s.server.placer.reportFirstEvent(att.grantID, time.Since(att.sentAt))
+		if isNew {
+			s.recordProgress(att)
 		}
 		if reason := s.relayEvent(resp, ev); reason != "" {
 			return reason, nil
@@ -353,10 +342,6 @@
 			return s.endReason(), nil
 		}
 		if isNew {
-			if !att.survived && att.written() >= poison.SurvivalTime {
-				att.survived = true
-				s.server.blocklist.recordSurvival(s.call.SharedParts, att.firstEventAt)
-			}
 			idleBytes = 0
 			resp.SetReadDeadline(s.nextEventDeadline(false, att.canRetry))
 			continue
@@ -367,6 +352,36 @@
 	}
 }
 
+// endRelay returns the results of relayEvents after an error of the event reader, which is io.EOF
+// after the last event.
+func (s *stream) endRelay(ctx context.Context, lead site.Target, resp *hop.Response, err error) (reason string, cause error) {
+	switch {
+	case errors.Is(err, io.EOF) && s.server.endedWithProcess(lead, resp):
+		return "the process of an engine ended with its event stream", io.ErrUnexpectedEOF
+	case errors.Is(err, io.EOF):
+		if !s.headSent {
+			s.writeHead(resp)
+		}
+		return "", nil
+	case ctx.Err() != nil:
+		return s.endReason(), nil
+	default:
+		return "the event stream of an engine ended early: " + err.Error(), err
+	}
+}
+
+// recordProgress records that a new event has come.
+func (s *stream) recordProgress(att *streamAttempt) {
+	if att.firstEventAt.IsZero() {
+		att.firstEventAt = time.Now()
+		s.server.placer.reportFirstEvent(att.grantID, time.Since(att.sentAt))
+	}
+	if !att.survived && att.written() >= poison.SurvivalTime {
+		att.survived = true
+		s.server.blocklist.recordSurvival(s.call.SharedParts, att.firstEventAt)
+	}
+}
+
 // isRepeated reports whether the caller already has an event.
 func (s *stream) isRepeated(ev hop.Event) bool { return ev.HasID && s.hasLastID && ev.ID <= s.lastID }
 
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -36,12 +36,24 @@
 	}
 }
 
+// crashPlay sends sound requests, and after a while also some that crash engines.
+type crashPlay struct {
+	*fleet
+	start   time.Time
+	callers sync.WaitGroup
+
+	countMu sync.Mutex
+	// calls and served count the sound requests sent before the crashes, and once the part must
+	// be known.
+	calls, served [2]int
+}
+
 // playCrashes sends sound requests for 8 s, and then for 20 s also one that crashes engines at
 // each interval.
 func playCrashes(t *testing.T, interval time.Duration) {
 	const entries = 4
 	ctx, cancel := context.WithCancel(context.Background())
-	f := newFleet(ctx, t, entries, 12, 0, func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+	p := &crashPlay{fleet: newFleet(ctx, t, entries, 12, 0, func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
 		if slices.Contains(c.SharedParts, crasher) {
 			time.Sleep(2 * eventPause)
 			e.crash(ctx)
@@ -49,60 +61,67 @@
 		}
 		writeHead(w, gate.ReplyInfo{RequestID: c.ID})
 		writeStream(w, c, 30)
-	})
-	defer f.close(cancel)
+	})}
+	defer p.close(cancel)
 
-	start := time.Now()
-	var callers sync.WaitGroup
-	var mu sync.Mutex
-	// calls and served count the sound requests sent before the crashes, and when the part must
-	// be known.
-	var calls, served [2]int
-	sendUntil := func(end time.Duration, every time.Duration, send func(i int)) {
-		callers.Go(func() {
-			for i := 0; time.Since(start) < end; i++ {
-				callers.Go(func() { send(i) })
-				time.Sleep(every)
-			}
-		})
-	}
-	sendUntil(30*time.Second, 60*time.Millisecond, func(i int) {
+	p.start = time.Now()
+	p.sendUntil(30*time.Second, 60*time.Millisecond, func(i int) {
 		sent := time.Now()
-		_, whole := f.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("a%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7)}})
-		mu.Lock()
-		defer mu.Unlock()
-		period := 0
-		if crashes := f.crashTimes(); len(crashes) > 0 {
-			learnt := crashes[min(len(crashes), crashesToLearn)-1].Add(2 * contact)
-			if sent.Before(learnt) {
-				return
-			}
-			period = 1
-		}
-		calls[period]++
-		if whole {
-			served[period]++
-		}
+		_, whole := p.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("a%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7)}})
+		p.count(sent, whole)
 	})
 	time.Sleep(8 * time.Second)
-	sendUntil(28*time.Second, interval, func(i int) {
-		f.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("b%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7), crasher}})
+	p.sendUntil(28*time.Second, interval, func(i int) {
+		p.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("b%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7), crasher}})
 	})
-	callers.Wait()
+	p.callers.Wait()
+
+	late := p.lateArrivals()
+	before, after := float64(p.served[0])/float64(p.calls[0]), float64(p.served[1])/float64(max(1, p.calls[1]))
+	t.Logf("%d crashes, %d requests with the part after it must be known, sound ones served %.2f before and %.2f after", len(p.crashTimes()), late, before, after)
+	red.Check(t, "late", late <= maxLateArrivals, "%d requests with the part reached engines later than %s after the fifth crash, allowed %d", late, contact, maxLateArrivals)
+	red.Check(t, "sound", p.calls[1] >= 20 && after >= before/2, "%d of %d sound requests served, before the crashes %.2f", p.served[1], p.calls[1], before)
+}
 
+// sendUntil sends requests at an interval until a time after the start.
+func (p *crashPlay) sendUntil(end, interval time.Duration, send func(i int)) {
+	p.callers.Go(func() {
+		for i := 0; time.Since(p.start) < end; i++ {
+			p.callers.Go(func() { send(i) })
+			time.Sleep(interval)
+		}
+	})
+}
+
+// count counts a sound request.
+func (p *crashPlay) count(sent time.Time, served bool) {
+	period := 0
+	if crashes := p.crashTimes(); len(crashes) > 0 {
+		period = 1
+		if sent.Before(crashes[min(len(crashes), crashesToLearn)-1].Add(2 * contact)) {
+			return
+		}
+	}
+	p.countMu.Lock()
+	defer p.countMu.Unlock()
+	p.calls[period]++
+	if served {
+		p.served[period]++
+	}
+}
+
+// lateArrivals returns how many requests with the part reached engines when it must be known.
+func (f *fleet) lateArrivals() (late int) {
 	crashes := f.crashTimes()
-	late := 0
-	if len(crashes) >= crashesToLearn {
-		for _, a := range f.arrivals {
-			if a.at.Sub(crashes[crashesToLearn-1]) > contact && slices.Contains(a.call.SharedParts, crasher) {
-				late++
-			}
+	if len(crashes) < crashesToLearn {
+		return 0
+	}
+	for _, a := range f.arrivals {
+		if a.at.Sub(crashes[crashesToLearn-1]) > contact && slices.Contains(a.call.SharedParts, crasher) {
+			late++
 		}
 	}
-	before, after := float64(served[0])/float64(calls[0]), float64(served[1])/float64(max(1, calls[1]))
-	t.Logf("%d crashes, %d requests with the part after it must be known, sound ones served %.2f before and %.2f after", len(crashes), late, before, after)
-	red.Check(t, "late", late <= maxLateArrivals, "%d requests with the part reached engines later than %s after the fifth crash, allowed %d", late, contact, maxLateArrivals)
-	red.Check(t, "sound", calls[1] >= 20 && after >= before/2, "%d of %d sound requests served, before the crashes %.2f", served[1], calls[1], before)
+	return late
 }
 
 // crashTimes returns when engines crashed.
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -286,28 +286,7 @@
 // crash, too. With known, it looks at parts of which answers have survived before the first
 // of the crashes, otherwise at all others.
 func (d *Detector) worstSuspect(now time.Time, crashes []*crash, known bool) (worst suspect, ok bool) {
-	byPart := make(map[string]*suspect)
-	for _, c := range crashes {
-		for _, parts := range c.Suspects {
-			for _, p := range parts {
-				survivedAt, isKnown := d.survivals[p]
-				if isKnown != known || survivedAt.After(c.at) {
-					continue
-				}
-				s := byPart[p]
-				if s == nil {
-					s = &suspect{part: p, first: c.at}
-					byPart[p] = s
-				}
-				s.requests++
-				if s.crashes == 0 || c.at.Sub(s.last) >= separation {
-					s.crashes++
-					s.last = c.at
-				}
-			}
-		}
-	}
-	for _, s := range byPart {
+	for _, s := range d.suspects(crashes, known) {
 		// If no answer at all has survived since, the cause may be any.
 		if known && (now.Sub(s.first) < knownCrashTime || !d.lastSurvival.After(s.first)) {
 			continue
@@ -319,6 +298,29 @@
 	return worst, ok
 }
 
+// suspects returns the suspects of worstSuspect, by part.
+func (d *Detector) suspects(crashes []*crash, known bool) map[string]*suspect {
+	byPart := make(map[string]*suspect)
+	for _, c := range crashes {
+		for _, p := range slices.Concat(c.Suspects...) {
+			if survivedAt, isKnown := d.survivals[p]; isKnown != known || survivedAt.After(c.at) {
+				continue
+			}
+			s := byPart[p]
+			if s == nil {
+				s = &suspect{part: p, first: c.at}
+				byPart[p] = s
+			}
+			s.requests++
+			if s.crashes == 0 || c.at.Sub(s.last) >= separation {
+				s.crashes++
+				s.last = c.at
+			}
+		}
+	}
+	return byPart
+}
+
 func (s *suspect) isWorse(o suspect) bool {
 	if s.crashes != o.crashes {
 		return s.crashes > o.crashes
--- a/internal/poison/detector_test.go
+++ b/internal/poison/detector_test.go
@@ -174,80 +174,109 @@
 	})
 }
 
-// replay plays a fleet under load whose engines also end for other reasons, with or without a
-// part that crashes them. It returns the number of requests with that part that engines got
-// later than 3 s after its fifth crash, and all blocks.
-func replay(seed uint64, rate int, crashers bool) (late int, blocks []Block) {
-	const learnTime, crashesToLearn = 3 * time.Second, 5
-	crashes, learntAt := 0, time.Time{}
-	const engines, requestsPerSecond, writeTime, tick = 23, 46, 1700 * time.Millisecond, 10 * time.Millisecond
-	type request struct {
-		parts     []string
-		writesAt  time.Time
-		bad, told bool
-	}
-	rng := rand.New(rand.NewPCG(seed, 1))
-	var d Detector
-	running := make([][]*request, engines)
-	backAt := make([]time.Time, engines)
-	ended := 0
-	end := func(e int) {
-		ended++
-		c := Crash{Target: fmt.Sprint(ended)}
-		for _, r := range running[e] {
-			if time.Since(r.writesAt) < SurvivalTime {
-				c.Suspects = append(c.Suspects, r.parts)
-			}
+// replay is a fleet under load whose engines also end for other reasons, with or without a part
+// that crashes them.
+type replay struct {
+	Detector
+	rng     *rand.Rand
+	running [replayEngines][]*replayRequest
+	backAt  [replayEngines]time.Time
+	ended   int
+	// crashes counts those by the part, and late the requests with it that engines got later
+	// than learnTime after crash number crashesToLearn, at learntAt.
+	crashes, late int
+	learntAt      time.Time
+	blocks        []Block
+}
+
+type replayRequest struct {
+	parts     []string
+	writesAt  time.Time
+	bad, told bool
+}
+
+const (
+	replayEngines  = 23
+	replayTick     = 10 * time.Millisecond
+	crashesToLearn = 5
+	learnTime      = 3 * time.Second
+)
+
+// newReplay plays a minute with that many requests a second that crash engines.
+func newReplay(seed uint64, badPerSecond int) *replay {
+	const requestsPerSecond, ticksPerSecond = 46, int(time.Second / replayTick)
+	r := &replay{rng: rand.New(rand.NewPCG(seed, 1))}
+	perTick := func(perSecond int) bool { return r.rng.IntN(1000) < perSecond*1000/ticksPerSecond }
+	for i := range int(time.Minute / replayTick) {
+		time.Sleep(replayTick)
+		for e := range r.running {
+			r.advance(e)
+		}
+		if perTick(requestsPerSecond) {
+			r.send(&replayRequest{parts: []string{"all", fmt.Sprint("org", r.rng.IntN(10)), fmt.Sprint("rare", r.rng.IntN(500))}})
+		}
+		if badPerSecond > 0 && i > 500 && perTick(badPerSecond) {
+			r.send(&replayRequest{parts: []string{"all", fmt.Sprint("org", r.rng.IntN(10)), "bad"}, bad: true})
+		}
+		if r.rng.IntN(1000) < 3 {
+			r.end(r.rng.IntN(replayEngines))
 		}
-		running[e], backAt[e] = nil, time.Now().Add(3*time.Second)
-		d.AddCrash(time.Now(), c)
+		r.blocks = append(r.blocks, r.Evaluate(time.Now())...)
 	}
-	for i := range int(60 * time.Second / tick) {
-		time.Sleep(tick)
-		now := time.Now()
-		for e := range running {
-			for _, r := range slices.Clone(running[e]) {
-				age := now.Sub(r.writesAt)
-				if r.bad && age >= 50*time.Millisecond {
-					if crashes++; crashes == crashesToLearn {
-						learntAt = now.Add(learnTime)
-					}
-					end(e)
-					break
-				}
-				if age >= SurvivalTime && !r.told {
-					r.told = true
-					d.AddSurvival(now, Survival{Parts: r.parts, Age: age})
-				}
+	return r
+}
+
+// advance ends the engine if it writes an answer that crashes it, and otherwise goes on with its
+// answers.
+func (r *replay) advance(e int) {
+	const crashTime, writeTime = 50 * time.Millisecond, 1700 * time.Millisecond
+	for _, q := range r.running[e] {
+		age := time.Since(q.writesAt)
+		if q.bad && age >= crashTime {
+			if r.crashes++; r.crashes == crashesToLearn {
+				r.learntAt = time.Now().Add(learnTime)
 			}
-			running[e] = slices.DeleteFunc(running[e], func(r *request) bool { return now.Sub(r.writesAt) > writeTime })
+			r.end(e)
+			return
 		}
-		send := func(parts []string, bad bool) {
-			if _, blocked := d.Find(now, parts); blocked {
-				return
-			}
-			for range 5 {
-				if e := rng.IntN(engines); now.After(backAt[e]) && len(running[e]) < 16 {
-					if bad && crashes >= crashesToLearn && now.After(learntAt) {
-						late++
-					}
-					running[e] = append(running[e], &request{parts: parts, writesAt: now.Add(time.Duration(50+rng.IntN(200)) * time.Millisecond), bad: bad})
-					return
-				}
-			}
+		if age >= SurvivalTime && !q.told {
+			q.told = true
+			r.AddSurvival(time.Now(), Survival{Parts: q.parts, Age: age})
 		}
-		if rng.IntN(1000) < requestsPerSecond*10 {
-			send([]string{"all", fmt.Sprint("org", rng.IntN(10)), fmt.Sprint("rare", rng.IntN(500))}, false)
+	}
+	r.running[e] = slices.DeleteFunc(r.running[e], func(q *replayRequest) bool { return time.Since(q.writesAt) > writeTime })
+}
+
+// end ends the process of an engine, and reports the crash.
+func (r *replay) end(e int) {
+	r.ended++
+	c := Crash{Target: fmt.Sprint(r.ended)}
+	for _, q := range r.running[e] {
+		if time.Since(q.writesAt) < SurvivalTime {
+			c.Suspects = append(c.Suspects, q.parts)
 		}
-		if crashers && i > 500 && rng.IntN(1000) < rate*10 {
-			send([]string{"all", fmt.Sprint("org", rng.IntN(10)), "bad"}, true)
+	}
+	r.running[e], r.backAt[e] = nil, time.Now().Add(3*time.Second)
+	r.AddCrash(time.Now(), c)
+}
+
+// send sends a request to an engine with a free slot, unless it is blocked.
+func (r *replay) send(q *replayRequest) {
+	if _, blocked := r.Find(time.Now(), q.parts); blocked {
+		return
+	}
+	for range 5 {
+		e := r.rng.IntN(replayEngines)
+		if time.Now().Before(r.backAt[e]) || len(r.running[e]) >= 16 {
+			continue
 		}
-		if rng.IntN(1000) < 3 {
-			end(rng.IntN(engines))
+		if q.bad && r.crashes >= crashesToLearn && time.Now().After(r.learntAt) {
+			r.late++
 		}
-		blocks = append(blocks, d.Evaluate(now)...)
+		q.writesAt = time.Now().Add(time.Duration(50+r.rng.IntN(200)) * time.Millisecond)
+		r.running[e] = append(r.running[e], q)
+		return
 	}
-	return late, blocks
 }
 
 // TestReplayUnderLoad replays fleets of which engines also end for other reasons: a part that
@@ -256,15 +285,14 @@
 	for _, seed := range []uint64{0, 1, 2, 3, 9, 120} {
 		for _, rate := range []int{1, 8} {
 			synctest.Test(t, func(t *testing.T) {
-				late, blocks := replay(seed, rate, true)
-				quicktest.Check(t, partsOf(blocks), quicktest.DeepEquals, [][]string{{"bad"}}, quicktest.Commentf("seed %d, rate %d", seed, rate))
+				r := newReplay(seed, rate)
+				quicktest.Check(t, partsOf(r.blocks), quicktest.DeepEquals, [][]string{{"bad"}}, quicktest.Commentf("seed %d, rate %d", seed, rate))
 				const allowed = 3
-				quicktest.Check(t, late <= allowed, quicktest.IsTrue, quicktest.Commentf("seed %d, rate %d: %d late requests", seed, rate, late))
+				quicktest.Check(t, r.late <= allowed, quicktest.IsTrue, quicktest.Commentf("seed %d, rate %d: %d late requests", seed, rate, r.late))
 			})
 		}
 		synctest.Test(t, func(t *testing.T) {
-			_, blocks := replay(seed, 0, false)
-			quicktest.Check(t, blocks, quicktest.HasLen, 0, quicktest.Commentf("seed %d without crashers", seed))
+			quicktest.Check(t, newReplay(seed, 0).blocks, quicktest.HasLen, 0, quicktest.Commentf("seed %d without crashers", seed))
 		})
 	}
 }
