Keep to the limits that targets name

Cause: no process read the limit; and each entry alone couldn't keep to it, as it doesn't know what the others send. Class of fault: a limit on a shared resource without a shared count. Ruled out: keeping to it at each entry alone without a share. Six entries would send six times the limit, and 195 of them 195 times. Change: the entry that is told reports the limit to the leader, which tells all. The scheduler spaces out the grants of such an engine and takes it for full in between. Without a scheduler, and for services, each entry takes turns of its share at random times; unused ones are lost.

--- a/internal/gate/blocklist.go
+++ b/internal/gate/blocklist.go
@@ -91,8 +91,12 @@
 	l.log(changed)
 }
 
-// FillEvidence fills in the recent crashes and the blocks in force, for a new leader.
-func (s *Server) FillEvidence(m *link.FollowerMessage) {
+// FillHandover fills in the recent crashes, the blocks in force and the limits of targets, for a
+// new leader.
+func (s *Server) FillHandover(m *link.FollowerMessage) {
+	if v := s.views.load(); v != nil {
+		m.Limits = append(m.Limits, s.health.limits(v)...)
+	}
 	l := &s.blocklist
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -97,8 +97,26 @@
 	return link.EntriesFor(*list, dataCentre)
 }
 
-// SetEntryCount sets the number of instances that share the retry budget.
-func (s *Server) SetEntryCount(n int) { s.instanceCount.Store(int64(n)) }
+// SetEntryCount sets the number of instances that share the retry budget and the limits of
+// targets.
+func (s *Server) SetEntryCount(n int) {
+	s.instanceCount.Store(int64(n))
+	s.placer.setShares(n)
+}
+
+// ApplyLimits applies changes of the limits that targets name.
+func (s *Server) ApplyLimits(limits []place.Limit) {
+	v := s.views.load()
+	if v == nil {
+		return
+	}
+	for _, l := range limits {
+		if t, ok := v.targets[l.Target]; ok && t.StartedMs == l.StartedMs {
+			s.health.applyLimit(t, l, s.limitShares())
+			s.placer.setLimit(l)
+		}
+	}
+}
 
 // HandleLinkLost ends the wait of all pending requests when the link is lost; they are placed
 // locally.
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -295,10 +295,31 @@
 		}
 		c := p.localCores[pool.Name]
 		if c == nil {
-			c = &place.Core{Standalone: true}
+			c = &place.Core{Standalone: true, Shares: p.server.limitShares()}
 			p.localCores[pool.Name] = c
 		}
 		c.Step(time.Now(), place.Fleet{Engine: *pool.Engine, Targets: v.pools[pool.Name]})
+		for _, l := range p.server.health.limits(v) {
+			c.Step(time.Now(), l)
+		}
+	}
+}
+
+// setLimit passes the limit of a target to the local cores.
+func (p *placer) setLimit(l place.Limit) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.localCores {
+		c.Step(time.Now(), l)
+	}
+}
+
+// setShares tells the local cores how many instances share the limits of targets.
+func (p *placer) setShares(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.localCores {
+		c.Shares = n
 	}
 }
 
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -14,7 +14,9 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
 
@@ -43,8 +45,9 @@
 		x.server.pauses.await(ctx)
 		t, ok := x.pickTarget()
 		if !ok {
-			if reopens, ok := x.poolReopens(); ok {
-				retry = reopens
+			var reopened bool
+			if reopened, retry = x.awaitPool(ctx, retry); reopened {
+				continue
 			}
 			break
 		}
@@ -80,6 +83,18 @@
 	x.respondFailure(ctx, reason, retry)
 }
 
+// awaitPool waits for a target that accepts requests again if that is soon enough for the answer
+// to be on time. Otherwise it returns false, and when to try again: the time retry if no target
+// says when.
+func (x *exchange) awaitPool(ctx context.Context, retry time.Duration) (reopened bool, retryAfter time.Duration) {
+	reopens, closed := x.poolReopens()
+	if !closed {
+		return false, retry
+	}
+	maxWait := min(x.timeLeft(), x.route.Aim-time.Since(x.start)) / 2
+	return reopens <= maxWait && timing.Sleep(ctx, reopens), reopens
+}
+
 // acquireRetry reports whether the request may be sent to one more target, and counts
 // that as a retry.
 func (x *exchange) acquireRetry() bool {
@@ -108,14 +123,24 @@
 }
 
 // pickTarget returns the target with the fewest in-flight requests; targets in other data
-// centres have a penalty, and ejected ones are used only if there is no other.
+// centres have a penalty, and ejected ones are used only if there is no other. It counts the
+// request against the limit of the target.
 func (x *exchange) pickTarget() (site.Target, bool) {
-	v := x.server.views.load()
+	for {
+		t, ok := x.bestTarget()
+		if !ok || x.server.health.takeTurn(t, x.server.limitShares()) {
+			return t, ok
+		}
+	}
+}
+
+// bestTarget returns the target that pickTarget chooses.
+func (x *exchange) bestTarget() (site.Target, bool) {
 	var best site.Target
 	bestCost, found := 0.0, false
 	for _, wantHealthy := range [...]bool{true, false} {
-		for _, t := range v.pools[x.pool.Name] {
-			if slices.Contains(x.failedTargets, t.ID) || x.server.health.isClosed(t) {
+		for _, t := range x.server.views.load().pools[x.pool.Name] {
+			if !x.isOpen(t) {
 				continue
 			}
 			inFlight, ejected := x.server.health.state(t.ID)
@@ -137,13 +162,27 @@
 	return best, found
 }
 
+// isOpen reports whether a target has not failed the request and accepts requests of this
+// instance now.
+func (x *exchange) isOpen(t site.Target) bool {
+	wait, ok := x.server.health.opensIn(t, x.server.limitShares())
+	return ok && wait == 0 && !slices.Contains(x.failedTargets, t.ID)
+}
+
 // poolReopens returns how long it takes until a target of the pool accepts requests of this
 // instance again. It returns false if one of them accepts other requests now, or if none says
 // how long.
-func (x *exchange) poolReopens() (time.Duration, bool) {
-	v := x.server.views.load()
-	closed, reopens := x.server.health.closedTargets(v, x.pool.Name)
-	return reopens, reopens > 0 && len(closed) == len(v.pools[x.pool.Name])
+func (x *exchange) poolReopens() (reopens time.Duration, closed bool) {
+	for _, t := range x.server.views.load().pools[x.pool.Name] {
+		wait, ok := x.server.health.opensIn(t, x.server.limitShares())
+		if ok && wait == 0 {
+			return 0, false
+		}
+		if ok && (reopens == 0 || wait < reopens) {
+			reopens = wait
+		}
+	}
+	return reopens, reopens > 0
 }
 
 // outcome is the result of one send.
@@ -276,13 +315,26 @@
 		pause = reply.RetryAfter
 	}
 	x.server.recordNotice(t, reply.Leaving, pause)
-	if x.server.health.recordLimit(t, reply.Limit, reply.HasLimit, sentAt) {
-		x.server.Log.Info().Str("target", t.ID).Str("address", t.Address).Int64("born", t.StartedMs).Float64("limit", reply.Limit).
-			Bool("limited", reply.HasLimit).Msg("request limit of target changed")
-	}
+	x.server.recordLimit(t, reply, sentAt)
 	return pause
 }
 
+// recordLimit records the limit that a target names in its response to a request that was sent
+// at sentAt, or that it names none any more, and reports a change to the leader.
+func (s *Server) recordLimit(t site.Target, reply ReplyInfo, sentAt time.Time) {
+	if !s.health.recordLimit(t, reply.Limit, reply.HasLimit, sentAt, s.limitShares()) {
+		return
+	}
+	l := place.Limit{Target: t.ID, StartedMs: t.StartedMs, PerSecond: reply.Limit, Named: reply.HasLimit}
+	s.placer.setLimit(l)
+	s.Log.Info().Str("target", t.ID).Str("address", t.Address).Int64("born", t.StartedMs).Float64("limit", reply.Limit).
+		Bool("limited", reply.HasLimit).Msg("request limit of target changed")
+	s.Link.Send(func(m *link.FollowerMessage) { m.Limits = append(m.Limits, l) })
+}
+
+// limitShares returns the number of instances that share the limits of targets.
+func (s *Server) limitShares() int { return max(1, int(s.instanceCount.Load())) }
+
 // recordNotice records that a target is leaving, which it also reports to the leader, or
 // that it wants no requests for the duration pause.
 func (s *Server) recordNotice(t site.Target, leaving bool, pause time.Duration) {
--- a/internal/hub/blocker.go
+++ b/internal/hub/blocker.go
@@ -99,11 +99,7 @@
 		s.counter("hub.prompt_blocks").Inc(1)
 		s.Log.Warn().Strs("prefix", k.Parts).Dur("left", k.Left).Int("times", k.Times).Msg("block of prompts changed")
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for sess := range s.sessions {
-		sess.Enqueue(func(m *link.ControlMessage) { m.Blocks = append(m.Blocks, changed...) })
-	}
+	s.sendAll(func(m *link.ControlMessage) { m.Blocks = append(m.Blocks, changed...) })
 }
 
 // current returns the blocks in force.
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -67,6 +67,9 @@
 	// blocks holds the blocked parts, and reportedBlocks what it tells a new leader of them.
 	blocks         map[string]bool
 	reportedBlocks []poison.Block
+	// limits holds the limits of targets, and reportedLimits what it tells a new leader of them.
+	limits         map[string]place.Limit
+	reportedLimits []place.Limit
 	// confirmed is set once the registry updates are confirmed.
 	confirmed bool
 	// onFirstUpdate runs once, when the next registry update arrives.
@@ -138,8 +141,16 @@
 	})
 }
 
-func (e *entryNode) FillEvidence(m *link.FollowerMessage) {
-	e.withLock(func() { m.Blocks = e.reportedBlocks })
+func (e *entryNode) ApplyLimits(limits []place.Limit) {
+	e.withLock(func() {
+		for _, l := range limits {
+			e.limits[l.Target] = l
+		}
+	})
+}
+
+func (e *entryNode) FillHandover(m *link.FollowerMessage) {
+	e.withLock(func() { m.Blocks, m.Limits = e.reportedBlocks, e.reportedLimits })
 }
 
 func (e *entryNode) HandleLinkLost() { e.withLock(func() { e.linksLost++ }) }
@@ -228,7 +239,7 @@
 // startEntry starts an entry. The first letter of its name names its data centre.
 func (cl *cluster) startEntry(name, addr string) *entryNode {
 	e := &entryNode{
-		name: name, done: make(chan struct{}), states: make(map[string]site.State), ready: true, blocks: make(map[string]bool),
+		name: name, done: make(chan struct{}), states: make(map[string]site.State), ready: true, blocks: make(map[string]bool), limits: make(map[string]place.Limit),
 		grants: make(chan place.Grant, 100), refused: make(chan place.Refuse, 100),
 	}
 	pool := &wire.Pool{Dial: cl.net.Dialer(addr), Self: addr}
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -35,8 +35,11 @@
 // ApplyBlocks does nothing: control instances send no requests to engines.
 func (*follower) ApplyBlocks([]poison.Block) {}
 
-// FillEvidence does nothing: control instances have no requests at engines.
-func (*follower) FillEvidence(*link.FollowerMessage) {}
+// ApplyLimits does nothing: control instances send no requests to targets.
+func (*follower) ApplyLimits([]place.Limit) {}
+
+// FillHandover does nothing: control instances have no requests at targets.
+func (*follower) FillHandover(*link.FollowerMessage) {}
 
 // SetEntries stores the ready instances.
 func (f *follower) SetEntries(entries []link.Entry) { f.s.directory.set(entries) }
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -36,6 +36,8 @@
 	pools    map[string]string
 	// lastSeen is the time of the last heartbeat, by target ID.
 	lastSeen map[string]time.Time
+	// limits holds the limits that targets have named, by target ID.
+	limits map[string]place.Limit
 	// timer runs the next tick; nil if no tick is scheduled.
 	timer *time.Timer
 	// fleetRevision is the registry revision last passed to the cores.
@@ -51,6 +53,7 @@
 	s.sessions = make(map[string]*session)
 	s.pools = make(map[string]string)
 	s.lastSeen = make(map[string]time.Time)
+	s.limits = make(map[string]place.Limit)
 	s.fleetRevision = 0
 	s.syncFleets()
 }
@@ -60,7 +63,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active = false
-	s.cores, s.sessions, s.pools, s.lastSeen = nil, nil, nil, nil
+	s.cores, s.sessions, s.pools, s.lastSeen, s.limits = nil, nil, nil, nil, nil
 	if s.timer != nil {
 		s.timer.Stop()
 		s.timer = nil
@@ -95,11 +98,12 @@
 		}
 		s.step(c, place.Fleet{Engine: *p.Engine, Targets: byPool[p.Name]})
 	}
+	s.syncLimits()
 }
 
 // handle processes the placement requests and the reports in a message.
 func (s *scheduler) handle(sess *session, msg *link.FollowerMessage) {
-	if len(msg.Requests)+len(msg.Cancelled)+len(msg.Started)+len(msg.Ended)+len(msg.ActiveGrants) == 0 {
+	if len(msg.Requests)+len(msg.Cancelled)+len(msg.Started)+len(msg.Ended)+len(msg.ActiveGrants)+len(msg.Limits) == 0 {
 		return
 	}
 	s.mu.Lock()
@@ -108,6 +112,7 @@
 		return
 	}
 	s.syncFleets()
+	s.setLimits(msg.Limits)
 	for _, g := range msg.ActiveGrants {
 		g.Request.Instance = sess.hello.Name
 		if c := s.assign(sess, g.Request); c != nil {
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -56,8 +56,10 @@
 	if leading != s.isLeader() {
 		return nil
 	}
-	if blocks := s.blocker.current(); len(blocks) > 0 {
-		sess.Enqueue(func(m *link.ControlMessage) { m.Blocks = append(m.Blocks, blocks...) })
+	if blocks, limits := s.blocker.current(), s.scheduler.currentLimits(); len(blocks)+len(limits) > 0 {
+		sess.Enqueue(func(m *link.ControlMessage) {
+			m.Blocks, m.Limits = append(m.Blocks, blocks...), append(m.Limits, limits...)
+		})
 	}
 	s.handle(sess, &first)
 	ctx, cancel := context.WithCancel(ctx)
@@ -161,6 +163,15 @@
 	}
 }
 
+// sendAll adds to the next message to each linked instance.
+func (s *Server) sendAll(change func(m *link.ControlMessage)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for sess := range s.sessions {
+		sess.Enqueue(change)
+	}
+}
+
 func (s *Server) addSession(sess *session) {
 	s.mu.Lock()
 	s.sessions[sess] = struct{}{}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -56,9 +56,11 @@
 	// ActiveGrants returns the grants in use, which are reported to a new leader.
 	ActiveGrants() []place.ActiveGrant
 	// ApplyBlocks applies changes of the prompts that must not be sent to engines, and
-	// FillEvidence fills in what a new leader needs to go on with them.
+	// ApplyLimits those of the limits that targets name. FillHandover fills in what a new
+	// leader needs to go on with both.
 	ApplyBlocks(blocks []poison.Block)
-	FillEvidence(m *FollowerMessage)
+	ApplyLimits(limits []place.Limit)
+	FillHandover(m *FollowerMessage)
 	// SetEntries receives the ready instances for this follower, and SetEntryCount the number
 	// of all ready instances.
 	SetEntries(entries []Entry)
@@ -426,6 +428,9 @@
 	if len(m.Blocks) > 0 {
 		c.Follower.ApplyBlocks(m.Blocks)
 	}
+	if len(m.Limits) > 0 {
+		c.Follower.ApplyLimits(m.Limits)
+	}
 	for _, g := range m.Grants {
 		c.Follower.HandleGrant(g)
 	}
@@ -451,7 +456,7 @@
 		// after this list. A list taken earlier could name grants that had ended before.
 		s.Enqueue(func(m *FollowerMessage) {
 			m.ActiveGrants = c.Follower.ActiveGrants()
-			c.Follower.FillEvidence(m)
+			c.Follower.FillHandover(m)
 		})
 	}
 }
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -100,6 +100,9 @@
 	Crashes   []poison.Crash    `cbor:"11,keyasint,omitempty"`
 	Survivals []poison.Survival `cbor:"12,keyasint,omitempty"`
 	Blocks    []poison.Block    `cbor:"13,keyasint,omitempty"`
+	// Limits are changes of the limits that targets have named to the sender; when a link opens,
+	// all of them.
+	Limits []place.Limit `cbor:"14,keyasint,omitempty"`
 }
 
 // Departure names a process of a target that is about to shut down.
@@ -139,4 +142,6 @@
 	Queued []string `cbor:"8,keyasint,omitempty"`
 	// Blocks are the prompts that must not be sent to engines, those that have changed or all.
 	Blocks []poison.Block `cbor:"9,keyasint,omitempty"`
+	// Limits are the limits that targets have named, those that have changed or all.
+	Limits []place.Limit `cbor:"10,keyasint,omitempty"`
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -59,9 +59,10 @@
 // testTarget is the process of an engine or a service.
 type testTarget struct {
 	site.Target
-	fleet *fleet
-	http  *http.Server
-	stop  context.CancelFunc
+	fleet  *fleet
+	number int
+	http   *http.Server
+	stop   context.CancelFunc
 }
 
 const (
@@ -156,7 +157,7 @@
 	n := f.started
 	f.mu.Unlock()
 	ctx, cancel := context.WithCancel(ctx)
-	e := &testTarget{fleet: f, stop: cancel, Target: site.Target{
+	e := &testTarget{fleet: f, number: n, stop: cancel, Target: site.Target{
 		ID: fmt.Sprintf("%s-%03d", pool, n), Pool: pool, Address: fmt.Sprintf("10.0.2.%d:80", n), DataCentre: "dc", Slots: 16, State: site.Ready, StartedMs: int64(n),
 	}}
 	e.http = &http.Server{Handler: e}
--- a/internal/node/limit_test.go
+++ b/internal/node/limit_test.go
@@ -4,7 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
-	"strings"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,100 +62,130 @@
 
 func (p limitPlay) run(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
-	var mu sync.Mutex
-	// firstNamed is when each target first named its limit, and told when it told each entry.
-	firstNamed, told := make(map[string]time.Time), make(map[string]time.Time)
-	var names atomic.Bool
-	serve := func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
-		r := gate.ReplyInfo{RequestID: c.ID}
-		if number := 0; names.Load() {
-			fmt.Sscanf(e.ID[strings.LastIndex(e.ID, "-")+1:], "%d", &number)
-			r.HasLimit, r.Limit = number <= p.limited, p.limit
-		}
-		if e.Pool == enginePool {
-			time.Sleep(eventPause)
-		}
-		if r.HasLimit {
-			mu.Lock()
-			if _, ok := firstNamed[e.ID]; !ok {
-				firstNamed[e.ID] = time.Now()
-			}
-			if key := e.ID + " " + e.lastEntry(c.ID); told[key].IsZero() {
-				told[key] = time.Now()
-			}
-			mu.Unlock()
-		}
-		writeHead(w, r)
-		if e.Pool == enginePool {
-			writeStream(w, c, 10)
-			return
-		}
-		_, _ = fmt.Fprint(w, "done")
-	}
+	load := &limitLoad{limitPlay: p, firstNamed: make(map[string]time.Time), told: make(map[string]time.Time)}
 	engines, services := p.targets, 0
 	if p.path == lookupPath {
 		engines, services = 0, p.targets
 	}
-	f := newFleet(ctx, t, p.entries, engines, services, serve)
-	defer f.close(cancel)
+	load.fleet = newFleet(ctx, t, p.entries, engines, services, load.serve)
+	defer load.close(cancel)
+	served, calls := load.send(ctx)
+
+	allowed := int(limitFactor*p.limit*limitWindow.Seconds()) + limitSlack
+	most := 0
+	for target := range load.firstNamed {
+		most = max(most, mostWithin(load.counted(target), limitWindow))
+	}
+	share := float64(served) / float64(calls)
+	t.Logf("%d targets named limits, most in %s %d of %d, served %.3f of %d", len(load.firstNamed), limitWindow, most, allowed, share, calls)
+	red.Check(t, "named", len(load.firstNamed) > 0, "no target got a request after it had named its limit")
+	red.Check(t, "limit", most <= allowed, "a target that named a limit of %g a second got %d requests in %s, allowed %d", p.limit, most, limitWindow, allowed)
+	red.Check(t, "served", share >= p.minServed, "%.3f of the requests served, wanted %.2f", share, p.minServed)
+}
+
+// limitLoad is a limitPlay in progress.
+type limitLoad struct {
+	limitPlay
+	*fleet
+	// names is set once targets name their limits.
+	names atomic.Bool
+
+	toldMu sync.Mutex
+	// firstNamed is when each target first named its limit, and told when it first told each
+	// entry, by the IDs of both.
+	firstNamed, told map[string]time.Time
+}
+
+// serve answers a request at a target.
+func (l *limitLoad) serve(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+	r := gate.ReplyInfo{RequestID: c.ID, HasLimit: l.names.Load() && e.number <= l.limited, Limit: l.limit}
+	if e.Pool == enginePool {
+		time.Sleep(eventPause)
+	}
+	if r.HasLimit {
+		l.recordTold(e.ID, e.lastEntry(c.ID))
+	}
+	writeHead(w, r)
+	if e.Pool == enginePool {
+		writeStream(w, c, 10)
+		return
+	}
+	_, _ = fmt.Fprint(w, "done")
+}
+
+func (l *limitLoad) recordTold(target, entry string) {
+	l.toldMu.Lock()
+	defer l.toldMu.Unlock()
+	if _, ok := l.firstNamed[target]; !ok {
+		l.firstNamed[target] = time.Now()
+	}
+	if key := target + " " + entry; l.told[key].IsZero() {
+		l.told[key] = time.Now()
+	}
+}
 
-	var calls, served atomic.Int64
+// send sends requests for 24 s. Targets name their limits after 4 s, and after 10 s the leader
+// may be lost.
+func (l *limitLoad) send(ctx context.Context) (served, calls int64) {
+	var wholeCount, callCount atomic.Int64
 	var callers sync.WaitGroup
 	start := time.Now()
-	time.AfterFunc(4*time.Second, func() { names.Store(true) })
-	if p.losesLeader {
-		time.AfterFunc(10*time.Second, func() {
-			for i, c := range f.controls {
-				// Each change begins or ends a leadership.
-				if metrics.GetOrRegisterCounter("hub.leadership_changes", c.Metrics).Count()%2 == 1 {
-					f.stopControl[i]()
-				}
-			}
-		})
+	time.AfterFunc(4*time.Second, func() { l.names.Store(true) })
+	if l.losesLeader {
+		time.AfterFunc(10*time.Second, l.stopLeader)
 	}
 	for i := 0; time.Since(start) < 24*time.Second; i++ {
 		callers.Go(func() {
-			calls.Add(1)
-			if _, whole := f.call(ctx, i%p.entries, p.path, gate.CallInfo{ID: fmt.Sprintf("a%d", i)}); whole {
-				served.Add(1)
+			callCount.Add(1)
+			if _, whole := l.call(ctx, i%len(l.fleet.entries), l.path, gate.CallInfo{ID: fmt.Sprintf("a%d", i)}); whole {
+				wholeCount.Add(1)
 			}
 		})
-		time.Sleep(p.interval)
+		time.Sleep(l.interval)
 	}
 	callers.Wait()
+	return wholeCount.Load(), callCount.Load()
+}
 
-	allowed := int(limitFactor*p.limit*limitWindow.Seconds()) + limitSlack
-	most := 0
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	for target, named := range firstNamed {
-		var times []time.Time
-		for _, a := range f.arrivals {
-			since := told[target+" "+a.entry]
-			if a.target == target && !since.IsZero() && a.at.Sub(since) >= toldTime && a.at.Sub(named) >= contact {
-				times = append(times, a.at)
-			}
+// counted returns when requests reached a target that count against its limit.
+func (l *limitLoad) counted(target string) (times []time.Time) {
+	for _, a := range l.arrivals {
+		since := l.told[target+" "+a.entry]
+		if a.target == target && !since.IsZero() && a.at.Sub(since) >= toldTime && a.at.Sub(l.firstNamed[target]) >= contact {
+			times = append(times, a.at)
 		}
-		for i, first := 0, 0; i < len(times); i++ {
-			for times[i].Sub(times[first]) > limitWindow {
-				first++
-			}
-			most = max(most, i-first+1)
+	}
+	return times
+}
+
+// mostWithin returns the largest number of the times that lie within a window.
+func mostWithin(times []time.Time, window time.Duration) (most int) {
+	first := 0
+	for i, at := range times {
+		for at.Sub(times[first]) > window {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// stopLeader ends the leading control instance.
+func (f *fleet) stopLeader() {
+	for i, c := range f.controls {
+		// Each change begins or ends a leadership.
+		if metrics.GetOrRegisterCounter("hub.leadership_changes", c.Metrics).Count()%2 == 1 {
+			f.stopControl[i]()
 		}
 	}
-	share := float64(served.Load()) / float64(calls.Load())
-	t.Logf("%d targets named limits, most in %s %d of %d, served %.3f of %d", len(firstNamed), limitWindow, most, allowed, share, calls.Load())
-	red.Check(t, "named", len(firstNamed) > 0, "no target got a request after it had named its limit")
-	red.Check(t, "limit", most <= allowed, "a target that named a limit of %g a second got %d requests in %s, allowed %d", p.limit, most, limitWindow, allowed)
-	red.Check(t, "served", share >= p.minServed, "%.3f of the requests served, wanted %.2f", share, p.minServed)
 }
 
 // lastEntry returns the host of the entry that last sent a request to the target.
 func (e *testTarget) lastEntry(id string) string {
 	e.fleet.mu.Lock()
 	defer e.fleet.mu.Unlock()
-	for i := len(e.fleet.arrivals) - 1; i >= 0; i-- {
-		if a := e.fleet.arrivals[i]; a.target == e.ID && a.call.ID == id {
+	for _, a := range slices.Backward(e.fleet.arrivals) {
+		if a.target == e.ID && a.call.ID == id {
 			return a.entry
 		}
 	}
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -12,6 +12,9 @@
 	// places each request as soon as it can, and neither delays nor refuses it in favour of
 	// others.
 	Standalone bool
+	// Shares is the number of instances whose cores share the limits that targets name; 0 means
+	// that this core sees all requests.
+	Shares int
 
 	model   costModel
 	engines []*engine
@@ -47,6 +50,8 @@
 		c.recordHeartbeat(now, e.Target)
 	case LoadReport:
 		c.recordLoad(now, e)
+	case Limit:
+		c.setLimit(now, e)
 	case Tick:
 		c.tick(now)
 		return c.schedule(now)
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -13,7 +13,7 @@
 	if left < minTimeLeft {
 		return c.refuse(j, "its time is nearly over", time.Second)
 	}
-	if wait, closed := c.closedFor(now, j); closed && !j.request.Resumed {
+	if wait, closed := c.closedFor(now, j, left); closed && !j.request.Resumed {
 		return c.refuse(j, "no engine takes the request", wait)
 	}
 	if j.late && !j.request.Resumed && !c.Standalone && c.isCrowded(now) {
@@ -27,6 +27,9 @@
 		return nil
 	}
 	c.reserve(now, j, p)
+	for _, e := range j.engines() {
+		e.limiter.Take(now, c.Shares)
+	}
 	g := Grant{ID: j.request.ID, Lead: p.lead.ID, Urgency: j.urgency(), PredictedTTFT: p.ttft, Waited: now.Sub(j.arrived)}
 	g.Loss = Loss{Own: p.ownLoss / j.value, Others: p.othersLoss / j.value}
 	for _, h := range p.helpers {
@@ -36,17 +39,19 @@
 	return g
 }
 
-// closedFor reports whether every ready engine is closed to a request, so that it can't be
-// served however long it waits, and how long it takes until the first of them opens again.
-func (c *Core) closedFor(now time.Time, j *job) (wait time.Duration, closed bool) {
+// closedFor reports whether every ready engine is closed to a request, or by its limit for longer
+// than the time left, so that it can't be served however long it waits, and how long it takes
+// until the first of them opens again.
+func (c *Core) closedFor(now time.Time, j *job, timeLeft time.Duration) (wait time.Duration, closed bool) {
 	for _, e := range c.engines {
 		if e.State != site.Ready {
 			continue
 		}
-		if !e.isClosed(now, j) {
+		left := e.limiter.Wait(now, c.Shares)
+		if !e.isClosed(now, j) && left < timeLeft {
 			return 0, false
 		}
-		left := e.pausedUntil[j.request.Instance].Sub(now)
+		left = max(left, e.pausedUntil[j.request.Instance].Sub(now))
 		if left <= 0 {
 			// It failed this request, and may serve the next one.
 			left = closedRetryAfter
@@ -62,12 +67,16 @@
 }
 
 // isCrowded reports whether so many slots are in use that a late answer would make others
-// late.
+// late. All slots of an engine that accepts no request now because of its limit count as used.
 func (c *Core) isCrowded(now time.Time) bool {
 	slots, used := 0, 0
 	for _, e := range c.engines {
 		if c.available(now, e) {
 			slots += e.Slots
+			if e.limiter.Wait(now, c.Shares) > 0 {
+				used += e.Slots
+				continue
+			}
 			used += min(e.answers, e.Slots)
 		}
 	}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -70,6 +70,8 @@
 	lastHeartbeat time.Time
 	// pausedUntil is when it accepts requests of an instance again, by the instance's name.
 	pausedUntil map[string]time.Time
+	// limiter spaces out its requests if it names a limit.
+	limiter Limiter
 	// Until uncertainUntil the slowdown is not updated, because the engine may run grants
 	// of other schedulers whose progress this core does not know.
 	uncertainUntil time.Time
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -87,6 +87,17 @@
 	Load   site.Load
 }
 
+// Limit reports how many requests a second a process of a target accepts from all instances
+// together.
+type Limit struct {
+	Target string `cbor:"1,keyasint"`
+	// StartedMs identifies the process by its start time in Unix milliseconds.
+	StartedMs int64   `cbor:"2,keyasint"`
+	PerSecond float64 `cbor:"3,keyasint"`
+	// Named is false if it names no limit any more.
+	Named bool `cbor:"4,keyasint"`
+}
+
 // Tick makes the core reconsider waiting requests as time passes.
 type Tick struct{}
 
@@ -98,6 +109,7 @@
 func (Fleet) event()      {}
 func (Heartbeat) event()  {}
 func (LoadReport) event() {}
+func (Limit) event()      {}
 func (Tick) event()       {}
 
 // ActiveGrant is a grant in use, as reported by the instance that uses it.
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -26,6 +26,7 @@
 			// A new process under the same ID has none of the old one's work.
 			e.lastSlowdown, e.failures, e.lastHeartbeat, e.prediction = 1, 0, now, prediction{}
 			e.unaccounted, e.unaccountedAnswers, e.pausedUntil = 0, 0, nil
+			e.limiter.Clear()
 		}
 		e.Target = t
 	}
@@ -66,6 +67,18 @@
 	return 0
 }
 
+// setLimit sets or removes the limit of an engine.
+func (c *Core) setLimit(now time.Time, l Limit) {
+	e := c.byID[l.Target]
+	switch {
+	case e == nil || e.StartedMs != l.StartedMs:
+	case l.Named:
+		e.limiter.Set(now, l.PerSecond, c.Shares, 1)
+	default:
+		e.limiter.Clear()
+	}
+}
+
 // recordHeartbeat notes that a target is alive.
 func (c *Core) recordHeartbeat(now time.Time, id string) {
 	if e := c.byID[id]; e != nil {
--- /dev/null
+++ b/internal/place/limiter.go
@@ -0,0 +1,80 @@
+package place
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// minLimit is the lowest limit, in requests a second, that is applied: a target that names
+	// less must get a request now and then, as only an answer can lift the limit.
+	minLimit = 0.1
+	// shareFill is the fraction of a limit that instances use which share it without knowing of
+	// each other's requests: their turns fall at random times, and may pile up.
+	shareFill = 0.6
+	// turnTime is how long such an instance may delay a request to which it is entitled. The
+	// turns that all of them have saved must not exceed what the target accepts at once.
+	turnTime = time.Second
+)
+
+// Limiter spaces out requests to a target that names how many a second it accepts from all
+// instances together. The zero value doesn't limit.
+type Limiter struct {
+	// perSecond is the limit; 0 means none.
+	perSecond float64
+	// next is when the next request may be sent.
+	next time.Time
+}
+
+// Set sets the limit, which the given number of instances share. The phase, from 0 to 1, spreads
+// the first requests of these.
+func (l *Limiter) Set(now time.Time, perSecond float64, shares int, phase float64) {
+	perSecond = max(perSecond, minLimit)
+	if l.perSecond == perSecond {
+		return
+	}
+	wasLimited := l.perSecond > 0
+	l.perSecond = perSecond
+	switch first := now.Add(scale(l.interval(shares), phase)); {
+	case !wasLimited, l.next.After(first):
+		l.next = first
+	}
+}
+
+// Clear removes the limit.
+func (l *Limiter) Clear() { *l = Limiter{} }
+
+// interval returns the time between two requests.
+func (l *Limiter) interval(shares int) time.Duration {
+	rate := l.perSecond
+	if shares > 1 {
+		rate *= shareFill / float64(shares)
+	}
+	return time.Duration(float64(time.Second) / rate)
+}
+
+// Wait returns how long it takes until the next request may be sent; 0 if that is now.
+func (l *Limiter) Wait(now time.Time, shares int) time.Duration {
+	if l.perSecond == 0 {
+		return 0
+	}
+	if shares > 1 {
+		// A turn that was not used in time is lost.
+		interval := l.interval(shares)
+		if late := now.Sub(l.next) - min(turnTime, interval); late > 0 {
+			l.next = l.next.Add(interval * time.Duration(math.Ceil(float64(late)/float64(interval))))
+		}
+	}
+	return max(0, l.next.Sub(now))
+}
+
+// Take records that a request is sent now.
+func (l *Limiter) Take(now time.Time, shares int) {
+	if l.perSecond == 0 {
+		return
+	}
+	if shares <= 1 && l.next.Before(now) {
+		l.next = now
+	}
+	l.next = l.next.Add(l.interval(shares))
+}
