place: instances without a scheduler take their turns at limited engines at different times

What a back end would see: all entries learn a limit from the leader at the same moment. Left without a leader, 195 of them would send a request each at the same moment of a turn. Cause: the first turn of a standalone core came one interval after the limit was learnt, for all. Change: it comes at a random part of the interval, as for services.

--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -300,6 +301,7 @@
 		}
 		c.Step(time.Now(), place.Fleet{Engine: *pool.Engine, Targets: v.pools[pool.Name]})
 		for _, l := range p.server.health.limits(v) {
+			l.Phase = rand.Float64()
 			c.Step(time.Now(), l)
 		}
 	}
@@ -307,6 +309,7 @@
 
 // setLimit passes the limit of a target to the local cores.
 func (p *placer) setLimit(l place.Limit) {
+	l.Phase = rand.Float64()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.localCores {
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -96,6 +96,8 @@
 	PerSecond float64 `cbor:"3,keyasint"`
 	// Named is false if it names no limit any more.
 	Named bool `cbor:"4,keyasint"`
+	// Phase, from 0 to 1, spreads the first requests of cores that share the limit.
+	Phase float64 `cbor:"-"`
 }
 
 // Tick makes the core reconsider waiting requests as time passes.
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -72,8 +72,11 @@
 	e := c.byID[l.Target]
 	switch {
 	case e == nil || e.StartedMs != l.StartedMs:
+	case l.Named && c.Shares > 1:
+		e.limiter.Set(now, l.PerSecond, c.Shares, l.Phase)
 	case l.Named:
-		e.limiter.Set(now, l.PerSecond, c.Shares, 1)
+		// It has just got a request.
+		e.limiter.Set(now, l.PerSecond, 1, 1)
 	default:
 		e.limiter.Clear()
 	}
--- a/internal/place/limiter_test.go
+++ b/internal/place/limiter_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // mostInWindow has instances share a limit under a load pattern, and returns the largest number
@@ -152,3 +154,33 @@
 	quicktest.Assert(t, granted >= 8 && granted <= 12, quicktest.IsTrue, quicktest.Commentf("%d granted", granted))
 	quicktest.Assert(t, waited, quicktest.Equals, 0)
 }
+
+// TestStandaloneCoresTakeTurns: the cores of many instances learn a limit from the leader at the
+// same moment. If they are left without it, they must not all use the engine at the same time.
+func TestStandaloneCoresTakeTurns(t *testing.T) {
+	const instances = 195
+	rng := rand.New(rand.NewPCG(1, 1))
+	start := time.Unix(0, 0)
+	var sent []time.Duration
+	for i := range instances {
+		c := &Core{Standalone: true, Shares: instances}
+		c.Step(start, Fleet{Engine: publishedEngine(), Targets: []site.Target{{ID: "a", Pool: "p", State: site.Ready, Slots: 16}}})
+		c.Step(start, Limit{Target: "a", PerSecond: 1, Named: true, Phase: rng.Float64()})
+		for at := time.Duration(0); at < 6*time.Minute; at += 500 * time.Millisecond {
+			req := shortRequest(fmt.Sprint(i, at))
+			for _, d := range c.Step(start.Add(at), Arrive{req}) {
+				if _, ok := d.(Grant); ok {
+					sent = append(sent, at)
+				}
+			}
+			c.Step(start.Add(at), End{ID: req.ID})
+			c.Step(start.Add(at), Withdraw{ID: req.ID})
+		}
+	}
+	slices.Sort(sent)
+	quicktest.Assert(t, len(sent) >= instances, quicktest.IsTrue)
+	const allowed = 11 // 1.5 times the limit in 4 s, and 5 more
+	for i := range sent[allowed:] {
+		quicktest.Assert(t, sent[i+allowed]-sent[i] > 4*time.Second, quicktest.IsTrue, quicktest.Commentf("%d requests from %s on", allowed+1, sent[i]))
+	}
+}
