--- a/internal/gate/blocklist.go
+++ b/internal/gate/blocklist.go
@@ -91,13 +91,8 @@
 	l.log(changed)
 }
 
-// FillHandover fills in the recent crashes, the blocks in force and the limits of targets, for a
-// new leader.
-func (s *Server) FillHandover(m *link.FollowerMessage) {
-	if v := s.views.load(); v != nil {
-		m.Limits = append(m.Limits, s.health.limits(v)...)
-	}
-	l := &s.blocklist
+// fillHandover fills in the recent crashes and the blocks in force, for a new leader.
+func (l *blocklist) fillHandover(m *link.FollowerMessage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -84,6 +84,15 @@
 	return out
 }
 
+// FillHandover fills in what a new leader needs to go on with blocked prompts and with the
+// limits of targets.
+func (s *Server) FillHandover(m *link.FollowerMessage) {
+	if v := s.views.load(); v != nil {
+		m.Limits = append(m.Limits, s.health.limits(v)...)
+	}
+	s.blocklist.fillHandover(m)
+}
+
 // SetEntries replaces the ready instances that are listed for callers.
 func (s *Server) SetEntries(entries []link.Entry) { s.entries.Store(&entries) }
 
@@ -104,20 +113,6 @@
 	s.placer.setShares(n)
 }
 
-// ApplyLimits applies changes of the limits that targets name.
-func (s *Server) ApplyLimits(limits []place.Limit) {
-	v := s.views.load()
-	if v == nil {
-		return
-	}
-	for _, l := range limits {
-		if t, ok := v.targets[l.Target]; ok && t.StartedMs == l.StartedMs {
-			s.health.applyLimit(t, l, s.limitShares())
-			s.placer.setLimit(l)
-		}
-	}
-}
-
 // HandleLinkLost ends the wait of all pending requests when the link is lost; they are placed
 // locally.
 func (s *Server) HandleLinkLost() {
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -111,95 +110,6 @@
 	return n
 }
 
-// recordLimit records the limit in the response of a target to a request that was sent at
-// sentAt, or that it names none any more. It reports whether that is a change. A response to
-// a request that was sent before the limit was named may have left before, too.
-func (h *health) recordLimit(t site.Target, limit float64, hasLimit bool, sentAt time.Time, shares int) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if !hasLimit && h.byID[t.ID] == nil {
-		return false
-	}
-	n := h.noticeOf(t)
-	if !hasLimit {
-		if !n.hasLimit || sentAt.Before(n.limitedAt) {
-			return false
-		}
-		n.setLimit(place.Limit{}, 1)
-		return true
-	}
-	isChange := !n.hasLimit || n.limit != limit
-	n.limitedAt = time.Now()
-	if isChange {
-		n.setLimit(place.Limit{PerSecond: limit, Named: true}, shares)
-	}
-	return isChange
-}
-
-// setLimit sets or removes the limit, which that many instances share.
-func (n *notice) setLimit(l place.Limit, shares int) {
-	n.limit, n.hasLimit = l.PerSecond, l.Named
-	if !l.Named {
-		n.limiter.Clear()
-		return
-	}
-	n.limitedAt = time.Now()
-	n.limiter.Set(n.limitedAt, l.PerSecond, shares, rand.Float64())
-}
-
-// applyLimit applies a limit that another instance has learnt.
-func (h *health) applyLimit(t site.Target, l place.Limit, shares int) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if n := h.noticeOf(t); n.hasLimit != l.Named || n.limit != l.PerSecond {
-		n.setLimit(l, shares)
-	}
-	h.dropIdle(t.ID, h.byID[t.ID])
-}
-
-// limits returns the limits that processes of a view have named.
-func (h *health) limits(v *view) []place.Limit {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	var out []place.Limit
-	for id, x := range h.byID {
-		if t, ok := v.targets[id]; ok && x.notice.hasLimit && x.notice.startedMs == t.StartedMs {
-			out = append(out, place.Limit{Target: id, StartedMs: t.StartedMs, PerSecond: x.notice.limit, Named: true})
-		}
-	}
-	return out
-}
-
-// opensIn returns how long it takes until the process of a target accepts a request of this
-// instance, which shares limits with others; false if it never does.
-func (h *health) opensIn(t site.Target, shares int) (wait time.Duration, ok bool) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	x := h.byID[t.ID]
-	if x == nil || x.notice.startedMs != t.StartedMs {
-		return 0, true
-	}
-	now := time.Now()
-	return max(0, x.notice.pausedUntil.Sub(now), x.notice.limiter.Wait(now, shares)), !x.notice.leaving
-}
-
-// takeTurn counts a request against the limit of a target. It returns false if the target
-// accepts none now.
-func (h *health) takeTurn(t site.Target, shares int) bool {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	x := h.byID[t.ID]
-	if x == nil || x.notice.startedMs != t.StartedMs {
-		return true
-	}
-	now := time.Now()
-	if x.notice.limiter.Wait(now, shares) > 0 {
-		return false
-	}
-	x.notice.limiter.Take(now, shares)
-	return true
-}
-
 // isClosed reports whether the process of a target wants no request from this instance now.
 func (h *health) isClosed(t site.Target) bool {
 	h.mu.Lock()
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -307,25 +307,6 @@
 	}
 }
 
-// setLimit passes the limit of a target to the local cores.
-func (p *placer) setLimit(l place.Limit) {
-	l.Phase = rand.Float64()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.localCores {
-		c.Step(time.Now(), l)
-	}
-}
-
-// setShares tells the local cores how many instances share the limits of targets.
-func (p *placer) setShares(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, c := range p.localCores {
-		c.Shares = n
-	}
-}
-
 // pendingWaiter returns the waiter of a pending request, or nil if it is not pending.
 func (p *placer) pendingWaiter(id string) *waiter {
 	p.mu.Lock()
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -14,7 +14,6 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/link"
-	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
@@ -319,22 +318,6 @@
 	return pause
 }
 
-// recordLimit records the limit that a target names in its response to a request that was sent
-// at sentAt, or that it names none any more, and reports a change to the leader.
-func (s *Server) recordLimit(t site.Target, reply ReplyInfo, sentAt time.Time) {
-	if !s.health.recordLimit(t, reply.Limit, reply.HasLimit, sentAt, s.limitShares()) {
-		return
-	}
-	l := place.Limit{Target: t.ID, StartedMs: t.StartedMs, PerSecond: reply.Limit, Named: reply.HasLimit}
-	s.placer.setLimit(l)
-	s.Log.Info().Str("target", t.ID).Str("address", t.Address).Int64("born", t.StartedMs).Float64("limit", reply.Limit).
-		Bool("limited", reply.HasLimit).Msg("request limit of target changed")
-	s.Link.Send(func(m *link.FollowerMessage) { m.Limits = append(m.Limits, l) })
-}
-
-// limitShares returns the number of instances that share the limits of targets.
-func (s *Server) limitShares() int { return max(1, int(s.instanceCount.Load())) }
-
 // recordNotice records that a target is leaving, which it also reports to the leader, or
 // that it wants no requests for the duration pause.
 func (s *Server) recordNotice(t site.Target, leaving bool, pause time.Duration) {
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -136,7 +137,7 @@
 func (e *entryNode) ApplyBlocks(blocks []poison.Block) {
 	e.withLock(func() {
 		for _, b := range blocks {
-			e.blocks[b.String()] = b.Left > 0
+			e.blocks[strings.Join(b.Parts, " ")] = b.Left > 0
 		}
 	})
 }
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -370,6 +369,3 @@
 	}
 	return true
 }
-
-// String returns the parts, separated by spaces.
-func (b Block) String() string { return strings.Join(b.Parts, " ") }
