Soak: targets name limits, and entries must keep to them

Change: beside the faults of a seed, which stay as they are, targets name limits for some seconds from a random source of their own.

--- a/internal/soak/exchange.go
+++ b/internal/soak/exchange.go
@@ -33,7 +33,7 @@
 	mode      Mode
 }
 
-func (x *exchange) reply() gate.ReplyInfo { return gate.ReplyInfo{RequestID: x.call.ID} }
+func (x *exchange) reply() gate.ReplyInfo { return x.target.reply(x.r, x.call.ID) }
 
 // injectFault handles the modes that replace the answer. It returns false if the target
 // must answer.
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -201,8 +201,7 @@
 	for _, c := range s.callers {
 		background.Go(func() { c.Run(runCtx) })
 	}
-	rng := newRand(s.Seed)
-	s.InjectFaults(runCtx, rng, s.DrawFaults(rng, s.Length, s.PlannedOnly))
+	s.disturbAll(runCtx)
 	s.logf("all faults have ended")
 	s.checkRecovery(runCtx)
 	cancel()
@@ -215,6 +214,18 @@
 	return ctx.Err()
 }
 
+// disturbAll injects the faults of the seed while targets name limits. The faults don't depend
+// on the limits.
+func (s *Site) disturbAll(ctx context.Context) {
+	limitCtx, endLimits := context.WithCancel(ctx)
+	var limits sync.WaitGroup
+	limits.Go(func() { s.varyLimits(limitCtx, rand.New(rand.NewPCG(s.Seed, 1))) })
+	rng := newRand(s.Seed)
+	s.InjectFaults(ctx, rng, s.DrawFaults(rng, s.Length, s.PlannedOnly))
+	endLimits()
+	limits.Wait()
+}
+
 // checkRecovery checks that the site serves again after the last fault and that every
 // control instance has the acknowledged tables.
 func (s *Site) checkRecovery(ctx context.Context) {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -63,8 +63,10 @@
 	// CheckTimeBounds enables the checks of time bounds.
 	CheckTimeBounds bool
 
-	// faultMu is held while a fault replaces the target.
+	// faultMu is held while a fault replaces the target, limitMu while it names a limit.
 	faultMu   sync.Mutex
+	limitMu   sync.Mutex
+	limit     requestLimit
 	mode      atomic.Int32
 	mu        sync.Mutex
 	announced site.Target
@@ -94,6 +96,8 @@
 	t.announced = site.Target{
 		ID: id, Pool: pool, Address: t.ProxyAddr(targetPort), DataCentre: t.DataCentre(), Slots: targetSlots, State: site.Ready, StartedMs: time.Now().UnixMilli(),
 	}
+	// A limit binds the process that has named it.
+	t.limit.set(0)
 	t.running, t.drainAckedAt, t.reservations = true, time.Time{}, make(map[string]*reservation)
 	t.srv = &http.Server{Handler: t}
 	go t.srv.Serve(ln)
@@ -209,10 +213,13 @@
 		if err == nil && send.TargetID != announced.ID {
 			status = http.StatusMisdirectedRequest
 		}
-		writeReply(w, status, gate.ReplyInfo{RequestID: call.ID, NotRun: true}, "", nil)
+		reply := t.reply(r, call.ID)
+		reply.NotRun = true
+		writeReply(w, status, reply, "", nil)
 		return
 	}
 	t.checkDrain(r, call.ID, drainAckedAt)
+	t.checkLimit(call.ID, hostOf(r))
 	if call.Key != "" {
 		t.Recorder.AddViolation("unasked", "%s received the API key of the caller with request %s", announced.ID, call.ID)
 	}
@@ -226,12 +233,28 @@
 	x.servePlain()
 }
 
+// reply returns the header values of a response.
+func (t *Target) reply(r *http.Request, id string) gate.ReplyInfo {
+	reply := gate.ReplyInfo{RequestID: id}
+	t.limit.name(&reply, hostOf(r))
+	return reply
+}
+
+// hostOf returns the IP that a request comes from.
+func hostOf(r *http.Request) string {
+	host, _, err := net.SplitHostPort(r.RemoteAddr)
+	if err != nil {
+		return r.RemoteAddr
+	}
+	return host
+}
+
 // checkDrain reports a request that arrives more than drainBound after the drain was
 // acknowledged.
 func (t *Target) checkDrain(r *http.Request, id string, drainAckedAt time.Time) {
-	from, _, err := net.SplitHostPort(r.RemoteAddr)
+	from := hostOf(r)
 	late := time.Since(drainAckedAt) - drainBound
-	if t.CheckTimeBounds && err == nil && !drainAckedAt.IsZero() && late > 0 && t.Disturbances.IsUndisturbed(drainAckedAt, from, controlPlaneName) {
+	if t.CheckTimeBounds && !drainAckedAt.IsZero() && late > 0 && t.Disturbances.IsUndisturbed(drainAckedAt, from, controlPlaneName) {
 		t.Recorder.AddViolation("drain", "request %s reached draining %s from %s %.3f s too late", id, t.Name(), from, late.Seconds())
 	}
 }
