Soak: listen again at the address of a target that has just ended

Cause: a child between fork and exec holds copies of all descriptors. Ruled out: the ports of outgoing connections (32768 and up); another soak at that address. Change: the soak tries again for up to 2 s.

--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -10,6 +11,7 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/gate"
@@ -52,6 +54,9 @@
 	// time between the events of a stream.
 	prefillRate   = 500_000
 	eventInterval = 20 * time.Millisecond
+	// listenTimeout and listenInterval bound the attempts to listen at an address again.
+	listenTimeout  = 2 * time.Second
+	listenInterval = 10 * time.Millisecond
 )
 
 // Target simulates a process that executes requests: an engine or a plain service.
@@ -87,7 +92,7 @@
 
 // Start starts a new incarnation of the target under an ID.
 func (t *Target) Start(id, pool string) error {
-	ln, err := net.Listen("tcp4", t.ProcessAddr(targetPort))
+	ln, err := listenAgain(t.ProcessAddr(targetPort))
 	if err != nil {
 		return err
 	}
@@ -104,6 +109,17 @@
 	return nil
 }
 
+// listenAgain opens a listener at an address whose last one was just closed. A process that is
+// being started holds a copy of the closed one until it executes its program.
+func listenAgain(addr string) (net.Listener, error) {
+	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(listenInterval) {
+		ln, err := net.Listen("tcp4", addr)
+		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
+			return ln, err
+		}
+	}
+}
+
 // ID returns the ID of the current incarnation.
 func (t *Target) ID() string {
 	t.mu.Lock()
