--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -92,7 +92,7 @@
 
 // Start starts a new incarnation of the target under an ID.
 func (t *Target) Start(id, pool string) error {
-	ln, err := listenAgain(t.ProcessAddr(targetPort))
+	ln, err := listenAgain(func() (net.Listener, error) { return net.Listen("tcp4", t.ProcessAddr(targetPort)) })
 	if err != nil {
 		return err
 	}
@@ -109,11 +109,11 @@
 	return nil
 }
 
-// listenAgain opens a listener at an address whose last one was just closed. A process that is
-// being started holds a copy of the closed one until it executes its program.
-func listenAgain(addr string) (net.Listener, error) {
+// listenAgain opens a listener at an address whose last one may just have been closed. A process
+// that is being started holds a copy of the closed one until it executes its program.
+func listenAgain(listen func() (net.Listener, error)) (net.Listener, error) {
 	for deadline := time.Now().Add(listenTimeout); ; time.Sleep(listenInterval) {
-		ln, err := net.Listen("tcp4", addr)
+		ln, err := listen()
 		if !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(deadline) {
 			return ln, err
 		}
