gate: a request whose body stalls ends at its time limit

What callers would see: a caller that sent half of its request held a connection, a goroutine and memory for as long as it liked, and in a planned stop until the end of the grace. Cause: the wait for a body had no limit; only heads had one. Change: the body must be there when the request's time is over; otherwise 408, which promises that nothing ran, and the connection is closed. The next request of a connection has its own time.

--- /dev/null
+++ b/internal/gate/body_test.go
@@ -0,0 +1,53 @@
+package gate
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// TestStalledRequestBody: a caller that doesn't finish its request must get an answer at its time
+// limit, and not hold a place and memory for as long as it likes.
+func TestStalledRequestBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, []script{respond(200, "done", sealHeader)}, nil)
+		c, err := s.net.Dialer("10.0.9.9")(context.Background(), gateAddress)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		defer c.Close()
+		const head = "POST " + idempotentPath + "x HTTP/1.1\r\nHost: h\r\nId: a1\r\nKey: key\r\nLeft: 2000\r\nContent-Length: %d\r\n\r\n%s"
+		began := time.Now()
+		fmt.Fprintf(c, head, 100, "half")
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, resp.StatusCode, quicktest.Equals, http.StatusRequestTimeout)
+		quicktest.Assert(t, time.Since(began) <= 2100*time.Millisecond, quicktest.IsTrue)
+		_, err = io.ReadAll(resp.Body)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		_, err = c.Read(make([]byte, 1))
+		quicktest.Assert(t, err, quicktest.Equals, io.EOF)
+		quicktest.Assert(t, s.requestCount(), quicktest.Equals, 0)
+
+		// A request that is read late leaves no limit on the next one of the connection.
+		c, err = s.net.Dialer("10.0.9.9")(context.Background(), gateAddress)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		defer c.Close()
+		r := bufio.NewReader(c)
+		for range 3 {
+			fmt.Fprintf(c, head, 8, "half")
+			time.Sleep(1500 * time.Millisecond)
+			io.WriteString(c, "half")
+			resp, err := http.ReadResponse(r, nil)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Assert(t, resp.StatusCode, quicktest.Equals, 200)
+			_, err = io.ReadAll(resp.Body)
+			quicktest.Assert(t, err, quicktest.IsNil)
+		}
+	})
+}
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -143,23 +144,37 @@
 	return true
 }
 
+// readBody reads the body of the request. It returns false if it has already responded, or closed
+// the connection.
 func (x *exchange) readBody() bool {
+	if x.r.ContentLength == 0 {
+		return true
+	}
 	limit := x.view.index.Tables.Bounds.Body
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
+	// These fail only on a closed connection, and then the read fails, too.
+	conn := http.NewResponseController(x.w)
+	_ = conn.SetReadDeadline(x.deadline)
 	b, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
 	if err == nil {
+		_ = conn.SetReadDeadline(time.Time{})
 		x.body = b
 		return true
 	}
+	// The rest of the body is not read, so it must not be taken for another request.
+	x.w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
-	if errors.As(err, &large) {
+	switch {
+	case errors.As(err, &large):
 		x.respondError(http.StatusRequestEntityTooLarge, "the request body is too large")
-		return false
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		x.respondError(http.StatusRequestTimeout, "the request body was not received in time")
+	default:
+		x.reason = "the request body was not received completely"
+		x.abortConnection()
 	}
-	x.reason = "the request body was not received completely"
-	x.abortConnection()
 	return false
 }
 
