gate: bound the memory of request bodies

What callers would see: seventy requests of 4 MiB at the same time, or as many as fit, ended an entry of 284 MB with out of memory, and all its other answers with it. Cause: each body had a limit, all together had none; responses have had one since.

--- a/internal/gate/body_test.go
+++ b/internal/gate/body_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,39 @@
 	"github.com/frankban/quicktest"
 )
 
+// TestRequestBodiesAreBounded guards against callers that together send more than the memory of
+// the instance: what exceeds it is refused as not run, and there is room again once requests
+// have ended.
+func TestRequestBodiesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, []script{neverRespond, neverRespond}, nil)
+		s.gate.requestBuffers.limit = 1 << 20
+		s.tables.Version, s.tables.Bounds.Body = 2, 1<<20
+		s.publish(2)
+		large := strings.Repeat("x", 300<<10)
+		const callers = 8
+		statuses := make(chan int, callers)
+		for range callers {
+			go func() { statuses <- s.call(nonIdempotentPath, large).status }()
+		}
+		synctest.Wait()
+		refused := len(statuses)
+		quicktest.Assert(t, refused >= callers-3 && refused < callers, quicktest.IsTrue, quicktest.Commentf("%d refused", refused))
+		for range refused {
+			quicktest.Assert(t, <-statuses, quicktest.Equals, 503)
+		}
+		quicktest.Assert(t, s.requestCount(), quicktest.Equals, callers-refused)
+		for range callers - refused {
+			quicktest.Assert(t, <-statuses, quicktest.Equals, 504)
+		}
+		for _, f := range s.targets {
+			f.script = respond(200, "done", sealHeader)
+		}
+		quicktest.Assert(t, s.call(nonIdempotentPath, large).status, quicktest.Equals, 200)
+		quicktest.Assert(t, s.gate.requestBuffers.used.Load(), quicktest.Equals, int64(0))
+	})
+}
+
 // TestStalledRequestBody: a caller that doesn't finish its request must get an answer at its time
 // limit, and not hold a place and memory for as long as it likes.
 func TestStalledRequestBody(t *testing.T) {
--- a/internal/gate/buffer.go
+++ b/internal/gate/buffer.go
@@ -11,10 +11,11 @@
 	// maxResponseBytes bounds the response of a plain service, which is buffered
 	// completely before the caller gets any of it.
 	maxResponseBytes = 32 << 20
-	// defaultBufferBytes bounds all buffered responses together if Server.BufferBytes is 0.
+	// defaultBufferBytes bounds all buffered responses together, and all buffered requests, if
+	// Server.BufferBytes is 0.
 	defaultBufferBytes = 64 << 20
-	// firstChunkBytes and chunkBytes are the sizes of the pieces in which a response is
-	// buffered. Most responses fit in the first one, which isn't counted.
+	// firstChunkBytes and chunkBytes are the sizes of the pieces in which a body is buffered.
+	// Most bodies fit in the first one, which isn't counted.
 	firstChunkBytes = 4 << 10
 	chunkBytes      = 64 << 10
 )
@@ -22,18 +23,18 @@
 // errResponseTooLarge and errBuffersFull report that a response can't be buffered.
 var (
 	errResponseTooLarge = errors.New("response exceeds 32 MiB")
-	errBuffersFull      = errors.New("buffered responses exceed the memory for them")
+	errBuffersFull      = errors.New("buffered bodies exceed the memory for them")
 )
 
-// responseBuffers bounds the memory of all buffered responses, so that targets that send
-// without end can't exhaust it.
-type responseBuffers struct {
+// bodyBuffers bounds the memory of all buffered responses, or requests, so that targets that
+// send without end, or many callers together, can't exhaust it.
+type bodyBuffers struct {
 	limit int64
 	used  atomic.Int64
 }
 
 // acquire counts n more bytes. It returns false if they would exceed the limit.
-func (b *responseBuffers) acquire(n int64) bool {
+func (b *bodyBuffers) acquire(n int64) bool {
 	if b.used.Add(n) <= b.limit {
 		return true
 	}
@@ -47,7 +48,7 @@
 	length int
 	// counted is how many bytes are counted in the buffers.
 	counted int64
-	buffers *responseBuffers
+	buffers *bodyBuffers
 }
 
 // release returns the memory of the body.
@@ -58,7 +59,7 @@
 
 // read reads a complete body, which must be released. It returns an error rather than a
 // truncated one: that of r, errResponseTooLarge or errBuffersFull.
-func (b *responseBuffers) read(r io.Reader) (*body, error) {
+func (b *bodyBuffers) read(r io.Reader) (*body, error) {
 	out := &body{buffers: b}
 	chunk := make([]byte, 0, firstChunkBytes)
 	for {
@@ -88,3 +89,32 @@
 		chunk = make([]byte, 0, chunkBytes)
 	}
 }
+
+// requestReader reads the body of a request and counts it in the buffers.
+type requestReader struct {
+	io.Reader
+	buffers *bodyBuffers
+	read    int64
+	// counted is how many bytes are counted in the buffers.
+	counted int64
+}
+
+// Read reads from the body. It returns errBuffersFull if there is no memory for more.
+func (r *requestReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.read += int64(n)
+	for r.read-firstChunkBytes > r.counted {
+		if !r.buffers.acquire(chunkBytes) {
+			return 0, errBuffersFull
+		}
+		r.counted += chunkBytes
+	}
+	return n, err
+}
+
+// release returns the memory of the body. A nil reader has none.
+func (r *requestReader) release() {
+	if r != nil {
+		r.buffers.used.Add(-r.counted)
+	}
+}
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -29,9 +29,11 @@
 	pool  *site.Pool
 	org   string
 	// rank orders requests of equal slack in the scheduler; 0 is the first.
-	rank     int
-	body     []byte
-	deadline time.Time
+	rank int
+	body []byte
+	// bodyReader is what the body was read from; nil before that.
+	bodyReader *requestReader
+	deadline   time.Time
 
 	// sends is the number of targets that the request was sent to. mayHaveRun reports
 	// that one of them may have executed it.
@@ -157,7 +159,8 @@
 	// These fail only on a closed connection, and then the read fails, too.
 	conn := http.NewResponseController(x.w)
 	_ = conn.SetReadDeadline(x.deadline)
-	b, err := io.ReadAll(http.MaxBytesReader(x.w, x.r.Body, limit))
+	x.bodyReader = &requestReader{Reader: http.MaxBytesReader(x.w, x.r.Body, limit), buffers: &x.server.requestBuffers}
+	b, err := io.ReadAll(x.bodyReader)
 	if err == nil {
 		_ = conn.SetReadDeadline(time.Time{})
 		x.body = b
@@ -169,6 +172,8 @@
 	switch {
 	case errors.As(err, &large):
 		x.respondError(http.StatusRequestEntityTooLarge, "the request body is too large")
+	case errors.Is(err, errBuffersFull):
+		x.respondUnavailable("too many large requests are in progress", longRetryAfter)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.respondError(http.StatusRequestTimeout, "the request body was not received in time")
 	default:
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -97,7 +97,7 @@
 // TestOversizedResponseIsAnError: a response above the limit must not be passed on in
 // part, because the caller would take it for complete.
 func TestOversizedResponseIsAnError(t *testing.T) {
-	buffers := responseBuffers{limit: defaultBufferBytes}
+	buffers := bodyBuffers{limit: defaultBufferBytes}
 	_, err := buffers.read(strings.NewReader(strings.Repeat("x", maxResponseBytes+1)))
 	quicktest.Assert(t, err, quicktest.Equals, errResponseTooLarge)
 	b, err := buffers.read(strings.NewReader(strings.Repeat("x", maxResponseBytes)))
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -53,7 +53,8 @@
 	// Clock returns the time since some instant, including that in which the host was
 	// suspended; nil means the clock of the Go runtime.
 	Clock func() time.Duration
-	// BufferBytes bounds the memory for buffered responses; 0 means defaultBufferBytes.
+	// BufferBytes bounds the memory for buffered responses, and that for buffered requests; 0
+	// means defaultBufferBytes.
 	BufferBytes int64
 	Log         *log.Logger
 	Metrics     metrics.Registry
@@ -64,8 +65,10 @@
 	// blocklist holds the prompts that must not be sent to engines.
 	blocklist blocklist
 	// buffers holds the responses of plain services until they are complete.
-	buffers responseBuffers
-	pauses  pauseGuard
+	buffers bodyBuffers
+	// requestBuffers holds the bodies of requests.
+	requestBuffers bodyBuffers
+	pauses         pauseGuard
 	// processChecks joins concurrent checks of the same target process.
 	processChecks singleflight.Group
 	// entries are the ready instances that are listed for callers.
@@ -96,6 +99,7 @@
 	if s.buffers.limit = s.BufferBytes; s.buffers.limit == 0 {
 		s.buffers.limit = defaultBufferBytes
 	}
+	s.requestBuffers.limit = s.buffers.limit
 }
 
 // Run closes expired idle connections and notes pauses of the process until ctx ends.
@@ -139,6 +143,7 @@
 	defer s.inFlight.Add(-1)
 	x := &exchange{server: s, w: w, r: r, start: time.Now()}
 	defer x.logOutcome()
+	defer func() { x.bodyReader.release() }()
 	s.pauses.await(r.Context())
 	x.view = s.views.load()
 	if s.drainingFor() > 0 {
