link: entries leave control instances that are cut off, whichever they try first

TestEntriesLeaveCutOffMinority plays all orders of the seeds: two entries had not got a change after 2 s on the code before this commit. Change: control instances that answered without leading come last, the latest at the end, and are no longer taken for the leader.

--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -179,9 +179,16 @@
 
 // newCluster starts a cluster. The first three control instances bootstrap the group.
 func newCluster(t *testing.T, controls, entries int) *cluster {
+	t.Helper()
+	return newClusterOf(t, controls, entries, min(controls, 3))
+}
+
+// newClusterOf starts a cluster that the first control instances bootstrap, as many as there are
+// seeds.
+func newClusterOf(t *testing.T, controls, entries, seeds int) *cluster {
 	t.Helper()
 	cl := &cluster{t: t, controls: make(map[string]*controlNode), entries: make(map[string]*entryNode)}
-	for i := range min(controls, 3) {
+	for i := range seeds {
 		cl.seeds = append(cl.seeds, fmt.Sprintf("10.0.0.%d:7", i+1))
 	}
 	for i := range controls {
--- a/internal/hub/fleet_test.go
+++ b/internal/hub/fleet_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
@@ -86,6 +89,56 @@
 	})
 }
 
+// TestEntriesLeaveCutOffMinority cuts two of five control instances off from the others, the
+// leader among them and both seeds of the entries, which reach all five. The two know no leader,
+// or take each other for it. Tables that the others acknowledge must be at every entry in time,
+// whichever of the two an entry tries first.
+func TestEntriesLeaveCutOffMinority(t *testing.T) {
+	for second := range 4 {
+		for _, order := range [][]int{{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}} {
+			synctest.Test(t, func(t *testing.T) { cutOffMinority(t, second, order) })
+		}
+	}
+}
+
+// cutOffMinority cuts the leader and one other control instance off. The seeds of the entries are
+// these two and a third one, in an order.
+func cutOffMinority(t *testing.T, second int, order []int) {
+	const inForce = 2 * time.Second
+	cl := newClusterOf(t, 5, 0, 5)
+	defer cl.close()
+	lead := cl.leader().PeerAddr
+	cl.publish(1)
+	majority := slices.DeleteFunc(slices.Clone(cl.seeds), func(a string) bool { return a == lead })
+	minority := []string{lead, majority[second]}
+	majority = slices.Delete(majority, second, second+1)
+	cl.seeds = nil
+	for _, i := range order {
+		cl.seeds = append(cl.seeds, []string{minority[0], minority[1], majority[0]}[i])
+	}
+	for i := range 10 {
+		cl.startEntry(fmt.Sprintf("%c%d", 'a'+i%3, i), fmt.Sprintf("10.0.1.%d:7", i+1))
+	}
+	time.Sleep(3 * time.Second)
+	for _, a := range minority {
+		for _, b := range majority {
+			cl.net.Cut(a, b)
+		}
+	}
+	all := maps.Clone(cl.controls)
+	for _, a := range minority {
+		delete(cl.controls, a)
+	}
+	cl.publish(2)
+	cl.controls = all
+	time.Sleep(inForce)
+	for _, e := range cl.entries {
+		e.withLock(func() {
+			quicktest.Check(t, e.version, quicktest.Equals, int64(2), quicktest.Commentf("%s, cut off %v, seeds %v", e.name, minority, cl.seeds))
+		})
+	}
+}
+
 // TestEntriesLeaveCutOffControl cuts the leader off from the other control instances, while
 // entries reach all of them. It steps down, knows no leader, and its registry falls behind.
 // Tables that the others acknowledge must be at every entry in time.
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -105,6 +106,8 @@
 	// confirmed is set.
 	heard     map[string]bool
 	confirmed bool
+	// notLeading is when each control instance last answered without leading.
+	notLeading map[string]time.Time
 	// followerLinks counts the links to instances that don't lead since the last one that did.
 	followerLinks int
 	// cancelSession ends the session.
@@ -201,7 +204,8 @@
 }
 
 // dialOrder returns the addresses to try: that of the leader first, then the others, rotated
-// by the number of the round.
+// by the number of the round. Those that have answered without leading come last, the latest of
+// them at the end: they may be cut off from the others and know no better.
 func (c *Client) dialOrder(round int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -213,9 +217,12 @@
 	}
 	add(c.leaderAddr)
 	all := slices.Concat(c.seeds, c.controlAddrs)
+	first := len(out)
 	for i := range all {
 		add(all[(i+round)%len(all)])
 	}
+	maps.DeleteFunc(c.notLeading, func(a string, _ time.Time) bool { return !slices.Contains(out, a) })
+	slices.SortStableFunc(out[first:], func(a, b string) int { return c.notLeading[a].Compare(c.notLeading[b]) })
 	return out
 }
 
@@ -231,6 +238,7 @@
 		return false
 	}
 	defer s.Stream.Close()
+	c.noteLeading(addr, w.IsLeader)
 	if c.Suspended != nil && c.Suspended() {
 		return true
 	}
@@ -259,6 +267,23 @@
 	return true
 }
 
+// noteLeading notes whether a control instance leads. One that doesn't is no longer taken for the
+// leader.
+func (c *Client) noteLeading(addr string, leads bool) {
+	c.mu.Lock()
+	if c.notLeading == nil {
+		c.notLeading = make(map[string]time.Time)
+	}
+	delete(c.notLeading, addr)
+	if !leads {
+		c.notLeading[addr] = time.Now()
+	}
+	c.mu.Unlock()
+	if !leads {
+		c.dropLeader(addr)
+	}
+}
+
 // countFollowerLink counts a link to an instance that does not lead, and returns how many came
 // before it.
 func (c *Client) countFollowerLink() int {
