--- a/internal/gate/blocklist.go
+++ b/internal/gate/blocklist.go
@@ -11,7 +11,7 @@
 )
 
 // blockedReason is the reason of a refusal that the blocklist causes.
-const blockedReason = "prompts with this part crash engines"
+const blockedReason = "prompts with this segment crash engines"
 
 // blocklist holds the prompts that must not be sent to engines. It reports crashes of engines to
 // the leader, which tells what to block. Without a leader it blocks what this instance has seen.
@@ -22,23 +22,23 @@
 	detector poison.Detector
 }
 
-// find returns how long requests with these shared parts are blocked.
-func (l *blocklist) find(parts []string) (left time.Duration, blocked bool) {
-	if len(parts) == 0 {
+// find returns how long requests with these shared segments are blocked.
+func (l *blocklist) find(segments []string) (left time.Duration, blocked bool) {
+	if len(segments) == 0 {
 		return 0, false
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.detector.Find(time.Now(), parts)
+	return l.detector.Find(time.Now(), segments)
 }
 
 // recordCrash records that the process of an engine ended while it had a request with these
-// shared parts.
-func (l *blocklist) recordCrash(t site.Target, parts []string) {
-	if len(parts) == 0 {
+// shared segments.
+func (l *blocklist) recordCrash(t site.Target, segments []string) {
+	if len(segments) == 0 {
 		return
 	}
-	c := poison.Crash{Target: t.ID, StartedMs: t.StartedMs, Suspects: [][]string{parts}}
+	c := poison.Crash{Target: t.ID, StartedMs: t.StartedMs, Suspects: [][]string{segments}}
 	l.mu.Lock()
 	l.detector.AddCrash(time.Now(), c)
 	l.mu.Unlock()
@@ -59,12 +59,12 @@
 }
 
 // recordSurvival records that an engine has written an answer to a request with these shared
-// parts, whose first event came at began.
-func (l *blocklist) recordSurvival(parts []string, began time.Time) {
-	if len(parts) == 0 {
+// segments, whose first event came at began.
+func (l *blocklist) recordSurvival(segments []string, began time.Time) {
+	if len(segments) == 0 {
 		return
 	}
-	s := poison.Survival{Parts: parts, Age: time.Since(began)}
+	s := poison.Survival{Segments: segments, Age: time.Since(began)}
 	l.mu.Lock()
 	lifted, isNews := l.detector.AddSurvival(time.Now(), s)
 	l.mu.Unlock()
@@ -77,7 +77,7 @@
 // log logs changed blocks.
 func (l *blocklist) log(changed []poison.Block) {
 	for _, b := range changed {
-		l.server.Log.Warn().Strs("prefix", b.Parts).Dur("left", b.Left).Int("times", b.Times).Bool("linked", l.server.Link.IsLinkedToLeader()).
+		l.server.Log.Warn().Strs("prefix", b.Segments).Dur("left", b.Left).Int("times", b.Times).Bool("linked", l.server.Link.IsLinkedToLeader()).
 			Msg("block of prompts changed")
 	}
 }
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -60,7 +60,7 @@
 func TestBlockedPromptIsRefused(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestbed(t, nil, []script{streamEvents(2, 0)})
-		s.gate.ApplyBlocks([]poison.Block{{Parts: []string{"bad"}, Left: 30 * time.Second}})
+		s.gate.ApplyBlocks([]poison.Block{{Segments: []string{"bad"}, Left: 30 * time.Second}})
 		res := s.call(resumableStreamPath, "prompt", "Parts", "a,bad,b")
 		quicktest.Assert(t, res.status, quicktest.Equals, 503)
 		quicktest.Assert(t, res.header.Get("Retry-After"), quicktest.Equals, "30")
@@ -80,7 +80,7 @@
 		for _, f := range s.targets {
 			f.script = func(f *fakeTarget, _ net.Conn, _ *http.Request) bool {
 				f.listener.Close()
-				s.gate.ApplyBlocks([]poison.Block{{Parts: []string{"bad"}, Left: 30 * time.Second}})
+				s.gate.ApplyBlocks([]poison.Block{{Segments: []string{"bad"}, Left: 30 * time.Second}})
 				return false
 			}
 		}
@@ -118,7 +118,7 @@
 			}
 		}
 		const allowed = 5 + 3
-		quicktest.Assert(t, crashed <= allowed, quicktest.IsTrue, quicktest.Commentf("%d requests with the part", crashed))
+		quicktest.Assert(t, crashed <= allowed, quicktest.IsTrue, quicktest.Commentf("%d requests with the segment", crashed))
 		quicktest.Assert(t, s.call(resumableStreamPath, "prompt", "Parts", "a").status, quicktest.Equals, 200)
 	})
 }
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -60,7 +60,7 @@
 	reason, retry := "no engine was free in time", longRetryAfter
 	x.server.placer.awaitLink(ctx)
 	for ctx.Err() == nil && x.timeLeft() > minAttemptTime && s.refusals < maxRefusals {
-		if left, blocked := x.server.blocklist.find(x.call.SharedParts); blocked {
+		if left, blocked := x.server.blocklist.find(x.call.SharedSegments); blocked {
 			reason, retry = blockedReason, left
 			break
 		}
@@ -162,7 +162,7 @@
 		s.refusals++
 		return false, "a granted engine is no longer ready"
 	}
-	if _, blocked := s.server.blocklist.find(s.call.SharedParts); blocked {
+	if _, blocked := s.server.blocklist.find(s.call.SharedSegments); blocked {
 		s.refusals++
 		return false, blockedReason
 	}
@@ -195,7 +195,7 @@
 	reason, err = s.relayEvents(ctx, lead, resp, &att)
 	if reason == "" {
 		if !att.firstEventAt.IsZero() {
-			s.server.blocklist.recordSurvival(s.call.SharedParts, att.firstEventAt)
+			s.server.blocklist.recordSurvival(s.call.SharedSegments, att.firstEventAt)
 		}
 		reuse = true
 		s.server.health.recordSuccess(lead.ID)
@@ -378,7 +378,7 @@
 	}
 	if !att.survived && att.written() >= poison.SurvivalTime {
 		att.survived = true
-		s.server.blocklist.recordSurvival(s.call.SharedParts, att.firstEventAt)
+		s.server.blocklist.recordSurvival(s.call.SharedSegments, att.firstEventAt)
 	}
 }
 
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -275,8 +275,8 @@
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("organisation", x.org)
 	}
-	if len(x.call.SharedParts) > 0 {
-		e.Strs("prefix", x.call.SharedParts)
+	if len(x.call.SharedSegments) > 0 {
+		e.Strs("prefix", x.call.SharedSegments)
 	}
 	e.Int("prompt", x.call.PromptTokens).Int("status", x.status).Str("by", x.answeredBy).Str("reason", x.reason).Str("ask", x.grantID).Str("target", x.target).Int("sends", x.sends).
 		Int("parts", x.engineCount).Dur("waited", x.queueTime).Dur("expect", x.predicted).Dur("first", x.firstEvent).Dur("pause", x.maxPause).Int("events", x.eventCount).Dur("took", took).
--- a/internal/gate/headercodec.go
+++ b/internal/gate/headercodec.go
@@ -22,9 +22,9 @@
 	// the answer. ExpectedOutputTokens is the length that the caller expects; 0 if not
 	// given.
 	PromptTokens, MaxOutputTokens, ExpectedOutputTokens int
-	// SharedParts are the IDs of the parts of the prompt that other requests may share, such
+	// SharedSegments are the IDs of the segments of the prompt that other requests may share, such
 	// as a system prompt.
-	SharedParts []string
+	SharedSegments []string
 	// LastEventID is the number of the last event that the caller received, if
 	// HasLastEventID is set: the caller resumes an answer after that event.
 	LastEventID    int64
--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -34,7 +34,7 @@
 	}
 	c := CallInfo{ID: h.Get("Id"), Key: h.Get("Key"), TimeLimit: time.Duration(ms) * time.Millisecond, PromptTokens: 1000, MaxOutputTokens: 100}
 	if parts := h.Get("Parts"); parts != "" {
-		c.SharedParts = strings.Split(parts, ",")
+		c.SharedSegments = strings.Split(parts, ",")
 	}
 	if last := h.Get("Last"); last != "" {
 		c.LastEventID, err = strconv.ParseInt(last, 10, 64)
--- a/internal/hub/blocker.go
+++ b/internal/hub/blocker.go
@@ -97,7 +97,7 @@
 	s := b.server
 	for _, k := range changed {
 		s.counter("hub.prompt_blocks").Inc(1)
-		s.Log.Warn().Strs("prefix", k.Parts).Dur("left", k.Left).Int("times", k.Times).Msg("block of prompts changed")
+		s.Log.Warn().Strs("prefix", k.Segments).Dur("left", k.Left).Int("times", k.Times).Msg("block of prompts changed")
 	}
 	s.sendAll(func(m *link.ControlMessage) { m.Blocks = append(m.Blocks, changed...) })
 }
--- a/internal/hub/blocker_test.go
+++ b/internal/hub/blocker_test.go
@@ -11,26 +11,26 @@
 	"github.com/bambooproxy/bambooproxy/internal/poison"
 )
 
-// isBlocked reports whether an entry knows that the parts are blocked.
-func (e *entryNode) isBlocked(parts string) (blocked bool) {
-	e.withLock(func() { blocked = e.blocks[parts] })
+// isBlocked reports whether an entry knows that the segments are blocked.
+func (e *entryNode) isBlocked(segments string) (blocked bool) {
+	e.withLock(func() { blocked = e.blocks[segments] })
 	return blocked
 }
 
 // crashEngines has each entry in turn report the crash of an engine that had a request with
-// the part.
-func (cl *cluster) crashEngines(from, count int, part string) {
+// the segment.
+func (cl *cluster) crashEngines(from, count int, segment string) {
 	for i := range count {
 		e := cl.entries[fmt.Sprintf("10.0.1.%d:7", i%len(cl.entries)+1)]
 		e.client.Send(func(m *link.FollowerMessage) {
-			m.Crashes = append(m.Crashes, poison.Crash{Target: fmt.Sprint(from + i), Suspects: [][]string{{part}, {"other"}}})
-			m.Survivals = append(m.Survivals, poison.Survival{Parts: []string{"other"}})
+			m.Crashes = append(m.Crashes, poison.Crash{Target: fmt.Sprint(from + i), Suspects: [][]string{{segment}, {"other"}}})
+			m.Survivals = append(m.Survivals, poison.Survival{Segments: []string{"other"}})
 		})
 		time.Sleep(200 * time.Millisecond)
 	}
 }
 
-// TestCrashesSeenApartAreJoined: each entry sees only some of the engines that a part of prompts
+// TestCrashesSeenApartAreJoined: each entry sees only some of the engines that a segment of prompts
 // crashes. Together they must block it everywhere, also at entries that link later and at a new
 // leader, and an answer to such a prompt must lift the block.
 func TestCrashesSeenApartAreJoined(t *testing.T) {
@@ -53,7 +53,7 @@
 		wantBlocked(true)
 
 		cl.entries["10.0.1.1:7"].withLock(func() {
-			cl.entries["10.0.1.1:7"].reportedBlocks = []poison.Block{{Parts: []string{"bad"}, Left: time.Minute, Times: 1}}
+			cl.entries["10.0.1.1:7"].reportedBlocks = []poison.Block{{Segments: []string{"bad"}, Left: time.Minute, Times: 1}}
 		})
 		cl.crash(cl.leader().PeerAddr)
 		cl.leader()
@@ -61,7 +61,7 @@
 		time.Sleep(5 * time.Second)
 		wantBlocked(true)
 		cl.entries["10.0.1.2:7"].client.Send(func(m *link.FollowerMessage) {
-			m.Survivals = append(m.Survivals, poison.Survival{Parts: []string{"bad", "other"}})
+			m.Survivals = append(m.Survivals, poison.Survival{Segments: []string{"bad", "other"}})
 		})
 		wantBlocked(false)
 	})
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -65,7 +65,7 @@
 	// that ended.
 	entryCount, lists, updates, linksLost int
 	activeGrants                          []place.ActiveGrant
-	// blocks holds the blocked parts, and reportedBlocks what it tells a new leader of them.
+	// blocks holds the blocked segments, and reportedBlocks what it tells a new leader of them.
 	blocks         map[string]bool
 	reportedBlocks []poison.Block
 	// limits holds the limits of targets, and reportedLimits what it tells a new leader of them.
@@ -137,7 +137,7 @@
 func (e *entryNode) ApplyBlocks(blocks []poison.Block) {
 	e.withLock(func() {
 		for _, b := range blocks {
-			e.blocks[strings.Join(b.Parts, " ")] = b.Left > 0
+			e.blocks[strings.Join(b.Segments, " ")] = b.Left > 0
 		}
 	})
 }
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -17,18 +17,18 @@
 const (
 	// contact is the time in which a finding must reach all entries.
 	contact = 3 * time.Second
-	// crashesToLearn is the number of crashes after which the part must be known, and
+	// crashesToLearn is the number of crashes after which the segment must be known, and
 	// maxLateArrivals that of requests with it that engines may get after that.
 	crashesToLearn  = 5
 	maxLateArrivals = 3
 	crasher         = "bad0bad0"
 )
 
-// TestPromptPartThatCrashesEngines guards against a part of prompts that ends each engine which
+// TestPromptSegmentThatCrashesEngines guards against a segment of prompts that ends each engine which
 // begins to write an answer to it: requests with it, no two alike, come at all entries, and each
 // of them would take an engine with all its other answers. Requests of the same caller with the
-// same other parts must go on.
-func TestPromptPartThatCrashesEngines(t *testing.T) {
+// same other segments must go on.
+func TestPromptSegmentThatCrashesEngines(t *testing.T) {
 	for name, interval := range map[string]time.Duration{"often": 150 * time.Millisecond, "rarely": 900 * time.Millisecond} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { playCrashes(t, interval) })
@@ -43,7 +43,7 @@
 	callers sync.WaitGroup
 
 	countMu sync.Mutex
-	// calls and served count the sound requests sent before the crashes, and once the part must
+	// calls and served count the sound requests sent before the crashes, and once the segment must
 	// be known.
 	calls, served [2]int
 }
@@ -54,7 +54,7 @@
 	const entries = 4
 	ctx, cancel := context.WithCancel(context.Background())
 	p := &crashPlay{fleet: newFleet(ctx, t, entries, 12, 0, func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
-		if slices.Contains(c.SharedParts, crasher) {
+		if slices.Contains(c.SharedSegments, crasher) {
 			time.Sleep(2 * eventPause)
 			e.crash(ctx)
 			return
@@ -67,19 +67,19 @@
 	p.start = time.Now()
 	p.sendUntil(30*time.Second, 60*time.Millisecond, func(i int) {
 		sent := time.Now()
-		_, whole := p.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("a%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7)}})
+		_, whole := p.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("a%d", i), SharedSegments: []string{"5e1f", fmt.Sprintf("c%d", i%7)}})
 		p.count(sent, whole)
 	})
 	time.Sleep(8 * time.Second)
 	p.sendUntil(28*time.Second, interval, func(i int) {
-		p.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("b%d", i), SharedParts: []string{"5e1f", fmt.Sprintf("c%d", i%7), crasher}})
+		p.call(ctx, i%entries, chatPath, gate.CallInfo{ID: fmt.Sprintf("b%d", i), SharedSegments: []string{"5e1f", fmt.Sprintf("c%d", i%7), crasher}})
 	})
 	p.callers.Wait()
 
 	late := p.lateArrivals()
 	before, after := float64(p.served[0])/float64(p.calls[0]), float64(p.served[1])/float64(max(1, p.calls[1]))
-	t.Logf("%d crashes, %d requests with the part after it must be known, sound ones served %.2f before and %.2f after", len(p.crashTimes()), late, before, after)
-	red.Check(t, "late", late <= maxLateArrivals, "%d requests with the part reached engines later than %s after the fifth crash, allowed %d", late, contact, maxLateArrivals)
+	t.Logf("%d crashes, %d requests with the segment after it must be known, sound ones served %.2f before and %.2f after", len(p.crashTimes()), late, before, after)
+	red.Check(t, "late", late <= maxLateArrivals, "%d requests with the segment reached engines later than %s after the fifth crash, allowed %d", late, contact, maxLateArrivals)
 	red.Check(t, "sound", p.calls[1] >= 20 && after >= before/2, "%d of %d sound requests served, before the crashes %.2f", p.served[1], p.calls[1], before)
 }
 
@@ -110,14 +110,14 @@
 	}
 }
 
-// lateArrivals returns how many requests with the part reached engines when it must be known.
+// lateArrivals returns how many requests with the segment reached engines when it must be known.
 func (f *fleet) lateArrivals() (late int) {
 	crashes := f.crashTimes()
 	if len(crashes) < crashesToLearn {
 		return 0
 	}
 	for _, a := range f.arrivals {
-		if a.at.Sub(crashes[crashesToLearn-1]) > contact && slices.Contains(a.call.SharedParts, crasher) {
+		if a.at.Sub(crashes[crashesToLearn-1]) > contact && slices.Contains(a.call.SharedSegments, crasher) {
 			late++
 		}
 	}
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -13,35 +13,35 @@
 	// separation is the time between two crashes below which they count as one: engines that
 	// end together have a common cause outside of their requests.
 	separation = 100 * time.Millisecond
-	// crashLimit is the number of crashes that block a part which no answer has survived, and
-	// knownCrashLimit that for a part of which there have been answers before.
+	// crashLimit is the number of crashes that block a segment which no answer has survived, and
+	// knownCrashLimit that for a segment of which there have been answers before.
 	crashLimit      = 4
 	knownCrashLimit = 5
-	// knownCrashTime is how long a part of which there have been answers must have crashed
+	// knownCrashTime is how long a segment of which there have been answers must have crashed
 	// engines: an answer that began after the first crash could have survived by then.
 	knownCrashTime = 2 * SurvivalTime
 	// evidenceTime is how long crashes, survivals and ended blocks are remembered.
 	evidenceTime = 10 * time.Minute
-	// initialBlockTime is how long parts are blocked at first. It doubles each time they crash
+	// initialBlockTime is how long segments are blocked at first. It doubles each time they crash
 	// an engine again after that, up to maxBlockTime.
 	initialBlockTime = 2 * time.Minute
 	maxBlockTime     = time.Hour
 	// handoverTime is the age of the crashes that a detector passes on.
 	handoverTime = 30 * time.Second
-	// maxCrashes and maxParts bound the memory for crashes and for parts with a survival.
-	maxCrashes = 256
-	maxParts   = 8192
+	// maxCrashes and maxSegments bound the memory for crashes and for segments with a survival.
+	maxCrashes  = 256
+	maxSegments = 8192
 	// survivalInterval is how much later an answer must have begun than the last one known
-	// with the same parts for its survival to be news.
+	// with the same segments for its survival to be news.
 	survivalInterval = 500 * time.Millisecond
 )
 
-// Detector finds the parts that crash engines. A part is blamed if engines that ended had
+// Detector finds the segments that crash engines. A segment is blamed if engines that ended had
 // requests with it, and no answer with it has survived that began after they ended. The zero
 // value is ready to use.
 type Detector struct {
 	crashes []*crash
-	// survivals holds, for each part, when the latest answer began that survived, and told the
+	// survivals holds, for each segment, when the latest answer began that survived, and told the
 	// one of them that was last reported as news.
 	survivals, told map[string]time.Time
 	// lastSurvival is the latest of them.
@@ -54,7 +54,7 @@
 type crash struct {
 	Crash
 	at, reportedAt time.Time
-	// explained is set if one of the requests has the parts of a block.
+	// explained is set if one of the requests has the segments of a block.
 	explained bool
 }
 
@@ -67,7 +67,7 @@
 
 // AddCrash adds the report of a crash. Reports of the same process are joined.
 func (d *Detector) AddCrash(now time.Time, c Crash) {
-	suspects := slices.DeleteFunc(slices.Clone(c.Suspects), func(parts []string) bool { return len(parts) == 0 })
+	suspects := slices.DeleteFunc(slices.Clone(c.Suspects), func(segments []string) bool { return len(segments) == 0 })
 	if len(suspects) == 0 {
 		return
 	}
@@ -101,35 +101,35 @@
 	if began.After(d.lastSurvival) {
 		d.lastSurvival = began
 	}
-	for _, p := range s.Parts {
+	for _, p := range s.Segments {
 		if began.After(d.survivals[p]) {
 			d.survivals[p] = began
 		}
 		isNews = isNews || began.Sub(d.told[p]) >= survivalInterval
 	}
 	if isNews {
-		for _, p := range s.Parts {
+		for _, p := range s.Segments {
 			d.told[p] = d.survivals[p]
 		}
 	}
-	if len(d.survivals) > maxParts {
+	if len(d.survivals) > maxSegments {
 		d.dropSurvivals(now)
 	}
 	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool {
-		if !began.After(b.since) || !containsAll(s.Parts, b.Parts) {
+		if !began.After(b.since) || !containsAll(s.Segments, b.Segments) {
 			return false
 		}
-		lifted = append(lifted, Block{Parts: b.Parts})
+		lifted = append(lifted, Block{Segments: b.Segments})
 		return true
 	})
 	return lifted, isNews || len(lifted) > 0
 }
 
-// dropSurvivals forgets the parts whose last survival is old, and others if these are too few.
+// dropSurvivals forgets the segments whose last survival is old, and others if these are too few.
 func (d *Detector) dropSurvivals(now time.Time) {
 	maps.DeleteFunc(d.survivals, func(_ string, at time.Time) bool { return now.Sub(at) > evidenceTime })
 	for p := range d.survivals {
-		if len(d.survivals) <= maxParts/2 {
+		if len(d.survivals) <= maxSegments/2 {
 			break
 		}
 		delete(d.survivals, p)
@@ -143,7 +143,7 @@
 // Apply takes over a block from another detector, or the end of one. It reports whether that
 // was not known.
 func (d *Detector) Apply(now time.Time, b Block) (isNews bool) {
-	i := slices.IndexFunc(d.blocks, func(o *block) bool { return slices.Equal(o.Parts, b.Parts) })
+	i := slices.IndexFunc(d.blocks, func(o *block) bool { return slices.Equal(o.Segments, b.Segments) })
 	switch {
 	case b.Left <= 0 && i >= 0:
 		d.blocks = slices.Delete(d.blocks, i, i+1)
@@ -159,10 +159,10 @@
 	return true
 }
 
-// Find returns how long requests with these shared parts are blocked.
-func (d *Detector) Find(now time.Time, parts []string) (left time.Duration, blocked bool) {
+// Find returns how long requests with these shared segments are blocked.
+func (d *Detector) Find(now time.Time, segments []string) (left time.Duration, blocked bool) {
 	for _, b := range d.blocks {
-		if now.Before(b.until) && containsAll(parts, b.Parts) {
+		if now.Before(b.until) && containsAll(segments, b.Segments) {
 			left = max(left, b.until.Sub(now))
 		}
 	}
@@ -181,11 +181,11 @@
 }
 
 func (b *block) report(now time.Time) Block {
-	return Block{Parts: b.Parts, Left: b.until.Sub(now), Times: b.Times}
+	return Block{Segments: b.Segments, Left: b.until.Sub(now), Times: b.Times}
 }
 
 // Evidence returns the crashes of the last handoverTime, for a detector that takes over from
-// another one, and the survivals of the parts that they involve. Earlier crashes have been
+// another one, and the survivals of the segments that they involve. Earlier crashes have been
 // judged with the survivals that followed them, which are not all known here.
 func (d *Detector) Evidence(now time.Time) (crashes []Crash, survivals []Survival) {
 	sent := make(map[string]bool)
@@ -197,7 +197,7 @@
 		for _, p := range slices.Concat(c.Suspects...) {
 			if at, ok := d.survivals[p]; ok && !sent[p] {
 				sent[p] = true
-				survivals = append(survivals, Survival{Parts: []string{p}, Age: now.Sub(at)})
+				survivals = append(survivals, Survival{Segments: []string{p}, Age: now.Sub(at)})
 			}
 		}
 	}
@@ -237,7 +237,7 @@
 			b := d.newBlock(now, open, s)
 			out = append(out, b.report(now))
 			open = slices.DeleteFunc(open, func(c *crash) bool {
-				c.explained = c.hasSuspect(b.Parts)
+				c.explained = c.hasSuspect(b.Segments)
 				return c.explained
 			})
 		}
@@ -253,14 +253,14 @@
 // blockFor returns the block that explains a crash, or nil.
 func (d *Detector) blockFor(c *crash) *block {
 	for _, b := range d.blocks {
-		if c.hasSuspect(b.Parts) {
+		if c.hasSuspect(b.Segments) {
 			return b
 		}
 	}
 	return nil
 }
 
-// renew blocks parts again that have crashed an engine after their block had ended.
+// renew blocks segments again that have crashed an engine after their block had ended.
 func (d *Detector) renew(now time.Time, b *block) Block {
 	b.Times++
 	left := initialBlockTime
@@ -271,18 +271,18 @@
 	return b.report(now)
 }
 
-// suspect is a part that may have crashed engines.
+// suspect is a segment that may have crashed engines.
 type suspect struct {
-	part string
+	segment string
 	// crashes counts the crashes that it may have caused, and requests the requests with it
 	// among them.
 	crashes, requests int
 	first, last       time.Time
 }
 
-// worstSuspect returns the part that explains most of the crashes, which are sorted by time. Of
-// equal ones it is the one in the fewest requests: a part of all requests is in those that
-// crash, too. With known, it looks at parts of which answers have survived before the first
+// worstSuspect returns the segment that explains most of the crashes, which are sorted by time. Of
+// equal ones it is the one in the fewest requests: a segment of all requests is in those that
+// crash, too. With known, it looks at segments of which answers have survived before the first
 // of the crashes, otherwise at all others.
 func (d *Detector) worstSuspect(now time.Time, crashes []*crash, known bool) (worst suspect, ok bool) {
 	for _, s := range d.suspects(crashes, known) {
@@ -297,18 +297,18 @@
 	return worst, ok
 }
 
-// suspects returns the suspects of worstSuspect, by part.
+// suspects returns the suspects of worstSuspect, by segment.
 func (d *Detector) suspects(crashes []*crash, known bool) map[string]*suspect {
-	byPart := make(map[string]*suspect)
+	bySegment := make(map[string]*suspect)
 	for _, c := range crashes {
 		for _, p := range slices.Concat(c.Suspects...) {
 			if survivedAt, isKnown := d.survivals[p]; isKnown != known || survivedAt.After(c.at) {
 				continue
 			}
-			s := byPart[p]
+			s := bySegment[p]
 			if s == nil {
-				s = &suspect{part: p, first: c.at}
-				byPart[p] = s
+				s = &suspect{segment: p, first: c.at}
+				bySegment[p] = s
 			}
 			s.requests++
 			if s.crashes == 0 || c.at.Sub(s.last) >= separation {
@@ -317,7 +317,7 @@
 			}
 		}
 	}
-	return byPart
+	return bySegment
 }
 
 func (s *suspect) isWorse(o suspect) bool {
@@ -327,42 +327,42 @@
 	if s.requests != o.requests {
 		return s.requests < o.requests
 	}
-	return s.part < o.part
+	return s.segment < o.segment
 }
 
-// newBlock blocks a part, together with those that came with it in each of the suspected
+// newBlock blocks a segment, together with those that came with it in each of the suspected
 // requests and of which no answer has survived: any of them may be the cause.
 func (d *Detector) newBlock(now time.Time, crashes []*crash, s suspect) *block {
 	var common []string
 	for _, c := range crashes {
-		for _, parts := range c.Suspects {
+		for _, segments := range c.Suspects {
 			switch {
-			case !slices.Contains(parts, s.part):
+			case !slices.Contains(segments, s.segment):
 			case common == nil:
-				common = slices.Clone(parts)
+				common = slices.Clone(segments)
 			default:
-				common = slices.DeleteFunc(common, func(p string) bool { return !slices.Contains(parts, p) })
+				common = slices.DeleteFunc(common, func(p string) bool { return !slices.Contains(segments, p) })
 			}
 		}
 	}
 	common = slices.DeleteFunc(common, func(p string) bool {
 		_, known := d.survivals[p]
-		return known && p != s.part
+		return known && p != s.segment
 	})
 	slices.Sort(common)
-	b := &block{Block: Block{Parts: slices.Compact(common), Times: 1}, since: s.first, until: now.Add(initialBlockTime)}
+	b := &block{Block: Block{Segments: slices.Compact(common), Times: 1}, since: s.first, until: now.Add(initialBlockTime)}
 	d.blocks = append(d.blocks, b)
 	return b
 }
 
-// hasSuspect reports whether one of the suspected requests has all of the parts.
-func (c *crash) hasSuspect(parts []string) bool {
-	return slices.ContainsFunc(c.Suspects, func(s []string) bool { return containsAll(s, parts) })
+// hasSuspect reports whether one of the suspected requests has all of the segments.
+func (c *crash) hasSuspect(segments []string) bool {
+	return slices.ContainsFunc(c.Suspects, func(s []string) bool { return containsAll(s, segments) })
 }
 
-// containsAll reports whether all contains each of the parts.
-func containsAll(all, parts []string) bool {
-	for _, p := range parts {
+// containsAll reports whether all contains each of the segments.
+func containsAll(all, segments []string) bool {
+	for _, p := range segments {
 		if !slices.Contains(all, p) {
 			return false
 		}
--- a/internal/poison/detector_test.go
+++ b/internal/poison/detector_test.go
@@ -26,27 +26,27 @@
 }
 
 // survive reports an answer that began just now.
-func (b *bench) survive(parts ...string) []Block {
-	lifted, _ := b.AddSurvival(time.Now(), Survival{Parts: parts})
+func (b *bench) survive(segments ...string) []Block {
+	lifted, _ := b.AddSurvival(time.Now(), Survival{Segments: segments})
 	return lifted
 }
 
-func (b *bench) isBlocked(parts ...string) bool {
-	_, blocked := b.Find(time.Now(), parts)
+func (b *bench) isBlocked(segments ...string) bool {
+	_, blocked := b.Find(time.Now(), segments)
 	return blocked
 }
 
-func partsOf(blocks []Block) [][]string {
+func segmentsOf(blocks []Block) [][]string {
 	var out [][]string
 	for _, b := range blocks {
-		out = append(out, b.Parts)
+		out = append(out, b.Segments)
 	}
 	return out
 }
 
-// TestPartIsBlamed: the part that all crashes have in common must be blamed, and not the ones
+// TestSegmentIsBlamed: the segment that all crashes have in common must be blamed, and not the ones
 // that were at the engines with it, or that answers survive with.
-func TestPartIsBlamed(t *testing.T) {
+func TestSegmentIsBlamed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var b bench
 		quicktest.Assert(t, b.crash([]string{"all", "bad", "x"}, []string{"all", "y"}, []string{"all", "z"}), quicktest.HasLen, 0)
@@ -54,15 +54,15 @@
 		b.survive("all", "y")
 		b.crash([]string{"all", "x"}, []string{"all", "bad", "z"})
 		got := b.crash([]string{"all", "bad"}, []string{"all", "z"})
-		quicktest.Assert(t, partsOf(got), quicktest.DeepEquals, [][]string{{"bad"}})
+		quicktest.Assert(t, segmentsOf(got), quicktest.DeepEquals, [][]string{{"bad"}})
 		quicktest.Assert(t, b.isBlocked("all", "new", "bad"), quicktest.IsTrue)
 		quicktest.Assert(t, b.isBlocked("all", "x", "y", "z"), quicktest.IsFalse)
 	})
 }
 
-// TestPartsThatAlwaysCameTogether: while it is open which of two parts is the cause, only
+// TestSegmentsThatAlwaysCameTogether: while it is open which of two segments is the cause, only
 // requests with both are refused, so the one that is harmless is found out.
-func TestPartsThatAlwaysCameTogether(t *testing.T) {
+func TestSegmentsThatAlwaysCameTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var b bench
 		for range crashLimit {
@@ -100,10 +100,10 @@
 	})
 }
 
-// TestKnownPartThatBeginsToCrash: a part of which answers have survived may become harmful, for
-// example after engines were replaced. That takes more evidence, and answers with other parts
+// TestKnownSegmentThatBeginsToCrash: a segment of which answers have survived may become harmful, for
+// example after engines were replaced. That takes more evidence, and answers with other segments
 // must still survive.
-func TestKnownPartThatBeginsToCrash(t *testing.T) {
+func TestKnownSegmentThatBeginsToCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var b bench
 		b.survive("all", "bad")
@@ -113,7 +113,7 @@
 		time.Sleep(knownCrashTime)
 		quicktest.Assert(t, b.Evaluate(time.Now()), quicktest.HasLen, 0)
 		b.survive("all", "good")
-		quicktest.Assert(t, partsOf(b.Evaluate(time.Now())), quicktest.DeepEquals, [][]string{{"bad"}})
+		quicktest.Assert(t, segmentsOf(b.Evaluate(time.Now())), quicktest.DeepEquals, [][]string{{"bad"}})
 		quicktest.Assert(t, b.isBlocked("all", "good"), quicktest.IsFalse)
 	})
 }
@@ -137,7 +137,7 @@
 			quicktest.Assert(t, b.crash([]string{"bad"}), quicktest.HasLen, 1)
 			blocked *= 2
 		}
-		quicktest.Assert(t, partsOf(b.survive("other", "bad")), quicktest.DeepEquals, [][]string{{"bad"}})
+		quicktest.Assert(t, segmentsOf(b.survive("other", "bad")), quicktest.DeepEquals, [][]string{{"bad"}})
 		quicktest.Assert(t, b.isBlocked("bad"), quicktest.IsFalse)
 	})
 }
@@ -168,13 +168,13 @@
 		b.ended = 100
 		quicktest.Assert(t, b.isBlocked("all", "bad"), quicktest.IsTrue)
 		quicktest.Assert(t, b.isBlocked("all", "worse"), quicktest.IsFalse)
-		quicktest.Assert(t, partsOf(b.crash([]string{"all", "worse"})), quicktest.DeepEquals, [][]string{{"worse"}})
-		b.Apply(now, Block{Parts: []string{"bad"}})
+		quicktest.Assert(t, segmentsOf(b.crash([]string{"all", "worse"})), quicktest.DeepEquals, [][]string{{"worse"}})
+		b.Apply(now, Block{Segments: []string{"bad"}})
 		quicktest.Assert(t, b.isBlocked("all", "bad"), quicktest.IsFalse)
 	})
 }
 
-// replay is a fleet under load whose engines also end for other reasons, with or without a part
+// replay is a fleet under load whose engines also end for other reasons, with or without a segment
 // that crashes them.
 type replay struct {
 	Detector
@@ -182,7 +182,7 @@
 	running [replayEngines][]*replayRequest
 	backAt  [replayEngines]time.Time
 	ended   int
-	// crashes counts those by the part, and late the requests with it that engines got later
+	// crashes counts those by the segment, and late the requests with it that engines got later
 	// than learnTime after crash number crashesToLearn, at learntAt.
 	crashes, late int
 	learntAt      time.Time
@@ -190,7 +190,7 @@
 }
 
 type replayRequest struct {
-	parts     []string
+	segments  []string
 	writesAt  time.Time
 	bad, told bool
 }
@@ -213,10 +213,10 @@
 			r.advance(e)
 		}
 		if perTick(requestsPerSecond) {
-			r.send(&replayRequest{parts: []string{"all", fmt.Sprint("org", r.rng.IntN(10)), fmt.Sprint("rare", r.rng.IntN(500))}})
+			r.send(&replayRequest{segments: []string{"all", fmt.Sprint("org", r.rng.IntN(10)), fmt.Sprint("rare", r.rng.IntN(500))}})
 		}
 		if badPerSecond > 0 && i > 500 && perTick(badPerSecond) {
-			r.send(&replayRequest{parts: []string{"all", fmt.Sprint("org", r.rng.IntN(10)), "bad"}, bad: true})
+			r.send(&replayRequest{segments: []string{"all", fmt.Sprint("org", r.rng.IntN(10)), "bad"}, bad: true})
 		}
 		if r.rng.IntN(1000) < 3 {
 			r.end(r.rng.IntN(replayEngines))
@@ -241,7 +241,7 @@
 		}
 		if age >= SurvivalTime && !q.told {
 			q.told = true
-			r.AddSurvival(time.Now(), Survival{Parts: q.parts, Age: age})
+			r.AddSurvival(time.Now(), Survival{Segments: q.segments, Age: age})
 		}
 	}
 	r.running[e] = slices.DeleteFunc(r.running[e], func(q *replayRequest) bool { return time.Since(q.writesAt) > writeTime })
@@ -253,7 +253,7 @@
 	c := Crash{Target: fmt.Sprint(r.ended)}
 	for _, q := range r.running[e] {
 		if time.Since(q.writesAt) < SurvivalTime {
-			c.Suspects = append(c.Suspects, q.parts)
+			c.Suspects = append(c.Suspects, q.segments)
 		}
 	}
 	r.running[e], r.backAt[e] = nil, time.Now().Add(3*time.Second)
@@ -262,7 +262,7 @@
 
 // send sends a request to an engine with a free slot, unless it is blocked.
 func (r *replay) send(q *replayRequest) {
-	if _, blocked := r.Find(time.Now(), q.parts); blocked {
+	if _, blocked := r.Find(time.Now(), q.segments); blocked {
 		return
 	}
 	for range 5 {
@@ -279,14 +279,14 @@
 	}
 }
 
-// TestReplayUnderLoad replays fleets of which engines also end for other reasons: a part that
+// TestReplayUnderLoad replays fleets of which engines also end for other reasons: a segment that
 // crashes them must be blocked in time, and no other requests ever.
 func TestReplayUnderLoad(t *testing.T) {
 	for _, seed := range []uint64{0, 1, 2, 3, 9, 120} {
 		for _, rate := range []int{1, 8} {
 			synctest.Test(t, func(t *testing.T) {
 				r := newReplay(seed, rate)
-				quicktest.Check(t, partsOf(r.blocks), quicktest.DeepEquals, [][]string{{"bad"}}, quicktest.Commentf("seed %d, rate %d", seed, rate))
+				quicktest.Check(t, segmentsOf(r.blocks), quicktest.DeepEquals, [][]string{{"bad"}}, quicktest.Commentf("seed %d, rate %d", seed, rate))
 				const allowed = 3
 				quicktest.Check(t, r.late <= allowed, quicktest.IsTrue, quicktest.Commentf("seed %d, rate %d: %d late requests", seed, rate, r.late))
 			})
--- a/internal/poison/event.go
+++ b/internal/poison/event.go
@@ -1,4 +1,4 @@
-// Package poison finds the parts of prompts that crash engines, from what engines had to do when
+// Package poison finds the segments of prompts that crash engines, from what engines had to do when
 // their processes ended. It does no input or output and reads no clock: reports and the time go
 // in, blocks come out.
 package poison
@@ -6,7 +6,7 @@
 import "time"
 
 // SurvivalTime is how long an engine must have written an answer until the prompt counts as
-// harmless. A part that crashes engines does so when they begin to write.
+// harmless. A segment that crashes engines does so when they begin to write.
 const SurvivalTime = time.Second
 
 // Crash reports that the process of an engine ended without notice.
@@ -17,24 +17,24 @@
 	// Age is the time since the crash was noticed.
 	Age time.Duration `cbor:"3,keyasint"`
 	// Suspects are the requests that it had not yet written to for SurvivalTime, each with the
-	// shared parts of its prompt.
+	// shared segments of its prompt.
 	Suspects [][]string `cbor:"4,keyasint"`
 }
 
 // Survival reports that an engine has written an answer completely, or for SurvivalTime.
 type Survival struct {
-	// Parts are the shared parts of the prompt.
-	Parts []string `cbor:"1,keyasint"`
+	// Segments are the shared segments of the prompt.
+	Segments []string `cbor:"1,keyasint"`
 	// Age is the time since the first event of the answer.
 	Age time.Duration `cbor:"2,keyasint"`
 }
 
-// Block tells that requests whose prompts have all of the parts must not be sent to engines.
+// Block tells that requests whose prompts have all of the segments must not be sent to engines.
 type Block struct {
-	// Parts are sorted.
-	Parts []string `cbor:"1,keyasint"`
+	// Segments are sorted.
+	Segments []string `cbor:"1,keyasint"`
 	// Left is the time until the block ends; 0 lifts it.
 	Left time.Duration `cbor:"2,keyasint"`
-	// Times is how often the parts have been blocked.
+	// Times is how often the segments have been blocked.
 	Times int `cbor:"3,keyasint"`
 }
