place: engines that name a limit help with no prompts of others

What a back end would see: an engine that accepts one request a second was still asked to prefill parts of other engines' prompts. Where these need memory there, each part takes orders to set it aside, to renew and to free it, sent by instances that the engine has told. Change: such an engine is only a lead. Ruled out: counting the orders too, which the entry sends by need.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -27,9 +27,7 @@
 		return nil
 	}
 	c.reserve(now, j, p)
-	for _, e := range j.engines() {
-		e.limiter.Take(now, c.Shares)
-	}
+	p.lead.limiter.Take(now, c.Shares)
 	g := Grant{ID: j.request.ID, Lead: p.lead.ID, Urgency: j.urgency(), PredictedTTFT: p.ttft, Waited: now.Sub(j.arrived)}
 	g.Loss = Loss{Own: p.ownLoss / j.value, Others: p.othersLoss / j.value}
 	for _, h := range p.helpers {
--- a/internal/place/limiter.go
+++ b/internal/place/limiter.go
@@ -33,7 +33,7 @@
 	if l.perSecond == perSecond {
 		return
 	}
-	wasLimited := l.perSecond > 0
+	wasLimited := l.IsSet()
 	l.perSecond = perSecond
 	switch first := now.Add(scale(l.interval(shares), phase)); {
 	case !wasLimited, l.next.After(first):
@@ -44,6 +44,9 @@
 // Clear removes the limit.
 func (l *Limiter) Clear() { *l = Limiter{} }
 
+// IsSet reports whether there is a limit.
+func (l *Limiter) IsSet() bool { return l.perSecond > 0 }
+
 // interval returns the time between two requests.
 func (l *Limiter) interval(shares int) time.Duration {
 	rate := l.perSecond
@@ -55,7 +58,7 @@
 
 // Wait returns how long it takes until the next request may be sent; 0 if that is now.
 func (l *Limiter) Wait(now time.Time, shares int) time.Duration {
-	if l.perSecond == 0 {
+	if !l.IsSet() {
 		return 0
 	}
 	if shares > 1 {
@@ -70,7 +73,7 @@
 
 // Take records that a request is sent now.
 func (l *Limiter) Take(now time.Time, shares int) {
-	if l.perSecond == 0 {
+	if !l.IsSet() {
 		return
 	}
 	if shares <= 1 && l.next.Before(now) {
--- a/internal/place/limiter_test.go
+++ b/internal/place/limiter_test.go
@@ -116,6 +116,24 @@
 	quicktest.Assert(t, play(2000, 10*time.Second) > limited, quicktest.IsTrue)
 }
 
+// TestLimitedEngineHelpsNobody: to help with a long prompt takes orders besides the request, so an
+// engine that names a limit must not be asked to.
+func TestLimitedEngineHelpsNobody(t *testing.T) {
+	now := time.Unix(0, 0)
+	for _, isLimited := range []bool{false, true} {
+		c := idleCore(now, 3)
+		if isLimited {
+			limitEngines(c, now, 2, 1)
+		}
+		req := shortRequest("long")
+		req.Prompt, req.TTFTLeft, req.TTFTTarget, req.TimeLeft = 140_000, 3*time.Second, 3*time.Second, 12*time.Second
+		g, _ := placeAndWait(c, now.Add(2*time.Second), req)
+		quicktest.Assert(t, g.ID, quicktest.Equals, "long")
+		helps := slices.Contains(g.Helpers, "a") || slices.Contains(g.Helpers, "b")
+		quicktest.Assert(t, helps, quicktest.Equals, !isLimited, quicktest.Commentf("%+v", g))
+	}
+}
+
 // TestAllEnginesLimited: what can't be served within the limits of all engines must be refused
 // when that is known, and told when to come back.
 func TestAllEnginesLimited(t *testing.T) {
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -55,7 +55,8 @@
 		if len(p.helpers) == parts-1 {
 			break
 		}
-		if i == lead || cand.engine.helperParts >= cand.engine.Slots {
+		if i == lead || cand.engine.helperParts >= cand.engine.Slots || cand.engine.limiter.IsSet() {
+			// To help takes orders besides, which an engine with a limit may count.
 			continue
 		}
 		p.helpers = append(p.helpers, cand.engine)
