place: a limit that changes often doesn't bring the next request forward

What a back end would see: one that names another limit in each answer, by some load of its own, got 213 requests in 60 s from one instance where it had named about one a second, and 922 from 30. Cause: each change drew a new time for the next request and kept the earlier one. Change: it shortens or extends the wait in proportion.

--- a/internal/place/limiter.go
+++ b/internal/place/limiter.go
@@ -27,17 +27,14 @@
 }
 
 // Set sets the limit, which the given number of instances share. The phase, from 0 to 1, spreads
-// the first requests of these.
+// the first requests of these. A change of the limit shortens or extends the wait in proportion.
 func (l *Limiter) Set(now time.Time, perSecond float64, shares int, phase float64) {
-	perSecond = max(perSecond, minLimit)
-	if l.perSecond == perSecond {
-		return
-	}
-	wasLimited := l.IsSet()
-	l.perSecond = perSecond
-	switch first := now.Add(scale(l.interval(shares), phase)); {
-	case !wasLimited, l.next.After(first):
-		l.next = first
+	former := l.perSecond
+	l.perSecond = max(perSecond, minLimit)
+	if former == 0 {
+		l.next = now.Add(scale(l.interval(shares), phase))
+	} else if left := l.next.Sub(now); left > 0 {
+		l.next = now.Add(scale(left, former/l.perSecond))
 	}
 }
 
--- a/internal/place/limiter_test.go
+++ b/internal/place/limiter_test.go
@@ -66,6 +66,31 @@
 	}
 }
 
+// TestLimitThatChangesOften: a target may name another limit in each answer. That must not bring
+// the next turn of an instance forward again and again.
+func TestLimitThatChangesOften(t *testing.T) {
+	for _, instances := range []int{1, 6, 30} {
+		rng := rand.New(rand.NewPCG(1, 1))
+		start := time.Unix(0, 0)
+		limiters := make([]Limiter, instances)
+		sent := 0
+		const length = 60 * time.Second
+		for at := time.Duration(0); at < length; at += 10 * time.Millisecond {
+			now := start.Add(at)
+			for i := range limiters {
+				if at%(50*time.Millisecond) == 0 {
+					limiters[i].Set(now, 1+rng.Float64()/10, instances, rng.Float64())
+				}
+				if limiters[i].Wait(now, instances) == 0 {
+					limiters[i].Take(now, instances)
+					sent++
+				}
+			}
+		}
+		quicktest.Check(t, sent <= int(1.1*length.Seconds())+instances, quicktest.IsTrue, quicktest.Commentf("%d instances sent %d in %s", instances, sent, length))
+	}
+}
+
 // limitEngines has the first engines of a core name a limit.
 func limitEngines(c *Core, now time.Time, count int, perSecond float64) {
 	for i := range count {
