gate: only a target's own response lifts its limit

What a back end would see: a 502 of a proxy on the way, or bytes without its ID, made an entry send as much as before the limit until the next answer named it again. Change: a response without the header lifts the limit if it has the request's ID and the target's seal, or says that the request didn't run.

--- a/internal/gate/limit_test.go
+++ b/internal/gate/limit_test.go
@@ -107,3 +107,16 @@
 		}
 	})
 }
+
+// TestForeignResponseLiftsNoLimit: a response that is not the target's own, such as that of a proxy
+// on the way, doesn't tell that the target names no limit any more.
+func TestForeignResponseLiftsNoLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, []script{respond(200, "done", sealHeader, "Limit: 0.2\r\n")}, nil)
+		quicktest.Assert(t, s.call(idempotentPath, "body").status, quicktest.Equals, 200)
+		s.targets[0].script = writeText("HTTP/1.1 502 X\r\nContent-Length: 0\r\n\r\n")
+		time.Sleep(5 * time.Second)
+		quicktest.Assert(t, s.call(idempotentPath, "body").status, quicktest.Equals, 502)
+		quicktest.Assert(t, s.call(idempotentPath, "body").status, quicktest.Equals, 503)
+	})
+}
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -314,7 +314,11 @@
 		pause = reply.RetryAfter
 	}
 	x.server.recordNotice(t, reply.Leaving, pause)
-	x.server.recordLimit(t, reply, sentAt)
+	// Others on the way may name no limit.
+	isOwn := reply.RequestID == x.call.ID && (reply.Sealed || reply.NotRun)
+	if reply.HasLimit || isOwn {
+		x.server.recordLimit(t, reply, sentAt)
+	}
 	return pause
 }
 
