gate: callers see the refusal of a request whose body is not read

Cause: the connection was closed while the caller was still sending, so its write failed before it had read the 503, which says that nothing ran and when to come back.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -159,7 +159,8 @@
 	// These fail only on a closed connection, and then the read fails, too.
 	conn := http.NewResponseController(x.w)
 	_ = conn.SetReadDeadline(x.deadline)
-	x.bodyReader = &requestReader{Reader: http.MaxBytesReader(x.w, x.r.Body, limit), buffers: &x.server.requestBuffers}
+	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
+	x.bodyReader = &requestReader{Reader: limited, buffers: &x.server.requestBuffers}
 	b, err := io.ReadAll(x.bodyReader)
 	if err == nil {
 		_ = conn.SetReadDeadline(time.Time{})
@@ -173,7 +174,7 @@
 	case errors.As(err, &large):
 		x.respondError(http.StatusRequestEntityTooLarge, "the request body is too large")
 	case errors.Is(err, errBuffersFull):
-		x.respondUnavailable("too many large requests are in progress", longRetryAfter)
+		x.refuseUnread(limited)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.respondError(http.StatusRequestTimeout, "the request body was not received in time")
 	default:
@@ -183,6 +184,17 @@
 	return false
 }
 
+// refuseUnread refuses a request for lack of memory for its body, and discards what the caller
+// still sends of it: a caller whose connection is closed meanwhile may not see the response.
+func (x *exchange) refuseUnread(body io.Reader) {
+	conn := http.NewResponseController(x.w)
+	// These fail only on a closed connection.
+	_ = conn.EnableFullDuplex()
+	x.respondUnavailable("too many large requests are in progress", longRetryAfter)
+	_ = conn.Flush()
+	_, _ = io.Copy(io.Discard, body)
+}
+
 // hostOf returns host without its port.
 func hostOf(host string) string {
 	if h, _, err := net.SplitHostPort(host); err == nil {
