gate: a pause doesn't count as time in which an engine has written

What callers would see: an entry that was paused for a second just after the first event of a prompt that crashes engines reported, when it woke up, that the engine had survived it. The leader lifted the block, and all entries sent such prompts again. Cause: the time since the first event was taken for time in which the engine wrote. Change: between two events at most 250 ms count.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -63,8 +63,8 @@
 		return
 	}
 	s.server.Log.Warn().Str("id", s.call.ID).Str("ask", s.grantID).Str("target", lead.ID).Str("address", lead.Address).Int64("born", lead.StartedMs).
-		Strs("prefix", s.call.SharedSegments).Dur("written", att.written()).Msg("target process ended during a request")
-	if att.written() < poison.SurvivalTime {
+		Strs("prefix", s.call.SharedSegments).Dur("written", att.written).Msg("target process ended during a request")
+	if att.written < poison.SurvivalTime {
 		s.server.blocklist.recordCrash(lead, s.call.SharedSegments)
 	}
 }
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -175,3 +175,41 @@
 		})
 	})
 }
+
+// TestPauseIsNoSurvival: after a pause, of this process or of the engine, the events that come at
+// once don't show that the engine has written for all that time. If it crashes then, the request
+// is still a suspect.
+func TestPauseIsNoSurvival(t *testing.T) {
+	for name, c := range map[string]struct {
+		gap         time.Duration
+		events      int
+		wantSuspect bool
+	}{
+		"one pause":      {3 * time.Second, 2, true},
+		"steady answers": {100 * time.Millisecond, 20, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newEngineTestbed(t, func(f *fakeTarget, conn net.Conn, q *http.Request) bool {
+					fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", q.Header.Get("Id"), sealHeader)
+					for i := 1; i <= c.events; i++ {
+						ev := eventText(i, i)
+						fmt.Fprintf(conn, "%x\r\n%s\r\n", len(ev), ev)
+						time.Sleep(c.gap)
+					}
+					f.listener.Close()
+					return false
+				})
+				s.tables.Version = 2
+				for i := range s.tables.Routes {
+					s.tables.Routes[i].Limit, s.tables.Routes[i].Pause = time.Minute, 5*time.Second
+				}
+				s.publish(2)
+				s.call(nonResumableStreamPath, "prompt", "Parts", "bad", "Left", "60000")
+				crashes, survivals := s.gate.blocklist.detector.Evidence(time.Now())
+				quicktest.Assert(t, len(crashes) > 0, quicktest.Equals, c.wantSuspect)
+				quicktest.Assert(t, len(survivals), quicktest.Equals, 0)
+			})
+		})
+	}
+}
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -35,6 +35,8 @@
 	stallShare = 0.8
 	// maxIdleBytes bounds the comments and repeated events between two new events.
 	maxIdleBytes = 64 << 10
+	// maxCountedPause is the part of a pause between two events that counts as written.
+	maxCountedPause = 250 * time.Millisecond
 	// maxRefusals bounds the number of engines that may refuse one request.
 	maxRefusals = 4
 )
@@ -305,20 +307,16 @@
 	sentAt  time.Time
 	// canRetry reports that another engine may be tried.
 	canRetry bool
-	// firstEventAt is when the first new event came; zero before that.
-	firstEventAt time.Time
+	// firstEventAt is when the first new event came, and lastEventAt when the last one did;
+	// zero before that.
+	firstEventAt, lastEventAt time.Time
+	// written is how long the engine has been writing the answer, at least. A pause counts for
+	// maxCountedPause at most: what comes after a pause of this process was written before.
+	written time.Duration
 	// survived is set once the engine has written for poison.SurvivalTime.
 	survived bool
 }
 
-// written returns how long the engine has been writing the answer; 0 before the first event.
-func (a *streamAttempt) written() time.Duration {
-	if a.firstEventAt.IsZero() {
-		return 0
-	}
-	return time.Since(a.firstEventAt)
-}
-
 // relayEvents relays the events of a response to the caller. It returns "" after the last
 // event, and otherwise the reason why the stream ended early, with the error of reading it if
 // there is one.
@@ -372,11 +370,14 @@
 
 // recordProgress records that a new event has come.
 func (s *stream) recordProgress(att *streamAttempt) {
+	now := time.Now()
 	if att.firstEventAt.IsZero() {
-		att.firstEventAt = time.Now()
-		s.server.placer.reportFirstEvent(att.grantID, time.Since(att.sentAt))
+		att.firstEventAt, att.lastEventAt = now, now
+		s.server.placer.reportFirstEvent(att.grantID, now.Sub(att.sentAt))
 	}
-	if !att.survived && att.written() >= poison.SurvivalTime {
+	att.written += min(now.Sub(att.lastEventAt), maxCountedPause)
+	att.lastEventAt = now
+	if !att.survived && att.written >= poison.SurvivalTime {
 		att.survived = true
 		s.server.blocklist.recordSurvival(s.call.SharedSegments, att.firstEventAt)
 	}
