--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
 )
 
@@ -206,9 +207,10 @@
 				}
 				s.publish(2)
 				s.call(nonResumableStreamPath, "prompt", "Parts", "bad", "Left", "60000")
-				crashes, survivals := s.gate.blocklist.detector.Evidence(time.Now())
-				quicktest.Assert(t, len(crashes) > 0, quicktest.Equals, c.wantSuspect)
-				quicktest.Assert(t, len(survivals), quicktest.Equals, 0)
+				var m link.FollowerMessage
+				s.gate.FillHandover(&m)
+				quicktest.Assert(t, len(m.Crashes) > 0, quicktest.Equals, c.wantSuspect)
+				quicktest.Assert(t, m.Survivals, quicktest.HasLen, 0)
 			})
 		})
 	}
