gate: bodies that fill the memory in step must not all be refused

What callers would see: large requests that arrive at the same moment were all refused with 503, though several fit in the memory for bodies. Cause: each body grows piece by piece and keeps its pieces until its request has ended. A failed attempt to add also looked like used memory to the others for a moment, and a refused request held its pieces while it discarded what its caller still sent. Ruled out: reserving the declared length, since callers that declare much and send nothing would hold the memory. Change: a body that finds no memory releases all of its pieces in the same step, so that the others go on; responses of plain services likewise.

--- a/internal/gate/body_test.go
+++ b/internal/gate/body_test.go
@@ -6,11 +6,13 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/frankban/quicktest"
 )
 
@@ -47,6 +49,28 @@
 	})
 }
 
+// TestRequestBodiesThatGrowTogether: bodies that fill the memory in step must not all be refused
+// while one after the other would fit.
+func TestRequestBodiesThatGrowTogether(t *testing.T) {
+	const size, bodies = 300 << 10, 8
+	buffers := bodyBuffers{limit: 1 << 20}
+	readers := make([]*requestReader, bodies)
+	for i := range readers {
+		readers[i] = &requestReader{Reader: strings.NewReader(strings.Repeat("x", size)), buffers: &buffers}
+	}
+	complete, piece := 0, make([]byte, 16<<10)
+	for len(readers) > 0 {
+		readers = slices.DeleteFunc(readers, func(r *requestReader) bool {
+			_, err := r.Read(piece)
+			if errors.Is(err, io.EOF) {
+				complete++
+			}
+			return err != nil
+		})
+	}
+	quicktest.Assert(t, complete >= 2 && complete <= 3, quicktest.IsTrue, quicktest.Commentf("%d complete", complete))
+}
+
 // TestStalledRequestBody: a caller that doesn't finish its request must get an answer at its time
 // limit, and not hold a place and memory for as long as it likes.
 func TestStalledRequestBody(t *testing.T) {
--- a/internal/gate/buffer.go
+++ b/internal/gate/buffer.go
@@ -33,13 +33,22 @@
 	used  atomic.Int64
 }
 
-// acquire counts n more bytes. It returns false if they would exceed the limit.
-func (b *bodyBuffers) acquire(n int64) bool {
-	if b.used.Add(n) <= b.limit {
-		return true
+// acquire counts one more chunk of a body, of which counted bytes are counted already. If there is
+// no memory for it, it returns false and releases the whole body at once: bodies that grow in step
+// must leave room for each other.
+func (b *bodyBuffers) acquire(counted *int64) bool {
+	for {
+		used := b.used.Load()
+		hasRoom := used+chunkBytes <= b.limit
+		change := int64(chunkBytes)
+		if !hasRoom {
+			change = -*counted
+		}
+		if b.used.CompareAndSwap(used, used+change) {
+			*counted += change
+			return hasRoom
+		}
 	}
-	b.used.Add(-n)
-	return false
 }
 
 // body is a buffered response body.
@@ -81,11 +90,9 @@
 			continue
 		}
 		out.chunks = append(out.chunks, chunk)
-		if !b.acquire(chunkBytes) {
-			out.release()
+		if !b.acquire(&out.counted) {
 			return nil, errBuffersFull
 		}
-		out.counted += chunkBytes
 		chunk = make([]byte, 0, chunkBytes)
 	}
 }
@@ -104,10 +111,9 @@
 	n, err := r.Reader.Read(p)
 	r.read += int64(n)
 	for r.read-firstChunkBytes > r.counted {
-		if !r.buffers.acquire(chunkBytes) {
+		if !r.buffers.acquire(&r.counted) {
 			return 0, errBuffersFull
 		}
-		r.counted += chunkBytes
 	}
 	return n, err
 }
