gate: idle connections share what a target accepts

What callers would see: requests that fail because their target resets the connection, though it is free: connections of all instances count against maxConnections of its pool, idle ones too. Cause: each instance keeps up to eight idle connections to each target, however many instances there are; at 30 instances that is 240 where a service of 6 slots accepts 96. The pool's field was decoded and not used. Ruled out: a bound on connections in use; they are bounded by slots and queues, and a caller would wait where the target may be free. Change: an instance keeps at most its share of three quarters of them idle, and none if its share is less than one.

--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -273,6 +273,20 @@
 	return err == nil && n < maxBytes
 }
 
+// maxIdleConns returns the bound of idle connections of this instance to a target that accepts
+// limit connections in all; see hop.Request.MaxIdle. Instances share three quarters of them, so
+// that idle connections of some don't keep out the requests of others.
+func maxIdleConns(limit, instances int) int {
+	if limit <= 0 {
+		return 0
+	}
+	n := limit * 3 / (4 * instances)
+	if n == 0 {
+		return -1
+	}
+	return min(n, hop.DefaultMaxIdle)
+}
+
 // buildRequest returns the request to a target.
 func (x *exchange) buildRequest(t site.Target, s SendInfo) *hop.Request {
 	s.TimeLimit, s.TargetID, s.Organisation = max(time.Millisecond, x.timeLeft()), t.ID, x.org
@@ -280,7 +294,7 @@
 	id := x.call.ID
 	return &hop.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: codec.TargetHeader(x.r.Header, s), Body: x.body,
-		NewConn: !x.route.MayRetry(),
+		NewConn: !x.route.MayRetry(), MaxIdle: maxIdleConns(x.pool.Connections, x.server.limitShares()),
 		Matches: func(h http.Header) bool {
 			c := codec.DecodeReply(h).RequestID
 			return c == "" || c == id
--- a/internal/gate/plain_test.go
+++ b/internal/gate/plain_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -10,6 +11,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -108,6 +110,40 @@
 	quicktest.Assert(t, buffers.used.Load(), quicktest.Equals, int64(0))
 }
 
+// TestIdleConnectionsLeaveRoom: idle connections of all instances together must not use up those
+// that a target accepts, since it resets the requests of others then.
+func TestIdleConnectionsLeaveRoom(t *testing.T) {
+	for _, c := range []struct{ limit, instances, maxIdle int }{{96, 30, 2}, {96, 100, 0}, {354, 9, 8}, {0, 100, 8}} {
+		t.Run(fmt.Sprintf("%d connections, %d instances", c.limit, c.instances), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				slow := func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+					time.Sleep(50 * time.Millisecond)
+					return respond(200, "done", sealHeader)(f, c, q)
+				}
+				s := newTestbed(t, []script{slow}, nil)
+				s.tables.Version, s.tables.Pools[0].Connections = 2, c.limit
+				s.publish(2)
+				s.gate.instanceCount.Store(int64(c.instances))
+				for range 3 {
+					s.callTogether(10)
+					quicktest.Check(t, s.targets[0].openCount(), quicktest.Equals, c.maxIdle)
+				}
+			})
+		})
+	}
+}
+
+// callTogether sends that many idempotent requests at the same time and waits until all have
+// succeeded.
+func (s *testbed) callTogether(n int) {
+	var wg sync.WaitGroup
+	for range n {
+		wg.Go(func() { quicktest.Check(s.t, s.call(idempotentPath, "body").status, quicktest.Equals, 200) })
+	}
+	wg.Wait()
+	synctest.Wait()
+}
+
 // TestDeadline has a target that never responds. The caller must get 504 at its own or
 // the route's time limit, whichever is shorter, and the request to the target must carry
 // the time left.
--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -96,6 +96,8 @@
 	requests []*http.Request
 	orders   []string
 	closed   []time.Time
+	// accepted is the number of connections.
+	accepted int
 }
 
 func (f *fakeTarget) serve(ln net.Listener) {
@@ -110,6 +112,9 @@
 
 func (f *fakeTarget) exchange(c net.Conn) {
 	defer c.Close()
+	f.mu.Lock()
+	f.accepted++
+	f.mu.Unlock()
 	r := bufio.NewReader(c)
 	for {
 		q, err := http.ReadRequest(r)
@@ -147,6 +152,13 @@
 	return len(f.requests)
 }
 
+// openCount returns how many connections to the target are open.
+func (f *fakeTarget) openCount() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.accepted - len(f.closed)
+}
+
 func (f *fakeTarget) request(i int) *http.Request {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -53,6 +53,9 @@
 	// HeadTimeout bounds the wait for the response headers; 0 means that only the context
 	// does.
 	HeadTimeout time.Duration
+	// MaxIdle bounds the idle connections to the target that are kept after the request. 0
+	// means DefaultMaxIdle, and a negative number none.
+	MaxIdle int
 }
 
 // Client sends requests to targets and keeps idle connections. Dial must be set.
@@ -82,6 +85,7 @@
 	if err != nil {
 		return nil, &engine.Unreachable{Cause: err}
 	}
+	cn.maxIdle = r.MaxIdle
 	stopWatch := context.AfterFunc(ctx, func() { cn.Close() })
 	writeDone := make(chan error, 1)
 	head := r.encode()
@@ -136,6 +140,8 @@
 	headLeft int
 	// expiresAt is when the target may close the connection.
 	expiresAt time.Time
+	// maxIdle is Request.MaxIdle of the last request.
+	maxIdle int
 }
 
 // errHeadTooLong reports that a response head exceeds maxHeadBytes.
--- a/internal/hop/idlepool.go
+++ b/internal/hop/idlepool.go
@@ -15,8 +15,8 @@
 )
 
 const (
-	// maxIdle bounds the idle connections to one target.
-	maxIdle = 8
+	// DefaultMaxIdle bounds the idle connections to one target if a request sets no bound.
+	DefaultMaxIdle = 8
 	// defaultKeepAlive is how long an idle connection is kept if the target names no
 	// timeout.
 	defaultKeepAlive = 4 * time.Second
@@ -85,20 +85,24 @@
 	return cn
 }
 
-// put adds a connection. If its address has maxIdle already, it closes the one that was put
+// put adds a connection. If its address has as many as it allows, it closes those that were put
 // first.
 func (p *idlePool) put(cn *conn) {
+	limit := cn.maxIdle
+	if limit == 0 {
+		limit = DefaultMaxIdle
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.byAddr == nil {
 		p.byAddr = make(map[string][]*conn)
 	}
-	list := p.byAddr[cn.addr]
-	if len(list) >= maxIdle {
+	list := append(p.byAddr[cn.addr], cn)
+	for len(list) > max(0, limit) {
 		list[0].Close()
 		list = list[1:]
 	}
-	p.byAddr[cn.addr] = append(list, cn)
+	p.byAddr[cn.addr] = list
 }
 
 // CloseIdle closes the idle connections to an address.
