--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -328,7 +328,7 @@
 		pause = reply.RetryAfter
 	}
 	x.server.recordNotice(t, reply.Leaving, pause)
-	// Others on the way may name no limit.
+	// A proxy on the way may have answered instead.
 	isOwn := reply.RequestID == x.call.ID && (reply.Sealed || reply.NotRun)
 	if reply.HasLimit || isOwn {
 		x.server.recordLimit(t, reply, sentAt)
