gate: refuse requests whose headers exceed the tables' bound

What callers would see: headers of any size up to the instance's own limit reach the targets, whatever the operator's tables say. Cause: the field was decoded and not used. Change: 431 beyond the bound, before the key is looked at. The instance's own limit of 64 KiB, which holds before there are tables, stays on top.

--- a/internal/gate/body_test.go
+++ b/internal/gate/body_test.go
@@ -16,6 +16,21 @@
 	"github.com/frankban/quicktest"
 )
 
+// TestRequestHeadersAreBounded: the bound that the tables set holds, and it may change while
+// connections are open.
+func TestRequestHeadersAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, []script{respond(200, "done", sealHeader)}, nil)
+		large := strings.Repeat("x", 4<<10)
+		for i, c := range []struct{ bound, status int }{{0, 200}, {3 << 10, 431}, {5 << 10, 200}, {100, 431}} {
+			s.tables.Version, s.tables.Bounds.Header = int64(i+2), c.bound
+			s.publish(uint64(i + 2))
+			quicktest.Check(t, s.call(idempotentPath, "body", "Note", large).status, quicktest.Equals, c.status, quicktest.Commentf("%d", c.bound))
+		}
+		quicktest.Check(t, s.requestCount(), quicktest.Equals, 2)
+	})
+}
+
 // TestRequestBodiesAreBounded guards against callers that together send more than the memory of
 // the instance: what exceeds it is refused as not run, and there is room again once requests
 // have ended.
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -83,6 +83,10 @@
 		x.respondUnavailable("this instance has no tables yet", noTablesRetryAfter)
 		return false
 	}
+	if n := x.view.index.Tables.Bounds.Header; n > 0 && headBytes(x.r) > n {
+		x.respondError(http.StatusRequestHeaderFieldsTooLarge, "the request headers are too large")
+		return false
+	}
 	path, _, _ := strings.Cut(x.r.RequestURI, "?")
 	route, ok := x.view.index.Route(hostOf(x.r.Host), path)
 	if !ok {
@@ -112,6 +116,17 @@
 	return x.readBody()
 }
 
+// headBytes returns the length of the request line and the headers of a request.
+func headBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len("  \r\n") + len("Host: \r\n") + len(r.Host)
+	for name, values := range r.Header {
+		for _, v := range values {
+			n += len(name) + len(v) + len(": \r\n")
+		}
+	}
+	return n
+}
+
 // awaitTables waits for the first tables if the instance has only just started, because
 // control is about to send them. It returns false if there are none.
 func (x *exchange) awaitTables() bool {
--- a/internal/site/tables.go
+++ b/internal/site/tables.go
@@ -120,7 +120,8 @@
 
 // Bounds limits the size of requests.
 type Bounds struct {
-	// Header and Body are the limits in bytes; 0 means the instance's default.
+	// Header and Body are the limits in bytes; 0 means the instance's default. Header has no
+	// effect above the instance's own limit of 64 KiB.
 	Header int   `cbor:"1,keyasint"`
 	Body   int64 `cbor:"2,keyasint"`
 }
