wire: a lack of file descriptors no longer ends the process

Cause: any error of Accept ended the server for other instances, and with it the process. The server for callers, net/http's, tries again. Change: errors that pass (file descriptors, memory, a peer that gave up) are reported once in a row and followed by a pause of 5 ms to 500 ms. Test: TestServerOutlivesLackOfFileDescriptors fails without the change.

--- a/internal/inst/instance.go
+++ b/internal/inst/instance.go
@@ -117,7 +117,7 @@
 	if err := i.secrets.load(s, i.Network, i.Log); err != nil {
 		return err
 	}
-	local := &wire.Server{}
+	local := &wire.Server{OnAcceptError: func(err error) { i.Log.Error().Err(err).Msg("connections from peers not accepted") }}
 	i.peerPool = &wire.Pool{Dial: i.secrets.peerNetwork.Dial, Self: s.Peers, Local: local}
 	self := member.Member{
 		Name: s.Name, DataCentre: s.DataCentre, CallerAddr: s.Callers, OperatorAddr: s.Operators,
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -118,7 +118,7 @@
 	s := p.Settings
 	p.network.bind = s.Bind
 	p.metrics = metrics.NewRegistry()
-	p.peerServer = &wire.Server{}
+	p.peerServer = &wire.Server{OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") }}
 	p.peerPool = &wire.Pool{Dial: p.network.dial, Self: s.Peers, Local: p.peerServer}
 	if s.Control != "" {
 		p.hub = &hub.Server{
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +12,7 @@
 	"storj.io/drpc"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
@@ -29,6 +31,9 @@
 	Methods []Method
 	// Streams are the calls that carry messages both ways.
 	Streams []StreamMethod
+	// OnAcceptError is called with the first of several errors in a row that pass, such as a
+	// lack of file descriptors; nil ignores them.
+	OnAcceptError func(err error)
 }
 
 // request is the encoded form of a call.
@@ -53,12 +58,21 @@
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	srv := drpcserver.New(s)
-	for {
+	for failures := 0; ; {
 		conn, err := ln.Accept()
-		if err != nil {
-			if ctx.Err() != nil || errors.Is(err, net.ErrClosed) {
-				return nil
+		switch {
+		case err == nil:
+			failures = 0
+		case ctx.Err() != nil || errors.Is(err, net.ErrClosed):
+			return nil
+		case isPassing(err):
+			if failures == 0 && s.OnAcceptError != nil {
+				s.OnAcceptError(err)
 			}
+			timing.Sleep(ctx, min(minAcceptPause<<min(failures, maxAcceptDoublings), maxAcceptPause))
+			failures++
+			continue
+		default:
 			return errors.Wrap(err, "accept connection from peer")
 		}
 		wg.Go(func() {
@@ -69,6 +83,20 @@
 	}
 }
 
+const (
+	// minAcceptPause is the pause after a failed accept. It doubles with each failure in a row, at
+	// most maxAcceptDoublings times, up to maxAcceptPause.
+	minAcceptPause     = 5 * time.Millisecond
+	maxAcceptPause     = 500 * time.Millisecond
+	maxAcceptDoublings = 7
+)
+
+// isPassing reports whether an error of Accept passes: the peer gave up, or the system lacks file
+// descriptors or memory, which other connections release when they end.
+func isPassing(err error) bool {
+	return errors.IsAny(err, syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM)
+}
+
 // HandleRPC handles one call; it implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
 	if ok, err := s.serveStream(stream, rpc); ok {
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"net"
+	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -129,3 +131,45 @@
 		quicktest.Check(t, e.Reason, quicktest.Equals, verd.Unreached)
 	})
 }
+
+// busyListener fails the next accepts for lack of file descriptors.
+type busyListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *busyListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestServerOutlivesLackOfFileDescriptors: an instance that can't accept connections for a while
+// must go on with those that it has, and accept again afterwards.
+func TestServerOutlivesLackOfFileDescriptors(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var n memnet.Network
+		ln, err := n.Listen(serverAddr)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		var reported []error
+		srv := &Server{OnAcceptError: func(err error) { reported = append(reported, err) }}
+		done := make(chan error, 1)
+		go func() { done <- srv.Serve(ctx, &busyListener{Listener: ln, failures: 20}) }()
+		time.Sleep(10 * time.Second)
+		quicktest.Check(t, reported, quicktest.HasLen, 1)
+		c, err := n.Dialer("10.0.0.9")(ctx, serverAddr)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		synctest.Wait()
+		select {
+		case err := <-done:
+			t.Fatalf("server stopped: %v", err)
+		default:
+		}
+		c.Close()
+		cancel()
+		quicktest.Assert(t, <-done, quicktest.IsNil)
+	})
+}
