reg, link: registry updates with many targets are packed

Cause: a fresh entry gets 3,000 targets in 160,689 bytes, 48 MB for 300 entries, each time one has nothing or a link breaks before its first update was applied. Ruled out: leaving out fields, which the gate needs; a dictionary, as most of the rest is random IDs. Change: sixteen targets or more are sent packed, as tables are, once for all receivers of the same revision. A receiver says in its Hello that it unpacks, so builds can be mixed. An update that waits for a slow link is replaced by one from the same revision on, where both were sent before.

--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -318,7 +318,7 @@
 		m.Apply(0, b)
 	}
 	apply(reg.Command{Publish: &reg.Publish{Tables: s.tables, Source: []byte("{}")}})
-	d, err := m.DeltaSince(0)
+	d, err := m.DeltaSince(0, false)
 	quicktest.Assert(s.t, err, quicktest.IsNil)
 	d.Revision = revision
 	for _, f := range s.targets {
--- a/internal/hub/fleet_test.go
+++ b/internal/hub/fleet_test.go
@@ -10,8 +10,11 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/store"
+	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
 
 // TestFleetRelinks has 300 entries lose the leader, and then has 200 targets announce
@@ -57,6 +60,38 @@
 	})
 }
 
+// TestUpdateSuitsReceiver: an entry must get all targets of a larger fleet, packed if it can unpack
+// them, and as before if it is of an older build.
+func TestUpdateSuitsReceiver(t *testing.T) {
+	const targets = 20
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		cl.publish(1)
+		for i := range targets {
+			quicktest.Assert(t, cl.announce(fmt.Sprint(i), 1, site.Ready), quicktest.IsNil)
+		}
+		time.Sleep(time.Second)
+		fresh := cl.startEntry("b1", "10.0.1.9:7")
+		time.Sleep(time.Second)
+		for i := range targets {
+			quicktest.Check(t, fresh.state(fmt.Sprint(i)), quicktest.Equals, site.Ready)
+		}
+		for _, unpacks := range []bool{false, true} {
+			pool := &wire.Pool{Dial: cl.net.Dialer("10.0.1.8:7"), Self: "10.0.1.8:7"}
+			st, err := pool.Open(t.Context(), cl.leader().PeerAddr, link.Method)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Assert(t, st.Send(&link.FollowerMessage{Hello: &link.Hello{Name: "old", Unpacks: unpacks}}), quicktest.IsNil)
+			var got struct {
+				Update *reg.Delta `cbor:"2,keyasint,omitempty"`
+			}
+			quicktest.Assert(t, st.Receive(&got), quicktest.IsNil)
+			quicktest.Check(t, len(got.Update.PackedTargets) > 0, quicktest.Equals, unpacks)
+			quicktest.Check(t, len(got.Update.Targets) == targets, quicktest.Equals, !unpacks)
+			st.Close()
+			pool.Close()
+		}
+	})
+}
+
 // TestFreshEntryIgnoresOutdatedControl: a control instance that missed the newest tables
 // restarts while the others are out of reach. An entry that starts then must not take its
 // tables for the current ones, and must have the newest once it reaches the others.
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
-	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
@@ -117,30 +116,18 @@
 	if sess.hello.IsControl {
 		return
 	}
-	d, err := s.registry.DeltaSince(sess.sentRevision)
+	if m.Update == nil {
+		m.Since = sess.sentRevision
+	}
+	d, err := s.registry.DeltaSince(m.Since, sess.hello.Unpacks)
 	if err != nil {
 		s.Log.Error().Err(err).Str("peer", sess.hello.Name).Msg("registry update not sent")
 		return
 	}
-	if d.Revision <= sess.sentRevision {
-		return
-	}
-	sess.sentRevision = d.Revision
-	if m.Update == nil {
+	if d.Revision > sess.sentRevision {
+		sess.sentRevision = d.Revision
 		m.Update = &d
-		return
-	}
-	mergeUpdate(m.Update, &d)
-}
-
-// mergeUpdate appends update b to the earlier update a.
-func mergeUpdate(a, b *reg.Delta) {
-	a.Revision = b.Revision
-	if b.PackedTables != nil {
-		a.PackedTables = b.PackedTables
 	}
-	// The targets of a may belong to the updates of other sessions, too.
-	a.Targets = slices.Concat(a.Targets, b.Targets)
 }
 
 // pushInterval is the shortest time between two registry updates to an instance. When a
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -368,7 +368,7 @@
 	stop := context.AfterFunc(connectCtx, st.Close)
 	defer stop()
 	hello := c.Self
-	hello.Revision = c.Follower.Revision()
+	hello.Revision, hello.Unpacks = c.Follower.Revision(), true
 	first := FollowerMessage{Hello: &hello}
 	c.Follower.FillHeartbeat(&first)
 	if err := st.Send(&first); err != nil {
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -67,6 +67,8 @@
 	DataCentre string `cbor:"5,keyasint,omitempty"`
 	// Revision is the registry revision that the sender has, or NoUpdates.
 	Revision uint64 `cbor:"4,keyasint"`
+	// Unpacks is set if the sender accepts updates with packed targets.
+	Unpacks bool `cbor:"6,keyasint,omitempty"`
 }
 
 // NoUpdates is the Revision of a follower that requests no registry updates.
@@ -128,6 +130,8 @@
 type ControlMessage struct {
 	Welcome *Welcome   `cbor:"1,keyasint,omitempty"`
 	Update  *reg.Delta `cbor:"2,keyasint,omitempty"`
+	// Since is the registry revision that Update begins at. It is not sent.
+	Since uint64 `cbor:"-"`
 	// Entries are the ready instances: all of them for control instances, those near the
 	// receiver for others. HasEntries distinguishes an empty list from a message without
 	// one.
@@ -145,3 +149,11 @@
 	// Limits are the limits that targets have named, those that have changed or all.
 	Limits []place.Limit `cbor:"10,keyasint,omitempty"`
 }
+
+// Check unpacks the update.
+func (m *ControlMessage) Check() error {
+	if m.Update == nil {
+		return nil
+	}
+	return m.Update.Unpack()
+}
--- a/internal/reg/machine.go
+++ b/internal/reg/machine.go
@@ -21,9 +21,9 @@
 	state State
 	// packedTables caches Delta.PackedTables; nil if the tables are not packed yet.
 	packedTables []byte
-	// deltas caches the changes up to the current revision, by the revision that they begin
-	// at: most readers of a fleet have the same one.
-	deltas map[uint64]Delta
+	// deltas caches the changes up to the current revision: most readers of a fleet have the
+	// same one.
+	deltas map[deltaKey]Delta
 	// changed is closed on the next change of the state; nil if there are no waiters.
 	changed chan struct{}
 }
@@ -37,6 +37,30 @@
 	// they have not changed.
 	PackedTables []byte        `cbor:"2,keyasint,omitempty"`
 	Targets      []site.Target `cbor:"3,keyasint,omitempty"`
+	// PackedTargets is the encoded and compressed targets, in place of Targets, until Unpack.
+	PackedTargets []byte `cbor:"4,keyasint,omitempty"`
+}
+
+// minPackedTargets is the number of targets from which on packing them is worth the time.
+const minPackedTargets = 16
+
+// Unpack decodes PackedTargets into Targets.
+func (d *Delta) Unpack() error {
+	if d.PackedTargets == nil {
+		return nil
+	}
+	if err := unpack(d.PackedTargets, &d.Targets); err != nil {
+		return errors.Wrap(err, "targets of a registry update")
+	}
+	d.PackedTargets = nil
+	return nil
+}
+
+// deltaKey identifies a delta up to the current revision by the revision that it begins at, and
+// whether its targets are packed.
+type deltaKey struct {
+	since  uint64
+	packed bool
 }
 
 // EncodeCommand packs a command for the log.
@@ -156,18 +180,19 @@
 	return m.state.Revision, m.changed
 }
 
-// DeltaSince returns the changes after a revision, which the caller must not modify. It fails
-// if the tables can't be packed.
-func (m *Machine) DeltaSince(have uint64) (Delta, error) {
+// DeltaSince returns the changes after a revision, which the caller must not modify. With packed,
+// many targets are packed. It fails if something can't be packed.
+func (m *Machine) DeltaSince(since uint64, packed bool) (Delta, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if d, ok := m.deltas[have]; ok {
+	key := deltaKey{since, packed}
+	if d, ok := m.deltas[key]; ok {
 		return d, nil
 	}
 	d := Delta{Revision: m.state.Revision}
-	if m.state.TablesRevision > have {
+	var err error
+	if m.state.TablesRevision > since {
 		if m.packedTables == nil {
-			var err error
 			if m.packedTables, err = pack(m.state.Tables); err != nil {
 				return d, err
 			}
@@ -175,14 +200,20 @@
 		d.PackedTables = m.packedTables
 	}
 	for _, r := range m.state.Targets {
-		if r.Revision > have {
+		if r.Revision > since {
 			d.Targets = append(d.Targets, r.Target)
 		}
 	}
+	if packed && len(d.Targets) >= minPackedTargets {
+		if d.PackedTargets, err = pack(d.Targets); err != nil {
+			return d, err
+		}
+		d.Targets = nil
+	}
 	if m.deltas == nil {
-		m.deltas = make(map[uint64]Delta)
+		m.deltas = make(map[deltaKey]Delta)
 	}
-	m.deltas[have] = d
+	m.deltas[key] = d
 	return d, nil
 }
 
--- a/internal/reg/machine_test.go
+++ b/internal/reg/machine_test.go
@@ -1,11 +1,15 @@
 package reg
 
 import (
+	"fmt"
 	"testing"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
+	"github.com/bambooproxy/bambooproxy/internal/mutate"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
@@ -37,13 +41,13 @@
 			if !rapid.Bool().Draw(r, "read") {
 				continue
 			}
-			d, err := m.DeltaSince(have)
+			d, err := m.DeltaSince(have, false)
 			quicktest.Assert(t, err, quicktest.IsNil)
 			for _, x := range d.Targets {
 				known[x.ID] = x
 			}
 			have = d.Revision
-			full, err := m.DeltaSince(0)
+			full, err := m.DeltaSince(0, false)
 			quicktest.Assert(t, err, quicktest.IsNil)
 			for _, x := range full.Targets {
 				if known[x.ID] != x {
@@ -54,6 +58,45 @@
 	})
 }
 
+// TestUpdateOfLargeFleet: the update that a fresh entry of a large fleet gets must fit what the budget
+// of an instance, 2 KB a second, leaves in half a minute. A small one stays as it is.
+func TestUpdateOfLargeFleet(t *testing.T) {
+	var m Machine
+	for i := range 3000 {
+		h := xxhash.Sum64String(fmt.Sprint(i))
+		w := target(fmt.Sprintf("i-%010x", h>>24), fmt.Sprintf("10.3.%d.%d:%d", 64+i/250, i%250, 8000+h%100), 1769393359928+int64(h%5000), 1+h%3, site.Ready)
+		apply(t, &m, Command{Announce: &w})
+	}
+	plain, err := m.DeltaSince(0, false)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	packed, err := m.DeltaSince(0, true)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	b, err := cbor.Marshal(packed)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, len(b) <= 2_000*30, quicktest.IsTrue, quicktest.Commentf("%d bytes", len(b)))
+	var got Delta
+	quicktest.Assert(t, cbor.Unmarshal(b, &got), quicktest.IsNil)
+	quicktest.Assert(t, got.Unpack(), quicktest.IsNil)
+	quicktest.Assert(t, got, quicktest.DeepEquals, plain)
+
+	few, err := m.DeltaSince(2990, true)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, few.Targets, quicktest.HasLen, 10)
+	quicktest.Check(t, few.PackedTargets, quicktest.HasLen, 0)
+}
+
+// FuzzUnpack feeds arbitrary bytes to the reader of a registry update: it must fail or keep within
+// the bound, and not panic.
+func FuzzUnpack(f *testing.F) {
+	valid, err := pack([]site.Target{target("i", "10.0.0.1:1", 1, 1, site.Ready)})
+	quicktest.Assert(f, err, quicktest.IsNil)
+	mutate.Add(f, valid, []byte{})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		d := Delta{PackedTargets: b}
+		_ = d.Unpack() // Only a panic fails the test.
+	})
+}
+
 // TestSnapshotRestores restores a snapshot in another machine: it must have the same tables and
 // targets, and wake the waiters for a change.
 func TestSnapshotRestores(t *testing.T) {
@@ -70,7 +113,7 @@
 	got, source := n.Tables()
 	quicktest.Assert(t, got.Version, quicktest.Equals, int64(3))
 	quicktest.Assert(t, string(source), quicktest.Equals, "source")
-	d, err := n.DeltaSince(0)
+	d, err := n.DeltaSince(0, false)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	unpacked, err := UnpackTables(d.PackedTables)
 	quicktest.Assert(t, err, quicktest.IsNil)
