hub: changes of targets are forwarded to the leader together

What callers saw: at 300 machines with 3,000 targets, control takes 617 to 1,295 new connections a second and holds up to 12,082; an instance ran out of file descriptors while the targets announced themselves. Cause: a control instance that doesn't lead calls the leader once for each announcement, and a call holds a connection. While there is no leader, all wait, and call it at the same moment afterwards. Announcements that miss their second are sent again to the next instance, which does the same. Ruled out: several announcements in one command of the log, since replicas of another build would not apply it. Change: commands of targets wait for one of two calls to the leader and go together, at most 256 in one. A leader of a build without that call gets them one by one. Tables go alone, as before. Without a known leader a command isn't tried.

--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"math"
+	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -42,8 +44,10 @@
 type controlNode struct {
 	*Server
 	disk *store.Mem
-	stop context.CancelFunc
-	done chan struct{}
+	// dials counts the connections that it opened to other instances.
+	dials atomic.Int32
+	stop  context.CancelFunc
+	done  chan struct{}
 }
 
 // entryNode is the link.Follower of an instance that serves callers.
@@ -204,11 +208,16 @@
 // replication group.
 func (cl *cluster) startControl(addr string, disk *store.Mem, bootstrap bool) *controlNode {
 	local := &wire.Server{}
-	pool := &wire.Pool{Dial: cl.net.Dialer(addr), Self: addr, Local: local}
+	dial := cl.net.Dialer(addr)
+	pool := &wire.Pool{Self: addr, Local: local}
 	c := &controlNode{disk: disk, done: make(chan struct{}), Server: &Server{
 		Name: addr, DataCentre: "dc-a", PeerAddr: addr, SeedAddrs: cl.seeds, Bootstrap: bootstrap, Voters: min(5, max(3, len(cl.seeds))),
 		Seed: 1, DataDir: "/data", FS: disk, Calls: pool, LoadReader: cl.loadReader, Log: discardLogger(), Metrics: metrics.NewRegistry(),
 	}}
+	pool.Dial = func(ctx context.Context, to string) (net.Conn, error) {
+		c.dials.Add(1)
+		return dial(ctx, to)
+	}
 	cl.controls[addr] = c
 	local.Methods, local.Streams = c.Setup()
 	ln, err := cl.net.Listen(addr)
@@ -368,9 +377,12 @@
 
 // announce registers a target of pool "p" with the leader.
 func (cl *cluster) announce(id string, seq uint64, state site.State) error {
-	return cl.controls[cl.leader().PeerAddr].Announce(cl.t.Context(), site.Target{
-		ID: id, Pool: "p", Address: "10.0.2." + id + ":80", DataCentre: "dc", Slots: 16, State: state, StartedMs: 1, Sequence: seq,
-	})
+	return cl.controls[cl.leader().PeerAddr].Announce(cl.t.Context(), clusterTarget(id, seq, state))
+}
+
+// clusterTarget returns a target of pool "p". The ID is a part of its address.
+func clusterTarget(id string, seq uint64, state site.State) site.Target {
+	return site.Target{ID: id, Pool: "p", Address: "10.0.2." + id + ":80", DataCentre: "dc", Slots: 16, State: state, StartedMs: 1, Sequence: seq}
 }
 
 // allAtVersion reports whether every entry has the tables of a version.
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -231,7 +231,7 @@
 	defer cancel()
 	for {
 		actx, cancelAttempt := context.WithTimeout(ctx, attemptTimeout)
-		reply, err := s.replica().Propose(actx, b)
+		reply, err := s.commit(actx, c, b)
 		cancelAttempt()
 		if err == nil {
 			r, err := reg.DecodeResult(reply)
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -63,6 +63,7 @@
 	scheduler scheduler
 	blocker   blocker
 	client    *link.Client
+	forwarder forwarder
 
 	mu       sync.Mutex
 	node     *quorum.Node
@@ -92,13 +93,17 @@
 	s.pendingDrains = make(map[link.Departure]bool)
 	s.scheduler.server = s
 	s.blocker.server = s
+	s.forwarder.server = s
 	s.client = &link.Client{
 		Self:  link.Hello{Name: s.Name, PeerAddr: s.PeerAddr, IsControl: true},
 		Calls: s.Calls, Follower: &follower{s}, Suspended: s.isLeader, Log: s.Log,
 	}
 	s.client.SetSeeds(s.SeedAddrs)
 	s.node = s.newNode()
-	methods := []wire.Method{{Name: readIndexMethod, New: func() any { return new(readIndexRequest) }, Run: s.handleReadIndex}}
+	methods := []wire.Method{
+		{Name: readIndexMethod, New: func() any { return new(readIndexRequest) }, Run: s.handleReadIndex},
+		{Name: forwardMethod, New: func() any { return new(forwardRequest) }, Run: s.handleForward},
+	}
 	for _, m := range s.node.Methods() {
 		methods = append(methods, s.forward(m))
 	}
--- a/internal/quorum/propose.go
+++ b/internal/quorum/propose.go
@@ -58,7 +58,7 @@
 }
 
 func (n *Node) onPropose(ctx context.Context, in any) (any, error) {
-	value, err := n.proposeLocal(ctx, in.(*ProposeRequest).Command)
+	value, err := n.ProposeLocal(ctx, in.(*ProposeRequest).Command)
 	if err != nil {
 		return nil, err
 	}
@@ -120,7 +120,7 @@
 		return nil, verd.New(verd.NotRun, verd.Unavailable, "no leader of the control instances is known")
 	}
 	if addr == n.Addr {
-		return n.proposeLocal(ctx, cmd)
+		return n.ProposeLocal(ctx, cmd)
 	}
 	var a ProposeReply
 	if err := n.Calls.Call(ctx, addr, proposeMethod, &ProposeRequest{Command: cmd}, &a); err != nil {
@@ -129,8 +129,12 @@
 	return a.Value, nil
 }
 
-// proposeLocal commits a command if this replica leads.
-func (n *Node) proposeLocal(ctx context.Context, cmd []byte) ([]byte, error) {
+// ProposeLocal commits a command if this replica leads, and returns the result of applying it.
+// It returns the same errors as Propose, and NotRun if this replica doesn't lead.
+func (n *Node) ProposeLocal(ctx context.Context, cmd []byte) ([]byte, error) {
+	if err := checkCommand(cmd); err != nil {
+		return nil, err
+	}
 	n.setup()
 	done := make(chan result, 1)
 	n.events.push(proposeEvent{cmd: cmd, done: done})
