place: late requests use engines that are free beside limited ones

What callers would see: a request that is late already is refused while an engine is idle, once most of the others have used up the limits that they name. Cause: the slots of an engine that accepts nothing now counted as used, so the pool looked crowded; a late answer can take no slot of such an engine from another request. Change: these engines count neither as slots nor as used. With all of them limited, late requests are refused as before. Test: TestLateRequestUsesFreeEngine: refused before.

--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -65,16 +65,12 @@
 }
 
 // isCrowded reports whether so many slots are in use that a late answer would make others
-// late. All slots of an engine that accepts no request now because of its limit count as used.
+// late. An engine that accepts no request now because of its limit has none to offer.
 func (c *Core) isCrowded(now time.Time) bool {
 	slots, used := 0, 0
 	for _, e := range c.engines {
-		if c.available(now, e) {
+		if c.available(now, e) && e.limiter.Wait(now, c.Shares) == 0 {
 			slots += e.Slots
-			if e.limiter.Wait(now, c.Shares) > 0 {
-				used += e.Slots
-				continue
-			}
 			used += min(e.answers, e.Slots)
 		}
 	}
--- a/internal/place/limiter_test.go
+++ b/internal/place/limiter_test.go
@@ -159,6 +159,21 @@
 	}
 }
 
+// TestLateRequestUsesFreeEngine: a late request must be served by an engine that is free, however
+// many others have used up their limits.
+func TestLateRequestUsesFreeEngine(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := idleCore(now, 10)
+	limitEngines(c, now, 9, 1)
+	for i := range 9 {
+		c.Step(now, Arrive{shortRequest(fmt.Sprint(i))})
+	}
+	req := shortRequest("late")
+	req.TTFTLeft = 0
+	g, _ := placeAndWait(c, now.Add(50*time.Millisecond), req)
+	quicktest.Assert(t, g.ID, quicktest.Equals, "late")
+}
+
 // TestAllEnginesLimited: what can't be served within the limits of all engines must be refused
 // when that is known, and told when to come back.
 func TestAllEnginesLimited(t *testing.T) {
