hub, link: lists of ready instances are sent as changes

Cause: whenever an instance stops or starts, all others of its data centre, and all control instances, get the whole list, 64 instances in 2.7 KB, up to five times a second; a planned restart of the fleet goes on so for its whole length. Ruled out: longer pauses between lists, since callers are told of instances that have left. Change: an instance that says so in its Hello gets the names that are gone and the entries that are new, after a first whole list in each link. A change that waits is replaced by one from the list that the receiver has. Others get whole lists as before.

--- a/internal/hub/directory.go
+++ b/internal/hub/directory.go
@@ -1,7 +1,6 @@
 package hub
 
 import (
-	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -54,24 +53,18 @@
 		for sess := range s.sessions {
 			s.entryList = append(s.entryList, sess.entries...)
 		}
-		s.entryList = sortUnique(s.entryList)
+		s.entryList = link.SortEntries(s.entryList)
 	}
 	return s.entryList
 }
 
-// sortUnique sorts entries by name and removes duplicates, in place.
-func sortUnique(list []link.Entry) []link.Entry {
-	slices.SortFunc(list, func(a, b link.Entry) int { return cmp.Compare(a.Name, b.Name) })
-	return slices.CompactFunc(list, func(a, b link.Entry) bool { return a.Name == b.Name })
-}
-
 // Entries returns the ready instances that callers in a data centre should use: those of
 // that data centre, or all of them if it has too few.
 func (s *Server) Entries(dataCentre string) []link.Entry {
 	all := s.linkedEntries()
 	if received, receivedAt := s.directory.get(); !s.isLeader() || time.Since(receivedAt) < entryGrace {
 		if len(all) > 0 {
-			received = sortUnique(slices.Concat(all, received))
+			received = link.SortEntries(slices.Concat(all, received))
 		}
 		all = received
 	}
@@ -120,8 +113,15 @@
 // as far as they have changed.
 func (s *Server) sendEntries(sess *session, list []link.Entry, count int) {
 	if !slices.Equal(list, sess.sentEntries) {
+		former := sess.sentEntries
 		sess.sentEntries = list
-		sess.Enqueue(func(m *link.ControlMessage) { m.Entries, m.HasEntries = list, true })
+		sess.Enqueue(func(m *link.ControlMessage) {
+			if sess.hello.Compact && former != nil {
+				m.ChangeEntries(former, list)
+			} else {
+				m.ReplaceEntries(list)
+			}
+		})
 	}
 	if sess.sentCount != count {
 		sess.sentCount = count
--- a/internal/hub/fleet_test.go
+++ b/internal/hub/fleet_test.go
@@ -95,7 +95,7 @@
 			pool := &wire.Pool{Dial: cl.net.Dialer("10.0.1.8:7"), Self: "10.0.1.8:7"}
 			st, err := pool.Open(t.Context(), cl.leader().PeerAddr, link.Method)
 			quicktest.Assert(t, err, quicktest.IsNil)
-			quicktest.Assert(t, st.Send(&link.FollowerMessage{Hello: &link.Hello{Name: "old", Unpacks: unpacks}}), quicktest.IsNil)
+			quicktest.Assert(t, st.Send(&link.FollowerMessage{Hello: &link.Hello{Name: "old", Compact: unpacks}}), quicktest.IsNil)
 			var got struct {
 				Update *reg.Delta `cbor:"2,keyasint,omitempty"`
 			}
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -119,7 +119,7 @@
 	if m.Update == nil {
 		m.Since = sess.sentRevision
 	}
-	d, err := s.registry.DeltaSince(m.Since, sess.hello.Unpacks)
+	d, err := s.registry.DeltaSince(m.Since, sess.hello.Compact)
 	if err != nil {
 		s.Log.Error().Err(err).Str("peer", sess.hello.Name).Msg("registry update not sent")
 		return
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -88,6 +88,10 @@
 	Suspended func() bool
 	Log       *log.Logger
 
+	// entries are the ready instances as last received. Only the goroutine that handles messages
+	// uses them.
+	entries []Entry
+
 	mu           sync.Mutex
 	seeds        []string
 	controlAddrs []string
@@ -368,7 +372,7 @@
 	stop := context.AfterFunc(connectCtx, st.Close)
 	defer stop()
 	hello := c.Self
-	hello.Revision, hello.Unpacks = c.Follower.Revision(), true
+	hello.Revision, hello.Compact = c.Follower.Revision(), true
 	first := FollowerMessage{Hello: &hello}
 	c.Follower.FillHeartbeat(&first)
 	if err := st.Send(&first); err != nil {
@@ -443,8 +447,9 @@
 	if m.Update != nil {
 		c.Follower.ApplyUpdate(m.Update)
 	}
-	if m.HasEntries {
-		c.Follower.SetEntries(m.Entries)
+	if list, changed := m.applyEntries(c.entries); changed {
+		c.entries = list
+		c.Follower.SetEntries(list)
 	}
 	if m.EntryCount > 0 {
 		c.Follower.SetEntryCount(m.EntryCount)
--- /dev/null
+++ b/internal/link/entries_test.go
@@ -0,0 +1,68 @@
+package link
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+
+	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+)
+
+// TestEntryChanges changes the list of ready instances at random while messages wait or are sent:
+// the receiver must have the sender's list after each message that is sent.
+func TestEntryChanges(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		drawList := func() []Entry {
+			list := []Entry{}
+			for i := range 4 {
+				if n := rapid.IntRange(0, 2).Draw(r, "address"); n > 0 {
+					list = append(list, Entry{Name: fmt.Sprint(i), Address: fmt.Sprint(n)})
+				}
+			}
+			return list
+		}
+		var m ControlMessage
+		var sent, received []Entry
+		for range rapid.IntRange(1, 20).Draw(r, "steps") {
+			list := drawList()
+			if sent == nil || rapid.IntRange(0, 9).Draw(r, "whole") == 0 {
+				m.ReplaceEntries(list)
+			} else {
+				m.ChangeEntries(sent, list)
+			}
+			sent = list
+			if rapid.Bool().Draw(r, "wait") {
+				continue
+			}
+			b, err := cbor.Marshal(&m)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			var got ControlMessage
+			quicktest.Assert(t, cbor.Unmarshal(b, &got), quicktest.IsNil)
+			received, _ = got.applyEntries(received)
+			m = ControlMessage{}
+			if !slices.Equal(received, sent) {
+				r.Fatalf("receiver has %v, sender has %v", received, sent)
+			}
+		}
+	})
+}
+
+// TestEntryChangeIsSmall: five changes of the list a second, as in a restart of a whole fleet, must fit
+// in the budget of an instance, 2 KB a second.
+func TestEntryChangeIsSmall(t *testing.T) {
+	var list []Entry
+	for i := range maxEntries {
+		list = append(list, Entry{Name: fmt.Sprintf("edge-dakar-a-%02d", i), DataCentre: "dakar-a", Address: fmt.Sprintf("10.1.0.%d:8080", i)})
+	}
+	for _, change := range [][]Entry{list[1:], slices.Delete(slices.Clone(list), 30, 33)} {
+		var m ControlMessage
+		m.ChangeEntries(list, change)
+		m.ChangeEntries(change, list)
+		m.ChangeEntries(list, change)
+		b, err := cbor.Marshal(&m)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, len(b) <= 2_000/5, quicktest.IsTrue, quicktest.Commentf("%d bytes", len(b)))
+	}
+}
--- /dev/null
+++ b/internal/link/main_test.go
@@ -0,0 +1,9 @@
+package link
+
+import (
+	"testing"
+
+	"github.com/bambooproxy/bambooproxy/internal/seed"
+)
+
+func TestMain(m *testing.M) { seed.Main(m) }
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -67,8 +67,9 @@
 	DataCentre string `cbor:"5,keyasint,omitempty"`
 	// Revision is the registry revision that the sender has, or NoUpdates.
 	Revision uint64 `cbor:"4,keyasint"`
-	// Unpacks is set if the sender accepts updates with packed targets.
-	Unpacks bool `cbor:"6,keyasint,omitempty"`
+	// Compact is set if the sender accepts updates with packed targets, and changes of the list
+	// of ready instances in place of whole lists.
+	Compact bool `cbor:"6,keyasint,omitempty"`
 }
 
 // NoUpdates is the Revision of a follower that requests no registry updates.
@@ -148,6 +149,12 @@
 	Blocks []poison.Block `cbor:"9,keyasint,omitempty"`
 	// Limits are the limits that targets have named, those that have changed or all.
 	Limits []place.Limit `cbor:"10,keyasint,omitempty"`
+	// AddedEntries and RemovedEntries, the latter by name, change the list of Entries that the
+	// receiver has.
+	AddedEntries   []Entry  `cbor:"11,keyasint,omitempty"`
+	RemovedEntries []string `cbor:"12,keyasint,omitempty"`
+	// FormerEntries is the list that these changes begin at. It is not sent.
+	FormerEntries []Entry `cbor:"-"`
 }
 
 // Check unpacks the update.
