--- a/internal/link/entries_test.go
+++ b/internal/link/entries_test.go
@@ -8,6 +8,9 @@
 	"github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
+
+	"github.com/bambooproxy/bambooproxy/internal/mutate"
+	"github.com/bambooproxy/bambooproxy/internal/reg"
 )
 
 // TestEntryChanges changes the list of ready instances at random while messages wait or are sent:
@@ -66,3 +69,26 @@
 		quicktest.Check(t, len(b) <= 2_000/5, quicktest.IsTrue, quicktest.Commentf("%d bytes", len(b)))
 	}
 }
+
+// FuzzControlMessage feeds arbitrary bytes to the reader of messages from control instances: it must
+// fail or yield a list of ready instances without a name twice, and not panic.
+func FuzzControlMessage(f *testing.F) {
+	var m ControlMessage
+	m.ChangeEntries([]Entry{{Name: "a"}}, []Entry{{Name: "b", Address: "10.0.0.1:80"}})
+	m.Update = &reg.Delta{Revision: 7, PackedTargets: []byte{1}}
+	valid, err := cbor.Marshal(&m)
+	quicktest.Assert(f, err, quicktest.IsNil)
+	mutate.Add(f, valid, []byte{0xa0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var m ControlMessage
+		if cbor.Unmarshal(b, &m) != nil || m.Check() != nil || m.HasEntries {
+			return
+		}
+		list, _ := m.applyEntries([]Entry{{Name: "a"}, {Name: "c"}})
+		for i := 1; i < len(list); i++ {
+			if list[i-1].Name >= list[i].Name {
+				t.Fatalf("list %v", list)
+			}
+		}
+	})
+}
