hub: updates to a large fleet are sent less often

Change: the time between two updates to an instance grows by 0.2 ms with each link, 20 ms up to 100 links and 60 ms at 300. The first change after a pause goes out at once, as before.

--- a/internal/hub/fleet_test.go
+++ b/internal/hub/fleet_test.go
@@ -28,6 +28,9 @@
 		settleTime = 5 * time.Second
 		// maxLinks, maxLists and maxUpdates bound what one entry sees in that time.
 		maxLinks, maxLists, maxUpdates = 4, 25, 60
+		// maxSent bounds the updates that the leader sends to all in the two seconds of the
+		// announcements.
+		maxSent = 2 * 5000
 	)
 	runCluster(t, 5, entries, func(t *testing.T, cl *cluster) {
 		cl.publish(1)
@@ -51,12 +54,15 @@
 			time.Sleep(time.Second / targets)
 		}
 		time.Sleep(time.Second)
+		sent := 0
 		for _, e := range cl.entries {
 			quicktest.Check(t, e.state(fmt.Sprint(targets-1)), quicktest.Equals, site.Ready)
 			e.withLock(func() {
 				quicktest.Check(t, e.updates <= maxUpdates, quicktest.IsTrue, quicktest.Commentf("%s: %d updates", e.name, e.updates))
+				sent += e.updates
 			})
 		}
+		quicktest.Check(t, sent <= maxSent, quicktest.IsTrue, quicktest.Commentf("%d updates", sent))
 	})
 }
 
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -130,16 +130,27 @@
 	}
 }
 
-// pushInterval is the shortest time between two registry updates to an instance. When a
-// whole fleet of targets announces itself, one message carries many changes.
-const pushInterval = 20 * time.Millisecond
+// minPushInterval is the shortest time between two registry updates to an instance. When a
+// whole fleet of targets announces itself, one message carries many changes. It grows by
+// pushIntervalPerLink with each linked instance, which bounds the messages of a leader.
+const (
+	minPushInterval     = 20 * time.Millisecond
+	pushIntervalPerLink = 200 * time.Microsecond
+)
+
+// pushInterval returns the time between two registry updates to an instance.
+func (s *Server) pushInterval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(minPushInterval, time.Duration(len(s.sessions))*pushIntervalPerLink)
+}
 
 // pushUpdates sends every change of the registry until ctx ends.
 func (s *Server) pushUpdates(ctx context.Context, sess *session) {
 	for {
 		_, changed := s.registry.Revision()
 		sess.Enqueue(func(m *link.ControlMessage) { s.addUpdate(sess, m) })
-		if !timing.Sleep(ctx, pushInterval) {
+		if !timing.Sleep(ctx, s.pushInterval()) {
 			return
 		}
 		select {
