--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +14,8 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/hop"
 )
 
 // withoutEnd writes a head, a body and then a unit again and again with a pause between,
@@ -79,6 +83,37 @@
 	}
 }
 
+// TestEndlessBodyOnSocket has a target send a body without end on a real socket. It must not be
+// buffered beyond the limit of a response, and the connection must be closed.
+func TestEndlessBodyOnSocket(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer ln.Close()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if q, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			withoutEnd(okHead, "", strings.Repeat("x", 64<<10), 0)(nil, c, q)
+		}
+	}()
+	client := &hop.Client{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	}}
+	resp, err := client.Do(t.Context(), ln.Addr().String(), &hop.Request{Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{}})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	buffers := bodyBuffers{limit: 2 * maxResponseBytes}
+	_, err = buffers.read(resp.Body)
+	quicktest.Assert(t, err, quicktest.Equals, errResponseTooLarge)
+	quicktest.Assert(t, buffers.used.Load(), quicktest.Equals, int64(0))
+	resp.Close(false)
+	<-ended
+}
+
 // TestBufferedResponsesAreBounded: all responses without end together must stay within the
 // memory for them, and responses of the usual size pass beside them.
 func TestBufferedResponsesAreBounded(t *testing.T) {
--- a/internal/hop/endless_test.go
+++ b/internal/hop/endless_test.go
@@ -171,3 +171,48 @@
 		}
 	}
 }
+
+// TestEndlessStreamOnSocket has an engine send on a real socket what never becomes a further event.
+// The stream must fail after a bounded number of bytes, or be read on without being kept, and its
+// connection must be closed with it.
+func TestEndlessStreamOnSocket(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: 1\r\n\r\nid: 1\ndata: e\n\n"
+	for name, c := range map[string]struct {
+		unit  string
+		fails bool
+	}{
+		"a line without end":   {strings.Repeat("x", 512), true},
+		"an event without end": {"data: " + strings.Repeat("x", 512) + "\n", true},
+		"comments":             {": still here\n\n", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, ended := listenOnLoopback(t, func(conn net.Conn) { sendWithoutEnd(conn, head, c.unit, 0) })
+			resp, err := newSocketClient().Do(t.Context(), addr, newRequest("1"))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			read := &countingReader{Reader: resp.Body}
+			events := NewEventReader(read)
+			ev, err := events.Next()
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Assert(t, ev.ID, quicktest.Equals, int64(1))
+			for err == nil && read.n < 8*maxEventBytes {
+				_, err = events.Next()
+			}
+			quicktest.Check(t, err != nil, quicktest.Equals, c.fails)
+			quicktest.Check(t, c.fails && read.n > 2*maxEventBytes, quicktest.IsFalse, quicktest.Commentf("%d bytes", read.n))
+			resp.Close(false)
+			<-ended
+		})
+	}
+}
+
+// countingReader counts the bytes that are read.
+type countingReader struct {
+	io.Reader
+	n int
+}
+
+func (r *countingReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	r.n += n
+	return n, err
+}
