--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -208,8 +208,9 @@
 }
 
 // dialOrder returns the addresses to try: that of the leader first, then the others, rotated
-// by the number of the round, from a start that differs between the instances of a fleet. Those that have answered without leading come last, the latest of
-// them at the end: they may be cut off from the others and know no better.
+// by the number of the round, from a start that differs between the instances of a fleet. Those
+// that have answered without leading come last, the latest of them at the end: they may be cut off
+// from the others and know no better.
 func (c *Client) dialOrder(round int) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
