--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -63,6 +63,8 @@
 	number int
 	http   *http.Server
 	stop   context.CancelFunc
+	// crashed is guarded by fleet.mu.
+	crashed bool
 }
 
 const (
@@ -183,10 +185,10 @@
 	f := e.fleet
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if e.State == site.Gone {
+	if e.crashed {
 		return
 	}
-	e.State = site.Gone
+	e.crashed = true
 	f.crashes = append(f.crashes, time.Now())
 	e.stop()
 	e.http.Close()
