gate: the phase of a limit can be set by tests

Found by running the tests of gate with one processor: TestLimitLearntFromLeader got 200 where 503 is wanted, in 7 of 240 plays. Cause: the first turn of a limited target is drawn at random; in one play of about thirty it comes within the time that the request may wait, and it is served, as it should be. Change: health draws the phase through a field, which this test sets to the middle of an interval. Its checks are the same; the product's behaviour, too.

--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +21,9 @@
 type health struct {
 	mu   sync.Mutex
 	byID map[string]*targetHealth
+	// drawPhase draws the part of an interval after which a target that has just named a limit
+	// gets its first request.
+	drawPhase func() float64
 }
 
 type targetHealth struct {
@@ -50,7 +54,7 @@
 // isClosed reports whether the process wants no request from this instance now.
 func (n *notice) isClosed(now time.Time) bool { return n.leaving || now.Before(n.pausedUntil) }
 
-func (h *health) setup() { h.byID = make(map[string]*targetHealth) }
+func (h *health) setup() { h.byID, h.drawPhase = make(map[string]*targetHealth), rand.Float64 }
 
 func (h *health) target(id string) *targetHealth {
 	t := h.byID[id]
--- a/internal/gate/limit.go
+++ b/internal/gate/limit.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"math/rand/v2"
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
@@ -53,26 +52,27 @@
 		if !n.hasLimit || sentAt.Before(n.limitedAt) {
 			return false
 		}
-		n.setLimit(place.Limit{}, 1)
+		n.setLimit(place.Limit{}, 1, 0)
 		return true
 	}
 	isChange := !n.hasLimit || n.limit != limit
 	n.limitedAt = time.Now()
 	if isChange {
-		n.setLimit(place.Limit{PerSecond: limit, Named: true}, shares)
+		n.setLimit(place.Limit{PerSecond: limit, Named: true}, shares, h.drawPhase())
 	}
 	return isChange
 }
 
-// setLimit sets or removes the limit, which that many instances share.
-func (n *notice) setLimit(l place.Limit, shares int) {
+// setLimit sets or removes the limit, which that many instances share; see Limiter.Set for the
+// phase.
+func (n *notice) setLimit(l place.Limit, shares int, phase float64) {
 	n.limit, n.hasLimit = l.PerSecond, l.Named
 	if !l.Named {
 		n.limiter.Clear()
 		return
 	}
 	n.limitedAt = time.Now()
-	n.limiter.Set(n.limitedAt, l.PerSecond, shares, rand.Float64())
+	n.limiter.Set(n.limitedAt, l.PerSecond, shares, phase)
 }
 
 // applyLimit applies a limit that another instance has learnt.
@@ -80,7 +80,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if n := h.noticeOf(t); n.hasLimit != l.Named || n.limit != l.PerSecond {
-		n.setLimit(l, shares)
+		n.setLimit(l, shares, h.drawPhase())
 	}
 	h.dropIdle(t.ID, h.byID[t.ID])
 }
@@ -130,7 +130,7 @@
 
 // setLimit passes the limit of a target to the local cores.
 func (p *placer) setLimit(l place.Limit) {
-	l.Phase = rand.Float64()
+	l.Phase = p.server.health.drawPhase()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, c := range p.localCores {
--- a/internal/gate/limit_test.go
+++ b/internal/gate/limit_test.go
@@ -91,6 +91,8 @@
 func TestLimitLearntFromLeader(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestbed(t, []script{respond(200, "done", sealHeader)}, nil)
+		// Its first turn is not right away.
+		s.gate.health.drawPhase = func() float64 { return 0.5 }
 		limit := place.Limit{Target: s.targets[0].ID, StartedMs: 7, PerSecond: 0, Named: true}
 		s.gate.ApplyLimits([]place.Limit{limit})
 		quicktest.Assert(t, s.call(idempotentPath, "body").status, quicktest.Equals, 200)
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -301,7 +300,7 @@
 		}
 		c.Step(time.Now(), place.Fleet{Engine: *pool.Engine, Targets: v.pools[pool.Name]})
 		for _, l := range p.server.health.limits(v) {
-			l.Phase = rand.Float64()
+			l.Phase = p.server.health.drawPhase()
 			c.Step(time.Now(), l)
 		}
 	}
