gate: log what shows that one request ended several targets

No decision changes.

TestCrashOfServiceIsLogged failed before. Ruled out: the caller's attempt ID (differs for each repeat), the path alone (sound requests share it).

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -5,6 +5,7 @@
 	"io"
 	"strconv"
 	"syscall"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -57,14 +58,20 @@
 	return b, err
 }
 
-// checkProcess records if an attempt failed because the process of the engine ended.
-func (s *stream) checkProcess(lead site.Target, att streamAttempt, err error) {
-	if !s.server.hasCrashed(lead, err) {
-		return
+// checkProcess reports whether the process of a target ended while it had the request, which it
+// logs. The target had been writing the response for the time written.
+func (x *exchange) checkProcess(t site.Target, written time.Duration, err error) bool {
+	if !x.server.hasCrashed(t, err) {
+		return false
 	}
-	s.server.Log.Warn().Str("id", s.call.ID).Str("ask", s.grantID).Str("target", lead.ID).Str("address", lead.Address).Int64("born", lead.StartedMs).
-		Strs("prefix", s.call.SharedSegments).Dur("written", att.written).Msg("target process ended during a request")
-	if att.written < poison.SurvivalTime {
+	x.server.Log.Warn().Str("id", x.call.ID).Str("digest", x.requestDigest()).Str("ask", x.grantID).Str("target", t.ID).Str("address", t.Address).
+		Int64("born", t.StartedMs).Strs("prefix", x.call.SharedSegments).Dur("written", written).Msg("target process ended during a request")
+	return true
+}
+
+// recordCrash records if an attempt failed because the process of the engine ended.
+func (s *stream) recordCrash(lead site.Target, att streamAttempt, err error) {
+	if s.checkProcess(lead, att.written, err) && att.written < poison.SurvivalTime {
 		s.server.blocklist.recordCrash(lead, s.call.SharedSegments)
 	}
 }
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -56,6 +56,42 @@
 	}
 }
 
+// TestCrashOfServiceIsLogged: the process of a plain service that ended under a request must be told
+// from a connection that ended, with what shows whether another request is the same.
+func TestCrashOfServiceIsLogged(t *testing.T) {
+	digests := make(map[string]int)
+	for name, c := range map[string]struct {
+		body    string
+		script  script
+		crashes bool
+	}{
+		"before the head":     {"a", closeConn, true},
+		"the same request":    {"a", closeConn, true},
+		"another body":        {"b", closeConn, true},
+		"within the body":     {"c", writeText("HTTP/1.1 200 OK\r\nId: a1\r\nSeal: s\r\nContent-Length: 9\r\n\r\nhalf"), true},
+		"only the connection": {"d", closeConn, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestbed(t, []script{nil}, nil)
+				s.targets[0].script = func(f *fakeTarget, conn net.Conn, q *http.Request) bool {
+					if c.crashes {
+						f.listener.Close()
+					}
+					return c.script(f, conn, q)
+				}
+				s.call(nonIdempotentPath, c.body)
+				_, line, _ := strings.Cut(s.logs.String(), `"digest":`)
+				digest, rest, _ := strings.Cut(line, ",")
+				digests[digest]++
+				quicktest.Assert(t, strings.Contains(rest, `"message":"target process ended during a request"`), quicktest.Equals, c.crashes)
+			})
+		})
+	}
+	// Two of the five requests are the same.
+	quicktest.Assert(t, digests, quicktest.HasLen, 4)
+}
+
 // TestBlockedPromptIsRefused: a prompt that crashes engines must be refused at once, with the
 // time until that is reconsidered, and reach none of them.
 func TestBlockedPromptIsRefused(t *testing.T) {
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -208,7 +208,7 @@
 		end.FailedTarget = lead.ID
 		s.failedTargets = append(s.failedTargets, lead.ID)
 		s.logFailedAttempt(lead, reason, nil)
-		s.checkProcess(lead, att, err)
+		s.recordCrash(lead, att, err)
 	}
 	return false, reason
 }
@@ -222,7 +222,7 @@
 	}
 	var unreachable *engine.Unreachable
 	end.FailedTarget, end.Unreachable = lead.ID, errors.As(err, &unreachable)
-	s.checkProcess(lead, streamAttempt{}, err)
+	s.recordCrash(lead, streamAttempt{}, err)
 	return s.handleFailedAttempt(lead, s.classifySendError(lead, err))
 }
 
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -31,6 +31,8 @@
 	// rank orders requests of equal slack in the scheduler; 0 is the first.
 	rank int
 	body []byte
+	// digest is the value of requestDigest once it has been computed.
+	digest string
 	// bodyReader is what the body was read from; nil before that.
 	bodyReader *requestReader
 	deadline   time.Time
@@ -305,6 +307,9 @@
 	if len(x.call.SharedSegments) > 0 {
 		e.Strs("prefix", x.call.SharedSegments)
 	}
+	if x.sends > 0 && x.status != http.StatusOK {
+		e.Str("digest", x.requestDigest())
+	}
 	e.Int("prompt", x.call.PromptTokens).Int("status", x.status).Str("by", x.answeredBy).Str("reason", x.reason).Str("ask", x.grantID).Str("target", x.target).Int("sends", x.sends).
 		Int("parts", x.engineCount).Dur("waited", x.queueTime).Dur("expect", x.predicted).Dur("first", x.firstEvent).Dur("pause", x.maxPause).Int("events", x.eventCount).Dur("took", took).
 		Msg("request ended")
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -231,6 +231,7 @@
 	sentAt := time.Now()
 	resp, err := s.TargetClient.Do(ctx, t.Address, q)
 	if err != nil {
+		x.checkProcess(t, 0, err)
 		return nil, x.classifySendError(t, err)
 	}
 	reuse := false
@@ -250,6 +251,7 @@
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, errBuffersFull) {
 			s.health.recordFailure(t.ID)
+			x.checkProcess(t, 0, err)
 		}
 		x.logFailedAttempt(t, "response ended early", err)
 		return nil, mayHaveRun{"the response of a target ended early"}
