node: a failing test of one request that crashes the targets which run it

Callers saw lookups refused for 15 s: each time the service was back, the same request ended all of its targets again.

Requests of the test fleet now have a body of their own each, as its callers' requests do; before, all had the same one, which the test of segments did not depend on (it passes as before).

--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -36,6 +37,72 @@
 	}
 }
 
+// crashedBy is the number of targets that a request has crashed when it must be known.
+const crashedBy = 3
+
+// TestRequestThatCrashesTargets guards against a request that ends each target which runs it: its
+// caller repeats it at one entry after the other, and each time it would take a target with all the
+// other requests there. The other requests of the same organisation must go on.
+func TestRequestThatCrashesTargets(t *testing.T) {
+	for _, c := range []struct {
+		name, path        string
+		engines, services int
+	}{{"service", lookupPath, 0, 3}, {"engines", chatPath, 12, 0}} {
+		for name, interval := range map[string]time.Duration{"often": 150 * time.Millisecond, "rarely": 2 * time.Second} {
+			t.Run(c.name+"/"+name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) { playRepeats(t, c.path, c.engines, c.services, interval) })
+			})
+		}
+	}
+}
+
+// playRepeats sends sound requests for 40 s, and from second 5 on also one request again and again.
+func playRepeats(t *testing.T, path string, engines, services int, interval time.Duration) {
+	const (
+		entries   = 6
+		crashTime = 50 * time.Millisecond
+	)
+	ctx, cancel := context.WithCancel(context.Background())
+	p := &crashPlay{fleet: newFleet(ctx, t, entries, engines, services, func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+		if strings.HasPrefix(c.ID, crasher) {
+			time.Sleep(crashTime)
+			e.crash(ctx)
+			return
+		}
+		writeHead(w, gate.ReplyInfo{RequestID: c.ID})
+		if services > 0 {
+			time.Sleep(crashTime / 2)
+			return
+		}
+		writeStream(w, c, 30)
+	})}
+	defer p.close(cancel)
+
+	p.start = time.Now()
+	p.sendUntil(40*time.Second, 100*time.Millisecond, func(i int) {
+		sent := time.Now()
+		_, whole := p.call(ctx, i%entries, path, gate.CallInfo{ID: fmt.Sprintf("a%d", i), SharedSegments: []string{"5e1f"}})
+		p.count(sent, whole)
+	})
+	time.Sleep(5 * time.Second)
+	p.sendUntil(38*time.Second, interval, func(i int) {
+		p.send(ctx, i%entries, path, "the same each time", gate.CallInfo{ID: fmt.Sprint(crasher, i), SharedSegments: []string{"5e1f"}})
+	})
+	p.callers.Wait()
+
+	late := 0
+	if crashes := p.crashTimes(); len(crashes) >= crashedBy {
+		for _, a := range p.arrivals {
+			if strings.HasPrefix(a.call.ID, crasher) && a.at.Sub(crashes[crashedBy-1]) > contact {
+				late++
+			}
+		}
+	}
+	t.Logf("%d crashes, %d late arrivals; sound requests served %v of %v before and after", len(p.crashTimes()), late, p.served, p.calls)
+	red.Check(t, "late", late <= maxLateArrivals, "the request reached targets %d times later than %s after the third crash, allowed %d; %d crashes", late, contact, maxLateArrivals, len(p.crashTimes()))
+	red.Check(t, "sound", p.calls[1] >= 20 && p.served[1] >= p.calls[1]*9/10, "%d of %d sound requests served", p.served[1], p.calls[1])
+}
+
 // crashPlay sends sound requests, and after a while also some that crash engines.
 type crashPlay struct {
 	*fleet
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -234,13 +234,19 @@
 	}
 }
 
-// call sends a request to an entry and returns its status, and whether the whole answer came.
+// call sends a request that is like no other to an entry. It returns the status, and whether the
+// whole answer came.
 func (f *fleet) call(ctx context.Context, entry int, path string, c gate.CallInfo) (status int, whole bool) {
+	return f.send(ctx, entry, path, "prompt of "+c.ID, c)
+}
+
+// send sends a request with this body to an entry and returns the same as call.
+func (f *fleet) send(ctx context.Context, entry int, path, body string, c gate.CallInfo) (status int, whole bool) {
 	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return f.net.Dialer("10.0.9.9")(ctx, addr)
 	}, DisableKeepAlives: true}}
 	c.Key, c.TimeLimit, c.PromptTokens, c.MaxOutputTokens = "key", 10*time.Second, 5000, 1000
-	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fmt.Sprintf(entryHost, entry+1)+":80"+path, strings.NewReader("prompt"))
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fmt.Sprintf(entryHost, entry+1)+":80"+path, strings.NewReader(body))
 	quicktest.Assert(f.t, err, quicktest.IsNil)
 	q.Host, q.Header = "h", platform.EncodeCall(c)
 	resp, err := client.Do(q)
