poison, gate: a request that crashes targets is blocked as a whole

Cause: a query of death that nobody recognises. The detector relates segments of prompts only, and plain services weren't watched at all.

Change: a digest of the whole request is one more segment of it, reported for all kinds of pools and blamed after three crashes. Crashes close together count if the request was sent after the one before; targets that end together still blame nobody. A survived answer lifts the block. One request convicts no segment of its prompt.

Ruled out: blocking after two crashes, as a bystander that is sent on together with the culprit has two as well; the path without the body, which sound requests share.

--- a/internal/gate/blocklist.go
+++ b/internal/gate/blocklist.go
@@ -11,9 +11,9 @@
 )
 
 // blockedReason is the reason of a refusal that the blocklist causes.
-const blockedReason = "prompts with this segment crash engines"
+const blockedReason = "requests like this one crash targets"
 
-// blocklist holds the prompts that must not be sent to engines. It reports crashes of engines to
+// blocklist holds the requests that must not be sent to targets. It reports crashes of targets to
 // the leader, which tells what to block. Without a leader it blocks what this instance has seen.
 type blocklist struct {
 	server *Server
@@ -22,8 +22,15 @@
 	detector poison.Detector
 }
 
-// find returns how long requests with these shared segments are blocked.
-func (l *blocklist) find(segments []string) (left time.Duration, blocked bool) {
+// find returns how long requests like this one are blocked.
+func (l *blocklist) find(x *exchange) (left time.Duration, blocked bool) {
+	segments := x.call.SharedSegments
+	l.mu.Lock()
+	tracked := l.detector.TracksRequests()
+	l.mu.Unlock()
+	if tracked {
+		segments = x.segments()
+	}
 	if len(segments) == 0 {
 		return 0, false
 	}
@@ -32,13 +39,18 @@
 	return l.detector.Find(time.Now(), segments)
 }
 
-// recordCrash records that the process of an engine ended while it had a request with these
-// shared segments.
-func (l *blocklist) recordCrash(t site.Target, segments []string) {
-	if len(segments) == 0 {
-		return
+// segments returns the shared segments of the prompt, and the one that stands for the request.
+func (x *exchange) segments() []string {
+	return append(slices.Clone(x.call.SharedSegments), poison.RequestSegment(x.requestDigest()))
+}
+
+// recordCrash records that the process of a target ended while it had a request. That was noticed
+// at noticedAt.
+func (l *blocklist) recordCrash(t site.Target, x *exchange, s poison.Send, noticedAt time.Time) {
+	c := poison.Crash{
+		Target: t.ID, StartedMs: t.StartedMs, Age: time.Since(noticedAt),
+		Suspects: [][]string{x.segments()}, Sends: []poison.Send{s},
 	}
-	c := poison.Crash{Target: t.ID, StartedMs: t.StartedMs, Suspects: [][]string{segments}}
 	l.mu.Lock()
 	l.detector.AddCrash(time.Now(), c)
 	l.mu.Unlock()
@@ -58,14 +70,24 @@
 	l.log(blocks)
 }
 
-// recordSurvival records that an engine has written an answer to a request with these shared
-// segments, whose first event came at began.
-func (l *blocklist) recordSurvival(segments []string, began time.Time) {
+// recordSurvival records that a target has answered a request, or that an engine has written to it
+// for poison.SurvivalTime. The answer began at began.
+func (l *blocklist) recordSurvival(x *exchange, began time.Time) {
+	segments := x.call.SharedSegments
+	l.mu.Lock()
+	tracked := l.detector.TracksRequests()
+	l.mu.Unlock()
+	if tracked {
+		segments = x.segments()
+	}
 	if len(segments) == 0 {
 		return
 	}
-	s := poison.Survival{Segments: segments, Age: time.Since(began)}
 	l.mu.Lock()
+	if last := len(segments) - 1; tracked && !l.detector.IsSuspect(segments[last]) {
+		segments = segments[:last]
+	}
+	s := poison.Survival{Segments: segments, Age: time.Since(began)}
 	lifted, isNews := l.detector.AddSurvival(time.Now(), s)
 	l.mu.Unlock()
 	l.log(lifted)
@@ -78,11 +100,11 @@
 func (l *blocklist) log(changed []poison.Block) {
 	for _, b := range changed {
 		l.server.Log.Warn().Strs("prefix", b.Segments).Dur("left", b.Left).Int("times", b.Times).Bool("linked", l.server.Link.IsLinkedToLeader()).
-			Msg("block of prompts changed")
+			Msg("block of requests changed")
 	}
 }
 
-// ApplyBlocks applies changes of the prompts that must not be sent to engines.
+// ApplyBlocks applies changes of the requests that must not be sent to targets.
 func (s *Server) ApplyBlocks(blocks []poison.Block) {
 	l := &s.blocklist
 	l.mu.Lock()
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -58,20 +58,25 @@
 	return b, err
 }
 
-// checkProcess reports whether the process of a target ended while it had the request, which it
-// logs. The target had been writing the response for the time written.
-func (x *exchange) checkProcess(t site.Target, written time.Duration, err error) bool {
+// send is one send of a request to a target.
+type send struct {
+	target site.Target
+	at     time.Time
+	// written is how long the target has been writing the answer, at least.
+	written time.Duration
+}
+
+// recordIfCrashed records if a send failed with err because the process of the target ended.
+func (x *exchange) recordIfCrashed(s send, err error) {
+	noticedAt := time.Now()
+	t := s.target
 	if !x.server.hasCrashed(t, err) {
-		return false
+		return
 	}
 	x.server.Log.Warn().Str("id", x.call.ID).Str("digest", x.requestDigest()).Str("ask", x.grantID).Str("target", t.ID).Str("address", t.Address).
-		Int64("born", t.StartedMs).Strs("prefix", x.call.SharedSegments).Dur("written", written).Msg("target process ended during a request")
-	return true
-}
-
-// recordCrash records if an attempt failed because the process of the engine ended.
-func (s *stream) recordCrash(lead site.Target, att streamAttempt, err error) {
-	if s.checkProcess(lead, att.written, err) && att.written < poison.SurvivalTime {
-		s.server.blocklist.recordCrash(lead, s.call.SharedSegments)
+		Int64("born", t.StartedMs).Strs("prefix", x.call.SharedSegments).Dur("written", s.written).Msg("target process ended during a request")
+	if s.written < poison.SurvivalTime {
+		x.server.blocklist.recordCrash(t, x, poison.Send{Age: noticedAt.Sub(s.at), Repeated: x.crashes > 0}, noticedAt)
+		x.crashes++
 	}
 }
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -109,6 +109,40 @@
 	})
 }
 
+// TestBlockedRequestIsRefused: a request of a plain service that crashes targets must be refused at
+// once, and no other one, also none that differs only by its body.
+func TestBlockedRequestIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var scripts []script
+		for range 5 {
+			scripts = append(scripts, closeConn)
+		}
+		s := newTestbed(t, scripts, nil)
+		for _, f := range s.targets {
+			f.script = func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+				if q.Header.Get("Id") == "bad" {
+					time.Sleep(30 * time.Millisecond)
+					f.listener.Close()
+					return false
+				}
+				return respond(200, "done", sealHeader)(f, c, q)
+			}
+		}
+		for range 4 {
+			s.call(idempotentPath, "bad", "Id", "bad")
+			time.Sleep(time.Second)
+		}
+		count := s.requestCount()
+		res := s.call(idempotentPath, "bad", "Id", "bad")
+		quicktest.Assert(t, res.status, quicktest.Equals, 503)
+		quicktest.Assert(t, res.header.Get("Retry-After"), quicktest.Not(quicktest.Equals), "")
+		quicktest.Assert(t, res.took < 100*time.Millisecond, quicktest.IsTrue)
+		quicktest.Assert(t, s.requestCount(), quicktest.Equals, count)
+		quicktest.Assert(t, count <= 4, quicktest.IsTrue, quicktest.Commentf("%d requests", count))
+		quicktest.Assert(t, s.call(idempotentPath, "good").status, quicktest.Equals, 200)
+	})
+}
+
 // TestBlockEndsRepeats: a request that an engine crashed on must not be sent to another one if
 // its prompt is blocked meanwhile. It may have run, so the caller gets no 503.
 func TestBlockEndsRepeats(t *testing.T) {
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -62,7 +62,7 @@
 	reason, retry := "no engine was free in time", longRetryAfter
 	x.server.placer.awaitLink(ctx)
 	for ctx.Err() == nil && x.timeLeft() > minAttemptTime && s.refusals < maxRefusals {
-		if left, blocked := x.server.blocklist.find(x.call.SharedSegments); blocked {
+		if left, blocked := x.server.blocklist.find(x); blocked {
 			reason, retry = blockedReason, left
 			break
 		}
@@ -164,7 +164,7 @@
 		s.refusals++
 		return false, "a granted engine is no longer ready"
 	}
-	if _, blocked := s.server.blocklist.find(s.call.SharedSegments); blocked {
+	if _, blocked := s.server.blocklist.find(s.exchange); blocked {
 		s.refusals++
 		return false, blockedReason
 	}
@@ -179,7 +179,7 @@
 	q.HeadTimeout = time.Until(s.nextEventDeadline(true, att.canRetry))
 	resp, err := s.server.TargetClient.Do(ctx, lead.Address, q)
 	if err != nil {
-		return s.handleSendError(ctx, lead, err, end)
+		return s.handleSendError(ctx, send{target: lead, at: att.sentAt}, err, end)
 	}
 	reuse := false
 	defer func() { resp.Close(reuse) }()
@@ -197,7 +197,7 @@
 	reason, err = s.relayEvents(ctx, lead, resp, &att)
 	if reason == "" {
 		if !att.firstEventAt.IsZero() {
-			s.server.blocklist.recordSurvival(s.call.SharedSegments, att.firstEventAt)
+			s.server.blocklist.recordSurvival(s.exchange, att.firstEventAt)
 		}
 		reuse = true
 		s.server.health.recordSuccess(lead.ID)
@@ -208,22 +208,22 @@
 		end.FailedTarget = lead.ID
 		s.failedTargets = append(s.failedTargets, lead.ID)
 		s.logFailedAttempt(lead, reason, nil)
-		s.recordCrash(lead, att, err)
+		s.recordIfCrashed(send{lead, att.sentAt, att.written}, err)
 	}
 	return false, reason
 }
 
 // handleSendError handles a send that returned no response headers.
-func (s *stream) handleSendError(ctx context.Context, lead site.Target, err error, end *place.End) (done bool, reason string) {
+func (s *stream) handleSendError(ctx context.Context, failed send, err error, end *place.End) (done bool, reason string) {
 	if ctx.Err() != nil {
 		s.sends++
 		s.mayHaveRun = true
 		return false, s.endReason()
 	}
 	var unreachable *engine.Unreachable
-	end.FailedTarget, end.Unreachable = lead.ID, errors.As(err, &unreachable)
-	s.recordCrash(lead, streamAttempt{}, err)
-	return s.handleFailedAttempt(lead, s.classifySendError(lead, err))
+	end.FailedTarget, end.Unreachable = failed.target.ID, errors.As(err, &unreachable)
+	s.recordIfCrashed(failed, err)
+	return s.handleFailedAttempt(failed.target, s.classifySendError(failed.target, err))
 }
 
 // resolve finds the engines of a grant in the current view. An engine that drains, or wants
@@ -379,7 +379,7 @@
 	att.lastEventAt = now
 	if !att.survived && att.written >= poison.SurvivalTime {
 		att.survived = true
-		s.server.blocklist.recordSurvival(s.call.SharedSegments, att.firstEventAt)
+		s.server.blocklist.recordSurvival(s.exchange, att.firstEventAt)
 	}
 }
 
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -41,6 +41,8 @@
 	// that one of them may have executed it.
 	sends      int
 	mayHaveRun bool
+	// crashes is the number of targets whose processes ended while they had the request.
+	crashes int
 	// failedTargets are the IDs of targets not to be tried again.
 	failedTargets []string
 
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -42,6 +42,10 @@
 	reason, retry := "no target is available", shortRetryAfter
 	for x.timeLeft() > minAttemptTime && ctx.Err() == nil {
 		x.server.pauses.await(ctx)
+		if left, blocked := x.server.blocklist.find(x); blocked {
+			reason, retry = blockedReason, left
+			break
+		}
 		t, ok := x.pickTarget()
 		if !ok {
 			var reopened bool
@@ -231,7 +235,7 @@
 	sentAt := time.Now()
 	resp, err := s.TargetClient.Do(ctx, t.Address, q)
 	if err != nil {
-		x.checkProcess(t, 0, err)
+		x.recordIfCrashed(send{target: t, at: sentAt}, err)
 		return nil, x.classifySendError(t, err)
 	}
 	reuse := false
@@ -251,12 +255,13 @@
 	if err != nil {
 		if ctx.Err() == nil && !errors.Is(err, errBuffersFull) {
 			s.health.recordFailure(t.ID)
-			x.checkProcess(t, 0, err)
+			x.recordIfCrashed(send{target: t, at: sentAt}, err)
 		}
 		x.logFailedAttempt(t, "response ended early", err)
 		return nil, mayHaveRun{"the response of a target ended early"}
 	}
 	reuse = true
+	s.blocklist.recordSurvival(x, sentAt)
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
 		x.logFailedAttempt(t, "error response: "+strconv.Itoa(resp.StatusCode), nil)
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -62,7 +62,7 @@
 	views  viewStore
 	placer placer
 	health health
-	// blocklist holds the prompts that must not be sent to engines.
+	// blocklist holds the requests that must not be sent to targets.
 	blocklist blocklist
 	// buffers holds the responses of plain services until they are complete.
 	buffers bodyBuffers
--- a/internal/hub/blocker.go
+++ b/internal/hub/blocker.go
@@ -12,7 +12,7 @@
 // before it judges crashes.
 const takeoverTime = time.Second
 
-// blocker finds prompts that crash engines while this instance leads, and has all instances
+// blocker finds requests that crash targets while this instance leads, and has all instances
 // refuse them.
 type blocker struct {
 	server *Server
@@ -96,8 +96,8 @@
 	}
 	s := b.server
 	for _, k := range changed {
-		s.counter("hub.prompt_blocks").Inc(1)
-		s.Log.Warn().Strs("prefix", k.Segments).Dur("left", k.Left).Int("times", k.Times).Msg("block of prompts changed")
+		s.counter("hub.request_blocks").Inc(1)
+		s.Log.Warn().Strs("prefix", k.Segments).Dur("left", k.Left).Int("times", k.Times).Msg("block of requests changed")
 	}
 	s.sendAll(func(m *link.ControlMessage) { m.Blocks = append(m.Blocks, changed...) })
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -56,7 +56,7 @@
 	HandleQueued(id string)
 	// ActiveGrants returns the grants in use, which are reported to a new leader.
 	ActiveGrants() []place.ActiveGrant
-	// ApplyBlocks applies changes of the prompts that must not be sent to engines, and
+	// ApplyBlocks applies changes of the requests that must not be sent to targets, and
 	// ApplyLimits those of the limits that targets name. FillHandover fills in what a new
 	// leader needs to go on with both.
 	ApplyBlocks(blocks []poison.Block)
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -145,7 +145,7 @@
 	Refusals []place.Refuse `cbor:"7,keyasint,omitempty"`
 	// Queued are the IDs of placement requests that wait for an engine.
 	Queued []string `cbor:"8,keyasint,omitempty"`
-	// Blocks are the prompts that must not be sent to engines, those that have changed or all.
+	// Blocks are the requests that must not be sent to targets, those that have changed or all.
 	Blocks []poison.Block `cbor:"9,keyasint,omitempty"`
 	// Limits are the limits that targets have named, those that have changed or all.
 	Limits []place.Limit `cbor:"10,keyasint,omitempty"`
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -17,6 +17,11 @@
 	// knownCrashLimit that for a segment of which there have been answers before.
 	crashLimit      = 4
 	knownCrashLimit = 5
+	// requestCrashLimit is the number of crashes that block a request which no target has survived.
+	requestCrashLimit = 3
+	// maxRequestCrashes bounds the crashes under the same request that count against a segment of
+	// its prompt: they don't tell the segment from the rest of the request.
+	maxRequestCrashes = 2
 	// knownCrashTime is how long a segment of which there have been answers must have crashed
 	// engines: an answer that began after the first crash could have survived by then.
 	knownCrashTime = 2 * SurvivalTime
@@ -36,9 +41,9 @@
 	survivalInterval = 500 * time.Millisecond
 )
 
-// Detector finds the segments that crash engines. A segment is blamed if engines that ended had
-// requests with it, and no answer with it has survived that began after they ended. The zero
-// value is ready to use.
+// Detector finds the segments that crash targets. A segment is blamed if targets that ended had
+// requests with it, and no answer with it has survived that began after they ended. A whole
+// request counts as a segment of its own. The zero value is ready to use.
 type Detector struct {
 	crashes []*crash
 	// survivals holds, for each segment, when the latest answer began that survived, and told the
@@ -54,8 +59,40 @@
 type crash struct {
 	Crash
 	at, reportedAt time.Time
-	// explained is set if one of the requests has the segments of a block.
-	explained bool
+	requests       []request
+	// explained is set if one of the requests has the segments of a block, and explainedByPrompt if
+	// that is a block of segments of prompts.
+	explained, explainedByPrompt bool
+}
+
+// request is a request that a target had when it ended.
+type request struct {
+	// name is its RequestSegment; "" if it was not reported.
+	name     string
+	segments []string
+	// sentAt is when it was sent there; zero if it was not reported. It is repeated if that was done
+	// because another target had crashed.
+	sentAt   time.Time
+	repeated bool
+}
+
+// newRequests returns the suspects of a report, without those that have no segments.
+func newRequests(at time.Time, c Crash) []request {
+	var out []request
+	for i, segments := range c.Suspects {
+		if len(segments) == 0 {
+			continue
+		}
+		q := request{segments: segments}
+		if n := slices.IndexFunc(segments, isRequest); n >= 0 {
+			q.name = segments[n]
+		}
+		if i < len(c.Sends) {
+			q.sentAt, q.repeated = at.Add(-c.Sends[i].Age), c.Sends[i].Repeated
+		}
+		out = append(out, q)
+	}
+	return out
 }
 
 // block is a Block with its times.
@@ -67,24 +104,40 @@
 
 // AddCrash adds the report of a crash. Reports of the same process are joined.
 func (d *Detector) AddCrash(now time.Time, c Crash) {
-	suspects := slices.DeleteFunc(slices.Clone(c.Suspects), func(segments []string) bool { return len(segments) == 0 })
-	if len(suspects) == 0 {
+	at := now.Add(-c.Age)
+	requests := newRequests(at, c)
+	if len(requests) == 0 {
 		return
 	}
 	for _, known := range d.crashes {
 		if known.Target == c.Target && known.StartedMs == c.StartedMs {
-			known.Suspects = append(known.Suspects, suspects...)
+			known.requests = append(known.requests, requests...)
 			return
 		}
 	}
 	if len(d.crashes) >= maxCrashes {
 		d.crashes = slices.Delete(d.crashes, 0, 1)
 	}
-	c.Suspects = suspects
-	d.crashes = append(d.crashes, &crash{Crash: c, at: now.Add(-c.Age), reportedAt: now})
+	d.crashes = append(d.crashes, &crash{Crash: c, at: at, reportedAt: now, requests: requests})
 	d.forget(now)
 }
 
+// TracksRequests reports whether whole requests are suspects or blocked, so that their segments are
+// needed to find and to lift blocks.
+func (d *Detector) TracksRequests() bool {
+	return slices.ContainsFunc(d.blocks, (*block).isRequest) ||
+		slices.ContainsFunc(d.crashes, func(c *crash) bool {
+			return slices.ContainsFunc(c.requests, func(q request) bool { return q.name != "" })
+		})
+}
+
+// IsSuspect reports whether a whole request is blocked, or a target has crashed while it had it.
+func (d *Detector) IsSuspect(requestSegment string) bool {
+	want := []string{requestSegment}
+	return slices.ContainsFunc(d.blocks, func(b *block) bool { return slices.Equal(b.Segments, want) }) ||
+		slices.ContainsFunc(d.crashes, func(c *crash) bool { return c.hasSuspect(want) })
+}
+
 // forget drops the crashes and the ended blocks that are older than evidenceTime.
 func (d *Detector) forget(now time.Time) {
 	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) > evidenceTime })
@@ -193,73 +246,110 @@
 		if now.Sub(c.at) > handoverTime {
 			continue
 		}
-		crashes = append(crashes, Crash{Target: c.Target, StartedMs: c.StartedMs, Age: now.Sub(c.at), Suspects: c.Suspects})
-		for _, p := range slices.Concat(c.Suspects...) {
-			if at, ok := d.survivals[p]; ok && !sent[p] {
-				sent[p] = true
-				survivals = append(survivals, Survival{Segments: []string{p}, Age: now.Sub(at)})
+		out := Crash{Target: c.Target, StartedMs: c.StartedMs, Age: now.Sub(c.at)}
+		for _, q := range c.requests {
+			out.Suspects, out.Sends = append(out.Suspects, q.segments), append(out.Sends, q.report(c.at))
+			for _, p := range q.segments {
+				if at, ok := d.survivals[p]; ok && !sent[p] {
+					sent[p] = true
+					survivals = append(survivals, Survival{Segments: []string{p}, Age: now.Sub(at)})
+				}
 			}
 		}
+		crashes = append(crashes, out)
 	}
 	return crashes, survivals
 }
 
+// report returns how the request was sent to a target that crashed at that time.
+func (q *request) report(at time.Time) Send {
+	return Send{Age: at.Sub(q.sentAt), Repeated: q.repeated}
+}
+
 // Evaluate judges the crashes reported at least SettleTime ago, and returns the new blocks. It
 // also forgets what is old.
 func (d *Detector) Evaluate(now time.Time) []Block {
 	d.forget(now)
-	var open []*crash
+	var settled []*crash
 	var out []Block
 	for _, c := range d.crashes {
-		if c.explained || now.Sub(c.reportedAt) < SettleTime {
+		if now.Sub(c.reportedAt) < SettleTime {
 			continue
 		}
-		if b := d.blockFor(c); b != nil {
-			c.explained = true
-			// Requests that were sent before the block may still crash engines.
-			if c.at.After(b.until) {
-				out = append(out, d.renew(now, b))
-			}
-			continue
+		if !c.explained {
+			out = append(out, d.explain(now, c)...)
 		}
-		open = append(open, c)
+		settled = append(settled, c)
 	}
-	slices.SortStableFunc(open, func(a, b *crash) int { return a.at.Compare(b.at) })
-	for _, rule := range [...]struct {
-		known bool
-		limit int
-	}{{false, crashLimit}, {true, knownCrashLimit}} {
+	slices.SortStableFunc(settled, func(a, b *crash) int { return a.at.Compare(b.at) })
+	for _, rule := range [...]rule{
+		{ofRequests: true, limit: requestCrashLimit},
+		{ofRequests: true, known: true, limit: knownCrashLimit},
+		{limit: crashLimit},
+		{known: true, limit: knownCrashLimit},
+	} {
 		for {
-			s, ok := d.worstSuspect(now, open, rule.known)
+			s, ok := d.worstSuspect(now, settled, rule)
 			if !ok || s.crashes < rule.limit {
 				break
 			}
-			b := d.newBlock(now, open, s)
+			b := d.newBlock(now, settled, s)
 			out = append(out, b.report(now))
-			open = slices.DeleteFunc(open, func(c *crash) bool {
-				c.explained = c.hasSuspect(b.Segments)
-				return c.explained
-			})
+			for _, c := range settled {
+				c.markExplained(b)
+			}
 		}
 	}
 	return out
 }
 
-// IsSettling reports whether there are crashes that were reported less than SettleTime ago.
-func (d *Detector) IsSettling(now time.Time) bool {
-	return slices.ContainsFunc(d.crashes, func(c *crash) bool { return now.Sub(c.reportedAt) < SettleTime })
+// rule is a condition under which a segment is blamed.
+type rule struct {
+	// ofRequests is set if it is for the segments of whole requests, and known if it is for segments
+	// of which answers have survived.
+	ofRequests, known bool
+	// limit is the number of crashes.
+	limit int
 }
 
-// blockFor returns the block that explains a crash, or nil.
-func (d *Detector) blockFor(c *crash) *block {
+// appliesTo reports whether a crash is to be judged by the rule: one that has no explanation yet. A
+// request that is blocked as a whole does not explain what its prompt has in common with others.
+func (r rule) appliesTo(c *crash) bool {
+	if r.ofRequests {
+		return !c.explained
+	}
+	return !c.explainedByPrompt
+}
+
+// explain marks a crash that blocks explain, and renews those which had ended before it.
+func (d *Detector) explain(now time.Time, c *crash) (renewed []Block) {
 	for _, b := range d.blocks {
-		if c.hasSuspect(b.Segments) {
-			return b
+		// Requests that were sent before the block may still crash targets.
+		if c.markExplained(b) && c.at.After(b.until) {
+			renewed = append(renewed, d.renew(now, b))
 		}
 	}
-	return nil
+	return renewed
 }
 
+// markExplained notes whether a block explains the crash, and returns that.
+func (c *crash) markExplained(b *block) bool {
+	if !c.hasSuspect(b.Segments) {
+		return false
+	}
+	c.explained = true
+	c.explainedByPrompt = c.explainedByPrompt || !b.isRequest()
+	return true
+}
+
+// IsSettling reports whether there are crashes that were reported less than SettleTime ago.
+func (d *Detector) IsSettling(now time.Time) bool {
+	return slices.ContainsFunc(d.crashes, func(c *crash) bool { return now.Sub(c.reportedAt) < SettleTime })
+}
+
+// isRequest reports whether the block is one of a whole request.
+func (b *block) isRequest() bool { return slices.ContainsFunc(b.Segments, isRequest) }
+
 // renew blocks segments again that have crashed an engine after their block had ended.
 func (d *Detector) renew(now time.Time, b *block) Block {
 	b.Times++
@@ -271,23 +361,28 @@
 	return b.report(now)
 }
 
-// suspect is a segment that may have crashed engines.
+// suspect is a segment that may have crashed targets.
 type suspect struct {
 	segment string
 	// crashes counts the crashes that it may have caused, and requests the requests with it
 	// among them.
 	crashes, requests int
 	first, last       time.Time
+	// byRequest counts the crashes by the requests that had the segment.
+	byRequest map[string]int
 }
 
 // worstSuspect returns the segment that explains most of the crashes, which are sorted by time. Of
 // equal ones it is the one in the fewest requests: a segment of all requests is in those that
-// crash, too. With known, it looks at segments of which answers have survived before the first
-// of the crashes, otherwise at all others.
-func (d *Detector) worstSuspect(now time.Time, crashes []*crash, known bool) (worst suspect, ok bool) {
-	for _, s := range d.suspects(crashes, known) {
-		// If no answer at all has survived since, the cause may be any.
-		if known && (now.Sub(s.first) < knownCrashTime || !d.lastSurvival.After(s.first)) {
+// crash, too.
+func (d *Detector) worstSuspect(now time.Time, crashes []*crash, r rule) (worst suspect, ok bool) {
+	for _, s := range d.suspects(crashes, r) {
+		if r.known && now.Sub(s.first) < knownCrashTime {
+			continue
+		}
+		// If no answer at all has survived since, the cause may be any. Only suspects are known to
+		// survive among whole requests.
+		if r.known && !r.ofRequests && !d.lastSurvival.After(s.first) {
 			continue
 		}
 		if !ok || s.isWorse(worst) {
@@ -297,29 +392,56 @@
 	return worst, ok
 }
 
-// suspects returns the suspects of worstSuspect, by segment.
-func (d *Detector) suspects(crashes []*crash, known bool) map[string]*suspect {
+// suspects returns the suspects of worstSuspect, by segment. With rule.known, they are segments of
+// which answers have survived before the first of the crashes, otherwise all others.
+func (d *Detector) suspects(crashes []*crash, r rule) map[string]*suspect {
 	bySegment := make(map[string]*suspect)
 	for _, c := range crashes {
-		for _, p := range slices.Concat(c.Suspects...) {
-			if survivedAt, isKnown := d.survivals[p]; isKnown != known || survivedAt.After(c.at) {
-				continue
-			}
-			s := bySegment[p]
-			if s == nil {
-				s = &suspect{segment: p, first: c.at}
-				bySegment[p] = s
-			}
-			s.requests++
-			if s.crashes == 0 || c.at.Sub(s.last) >= separation {
-				s.crashes++
-				s.last = c.at
+		if !r.appliesTo(c) {
+			continue
+		}
+		for _, q := range c.requests {
+			for _, p := range q.segments {
+				if !d.mayHaveCaused(c, p, r) {
+					continue
+				}
+				s := bySegment[p]
+				if s == nil {
+					s = &suspect{segment: p, first: c.at, byRequest: make(map[string]int)}
+					bySegment[p] = s
+				}
+				s.add(c, q, r)
 			}
 		}
 	}
 	return bySegment
 }
 
+// mayHaveCaused reports whether a segment is of the kind that a rule is for, and no answer with it has
+// survived since the crash.
+func (d *Detector) mayHaveCaused(c *crash, segment string, r rule) bool {
+	survivedAt, isKnown := d.survivals[segment]
+	return isRequest(segment) == r.ofRequests && isKnown == r.known && !survivedAt.After(c.at)
+}
+
+// add counts a crash under a request that has the segment.
+func (s *suspect) add(c *crash, q request, r rule) {
+	s.requests++
+	switch {
+	case s.crashes == 0 || c.at.Sub(s.last) >= separation:
+	case r.ofRequests && (q.repeated || q.sentAt.After(s.last)) && c.at.After(s.last):
+		// It was sent when the former target had ended, so they did not end together.
+	default:
+		return
+	}
+	if q.name != "" && !r.ofRequests && s.byRequest[q.name] >= maxRequestCrashes {
+		return
+	}
+	s.byRequest[q.name]++
+	s.crashes++
+	s.last = c.at
+}
+
 func (s *suspect) isWorse(o suspect) bool {
 	if s.crashes != o.crashes {
 		return s.crashes > o.crashes
@@ -330,34 +452,47 @@
 	return s.segment < o.segment
 }
 
-// newBlock blocks a segment, together with those that came with it in each of the suspected
-// requests and of which no answer has survived: any of them may be the cause.
+// newBlock blocks a segment. If it belongs to prompts, those that came with it in each of the
+// suspected requests and of which no answer has survived are blocked together with it: any of them
+// may be the cause.
 func (d *Detector) newBlock(now time.Time, crashes []*crash, s suspect) *block {
+	common := []string{s.segment}
+	if !isRequest(s.segment) {
+		common = d.commonSegments(crashes, s.segment)
+	}
+	b := &block{Block: Block{Segments: common, Times: 1}, since: s.first, until: now.Add(initialBlockTime)}
+	d.blocks = append(d.blocks, b)
+	return b
+}
+
+// commonSegments returns a segment and those for which newBlock blocks it with it, sorted.
+func (d *Detector) commonSegments(crashes []*crash, segment string) []string {
 	var common []string
 	for _, c := range crashes {
-		for _, segments := range c.Suspects {
+		if c.explainedByPrompt {
+			continue
+		}
+		for _, q := range c.requests {
 			switch {
-			case !slices.Contains(segments, s.segment):
+			case !slices.Contains(q.segments, segment):
 			case common == nil:
-				common = slices.Clone(segments)
+				common = slices.Clone(q.segments)
 			default:
-				common = slices.DeleteFunc(common, func(p string) bool { return !slices.Contains(segments, p) })
+				common = slices.DeleteFunc(common, func(p string) bool { return !slices.Contains(q.segments, p) })
 			}
 		}
 	}
 	common = slices.DeleteFunc(common, func(p string) bool {
 		_, known := d.survivals[p]
-		return known && p != s.segment
+		return isRequest(p) || known && p != segment
 	})
 	slices.Sort(common)
-	b := &block{Block: Block{Segments: slices.Compact(common), Times: 1}, since: s.first, until: now.Add(initialBlockTime)}
-	d.blocks = append(d.blocks, b)
-	return b
+	return slices.Compact(common)
 }
 
 // hasSuspect reports whether one of the suspected requests has all of the segments.
 func (c *crash) hasSuspect(segments []string) bool {
-	return slices.ContainsFunc(c.Suspects, func(s []string) bool { return containsAll(s, segments) })
+	return slices.ContainsFunc(c.requests, func(q request) bool { return containsAll(q.segments, segments) })
 }
 
 // containsAll reports whether all contains each of the segments.
--- a/internal/poison/detector_test.go
+++ b/internal/poison/detector_test.go
@@ -60,6 +60,67 @@
 	})
 }
 
+// requestTo ends another target that has these requests, each of which was sent there that long ago.
+func (b *bench) requestTo(sent time.Duration, names ...string) []Block {
+	b.ended++
+	c := Crash{Target: fmt.Sprint("s", b.ended)}
+	for _, n := range names {
+		c.Suspects, c.Sends = append(c.Suspects, []string{RequestSegment(n)}), append(c.Sends, Send{Age: sent})
+	}
+	b.AddCrash(time.Now(), c)
+	return b.Evaluate(time.Now())
+}
+
+// TestRequestIsBlamed: a request that was sent to one target after the other, each of which ended
+// soon after that, must be blocked, and not those that were there with it.
+func TestRequestIsBlamed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b bench
+		for _, with := range []string{"x", "y", "x"} {
+			b.requestTo(40*time.Millisecond, "bad", with)
+			time.Sleep(50 * time.Millisecond)
+		}
+		time.Sleep(SettleTime)
+		quicktest.Assert(t, segmentsOf(b.Evaluate(time.Now())), quicktest.DeepEquals, [][]string{{RequestSegment("bad")}})
+		quicktest.Assert(t, b.isBlocked(RequestSegment("x")), quicktest.IsFalse)
+		quicktest.Assert(t, b.survive(RequestSegment("bad")), quicktest.HasLen, 1)
+		quicktest.Assert(t, b.isBlocked(RequestSegment("bad")), quicktest.IsFalse)
+	})
+}
+
+// TestRequestAtTargetsThatEndTogether: the same request of many callers is at all targets of a
+// rack that loses power, which says nothing about it.
+func TestRequestAtTargetsThatEndTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b bench
+		for range 8 {
+			b.requestTo(20*time.Millisecond, "popular")
+			time.Sleep(2 * time.Millisecond)
+		}
+		time.Sleep(SettleTime)
+		quicktest.Assert(t, b.Evaluate(time.Now()), quicktest.HasLen, 0)
+	})
+}
+
+// TestRequestDoesNotConvictItsPrompt: one request that crashes engines is blocked as a whole. The
+// segments of its prompt are blocked only once other requests with them crash engines, too.
+func TestRequestDoesNotConvictItsPrompt(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var b bench
+		for range requestCrashLimit {
+			b.crash([]string{"caller", RequestSegment("1")})
+		}
+		for range 5 {
+			b.crash([]string{"caller", RequestSegment("1")})
+		}
+		quicktest.Assert(t, b.isBlocked("caller", RequestSegment("1")), quicktest.IsTrue)
+		quicktest.Assert(t, b.isBlocked("caller", RequestSegment("2")), quicktest.IsFalse)
+		b.crash([]string{"caller", RequestSegment("2")})
+		b.crash([]string{"caller", RequestSegment("2")})
+		quicktest.Assert(t, b.isBlocked("caller", RequestSegment("3")), quicktest.IsTrue)
+	})
+}
+
 // TestSegmentsThatAlwaysCameTogether: while it is open which of two segments is the cause, only
 // requests with both are refused, so the one that is harmless is found out.
 func TestSegmentsThatAlwaysCameTogether(t *testing.T) {
