node: a failing test of entries that are cut off from all targets

Callers of these entries waited for timeouts and got 502 or 503, or left.

memnet can refuse new connections between two hosts.

--- a/internal/memnet/network.go
+++ b/internal/memnet/network.go
@@ -24,6 +24,7 @@
 	listeners   map[string]*listener
 	conns       []*Conn
 	partitioned map[[2]string]bool
+	refused     map[[2]string]bool
 }
 
 // Listen opens a listener on an address. It fails if the address is in use.
@@ -52,13 +53,13 @@
 func (n *Network) dial(ctx context.Context, from, to string) (net.Conn, error) {
 	n.mu.Lock()
 	l := n.listeners[to]
-	unreachable := n.partitioned[hostPair(from, to)]
+	unreachable, refused := n.partitioned[hostPair(from, to)], n.refused[hostPair(from, to)]
 	n.mu.Unlock()
 	if unreachable {
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
-	if l == nil {
+	if l == nil || refused {
 		return nil, ErrRefused
 	}
 	near, far := newConnPair(address(from), address(to))
@@ -87,11 +88,22 @@
 	n.Silence(a, b)
 }
 
-// Heal allows new connections between two partitioned hosts again.
+// Refuse refuses new dials between two hosts until Heal is called. Their open connections live on.
+func (n *Network) Refuse(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.refused == nil {
+		n.refused = make(map[[2]string]bool)
+	}
+	n.refused[hostPair(a, b)] = true
+}
+
+// Heal allows new connections between two hosts again, after Cut or Refuse.
 func (n *Network) Heal(a, b string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	delete(n.partitioned, hostPair(a, b))
+	delete(n.refused, hostPair(a, b))
 }
 
 // Silence permanently blackholes the open connections between two hosts: written data is
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -35,6 +35,7 @@
 	t     *testing.T
 	net   memnet.Network
 	serve serveFunc
+	gates []*gate.Server
 
 	controls []*hub.Server
 	// stopControl ends the control instance with the same index.
@@ -74,11 +75,14 @@
 	heartbeat   = 1200 * time.Millisecond
 	restartTime = 3 * time.Second
 	eventPause  = 45 * time.Millisecond
-	// enginePool and servicePool are the pools, and chatPath and lookupPath their routes.
-	enginePool, servicePool = "engines", "services"
-	chatPath, lookupPath    = "/chat/", "/lookup/"
+	// enginePool and servicePool are the pools, and the paths those of their routes.
+	enginePool, servicePool         = "engines", "services"
+	chatPath, lookupPath, orderPath = "/chat/", "/lookup/", "/order/"
 )
 
+// entryDC returns the data centre of an entry: the first three are in that of the targets.
+func entryDC(i int) string { return []string{"dc", "dc2"}[min(i/3, 1)] }
+
 // newFleet starts a site and waits until it serves. It ends with the context.
 func newFleet(ctx context.Context, t *testing.T, entries, engines, services int, serve serveFunc) *fleet {
 	t.Helper()
@@ -110,13 +114,14 @@
 		host := fmt.Sprintf(entryHost, i+1)
 		calls := &wire.Pool{Dial: f.net.Dialer(host + ":7"), Self: host + ":7"}
 		g := &gate.Server{
-			Name: host, DataCentre: "dc", Address: host + ":80", HeaderCodec: platform.HeaderCodec{},
+			Name: host, DataCentre: entryDC(i), Address: host + ":80", HeaderCodec: platform.HeaderCodec{},
 			TargetClient: &hop.Client{Dial: f.net.Dialer(host)}, Metrics: metrics.NewRegistry(), Log: logger,
 			Budget: &gate.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		}
-		g.Link = &link.Client{Self: link.Hello{Name: host, PeerAddr: host + ":7", DataCentre: "dc"}, Calls: calls, Follower: g, Log: logger}
+		g.Link = &link.Client{Self: link.Hello{Name: host, PeerAddr: host + ":7", DataCentre: entryDC(i)}, Calls: calls, Follower: g, Log: logger}
 		g.Link.SetSeeds(seeds)
 		g.Setup()
+		f.gates = append(f.gates, g)
 		ln, err := f.net.Listen(host + ":80")
 		quicktest.Assert(t, err, quicktest.IsNil)
 		srv := &http.Server{Handler: g}
@@ -147,6 +152,9 @@
 		}, {
 			Name: "lookup", Host: "h", Prefix: lookupPath, Kind: site.Idempotent, Limit: time.Second, Aim: 150 * time.Millisecond,
 			Attempts: 2, Split: []site.PoolWeight{{Pool: servicePool, Weight: 1}},
+		}, {
+			Name: "order", Host: "h", Prefix: orderPath, Kind: site.NonIdempotent, Limit: time.Second, Aim: 150 * time.Millisecond,
+			Attempts: 2, Split: []site.PoolWeight{{Pool: servicePool, Weight: 1}},
 		}},
 	}
 	quicktest.Assert(f.t, f.controls[0].Publish(ctx, tables, []byte("{}")), quicktest.IsNil)
