relay: entries that are cut off from targets connect through other entries

Cause: an entry had no way to a target but its own, and each request waited 700 ms for it anew.

Change: a connection that fails or is not there after 50 ms is tried through up to three other entries, one of them in another data centre; control tells each entry four of those. Once two targets in a row were reached only so, both ways start at once. Tunnels carry bytes, so what is known of a request stays at its entry. A refused connection counts as a target's end only if a relay confirms it.

Ruled out: leaving the look-ups (callers keep them for up to 15 s, and a data centre may be cut as a whole); dropping hung connections only (new ones hang as well); control as relays (few, and busy).

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -184,6 +184,7 @@
 	reuse := false
 	defer func() { resp.Close(reuse) }()
 	s.sends++
+	s.relay = relayOf(resp)
 	end.Pause = s.recordNotice(lead, resp, att.sentAt)
 	if o := s.classify(lead, resp); o != nil {
 		end.FailedTarget = s.faultyTarget(lead, resp)
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -50,6 +50,8 @@
 	status int
 	reason string
 	target string
+	// relay is the instance through which the last response came; "" if it came directly.
+	relay string
 	// answeredBy is whose response the caller got: byTarget or byEntry; "" if none.
 	answeredBy string
 	// grantID is the ID of the last request for placement.
@@ -312,6 +314,9 @@
 	if x.sends > 0 && x.status != http.StatusOK {
 		e.Str("digest", x.requestDigest())
 	}
+	if x.relay != "" {
+		e.Str("relay", x.relay)
+	}
 	e.Int("prompt", x.call.PromptTokens).Int("status", x.status).Str("by", x.answeredBy).Str("reason", x.reason).Str("ask", x.grantID).Str("target", x.target).Int("sends", x.sends).
 		Int("parts", x.engineCount).Dur("waited", x.queueTime).Dur("expect", x.predicted).Dur("first", x.firstEvent).Dur("pause", x.maxPause).Int("events", x.eventCount).Dur("took", took).
 		Msg("request ended")
--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -96,6 +96,9 @@
 // SetEntries replaces the ready instances that are listed for callers.
 func (s *Server) SetEntries(entries []link.Entry) { s.entries.Store(&entries) }
 
+// SetRelays replaces the instances of other data centres that may relay for this one.
+func (s *Server) SetRelays(relays []link.Entry) { s.relays.Store(&relays) }
+
 // Entries returns the ready instances for callers of a data centre. It selects them from the
 // list last received from control, which holds those for the data centre of this instance.
 func (s *Server) Entries(dataCentre string) []link.Entry {
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -14,6 +14,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/relay"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
@@ -241,6 +242,7 @@
 	reuse := false
 	defer func() { resp.Close(reuse) }()
 	x.sends++
+	x.relay = relayOf(resp)
 	x.recordNotice(t, resp, sentAt)
 	if o := x.classify(t, resp); o != nil {
 		_, ok := o.(notRun)
@@ -335,6 +337,7 @@
 		pause = reply.RetryAfter
 	}
 	x.server.recordNotice(t, reply.Leaving, pause)
+	tellRelay(resp, relay.Notice{Leaving: reply.Leaving, Pause: pause})
 	// A proxy on the way may have answered instead.
 	isOwn := reply.RequestID == x.call.ID && (reply.Sealed || reply.NotRun)
 	if reply.HasLimit || isOwn {
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -73,6 +73,8 @@
 	processChecks singleflight.Group
 	// entries are the ready instances that are listed for callers.
 	entries atomic.Pointer[[]link.Entry]
+	// relays are the instances of other data centres that may relay for this one.
+	relays atomic.Pointer[[]link.Entry]
 	// instanceCount is the number of ready instances of the site.
 	instanceCount atomic.Int64
 	// drainStart is when the drain began, in nanoseconds since startedAt; 0 while the
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -65,6 +65,13 @@
 	idle idlePool
 }
 
+// SingleUse is implemented by connections that Dial returns and that must not be kept for another
+// request.
+type SingleUse interface {
+	net.Conn
+	SingleUse()
+}
+
 // Response is the response of a target. It must be closed.
 type Response struct {
 	*http.Response
@@ -216,6 +223,9 @@
 		// connection it would take the rest for the next request.
 		reuse = false
 	}
+	if _, once := r.conn.Conn.(SingleUse); once {
+		reuse = false
+	}
 	if !reuse || r.Response.Close || r.EndsWithConnection() {
 		r.conn.Close()
 		return
@@ -244,6 +254,9 @@
 	return defaultKeepAlive
 }
 
+// NetConn returns the connection that the response comes on, as Dial returned it.
+func (r *Response) NetConn() net.Conn { return r.conn.Conn }
+
 // SetReadDeadline bounds the wait for the next bytes of the response.
 func (r *Response) SetReadDeadline(t time.Time) {
 	// This fails only on a closed connection, and then the next read fails, too.
--- a/internal/hop/idlepool.go
+++ b/internal/hop/idlepool.go
@@ -66,6 +66,10 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
+	if _, once := cn.Conn.(SingleUse); once {
+		cn.Close()
+		return false
+	}
 	cn.expiresAt = time.Now().Add(defaultKeepAlive)
 	c.idle.put(cn)
 	return false
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -70,6 +70,7 @@
 	entryCount, lists, updates, linksLost int
 	activeGrants                          []place.ActiveGrant
 	// blocks holds the blocked segments, and reportedBlocks what it tells a new leader of them.
+	relays         []link.Entry
 	blocks         map[string]bool
 	reportedBlocks []poison.Block
 	// limits holds the limits of targets, and reportedLimits what it tells a new leader of them.
@@ -140,6 +141,8 @@
 }
 func (*entryNode) SetEntryCount(int) {}
 
+func (e *entryNode) SetRelays(relays []link.Entry) { e.withLock(func() { e.relays = relays }) }
+
 func (e *entryNode) ApplyBlocks(blocks []poison.Block) {
 	e.withLock(func() {
 		for _, b := range blocks {
--- a/internal/hub/directory.go
+++ b/internal/hub/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -104,11 +105,30 @@
 				byDataCentre[dc] = link.EntriesFor(all, dc)
 			}
 			list = byDataCentre[dc]
+			s.sendRelays(sess, all)
 		}
 		s.sendEntries(sess, list, len(all))
 	}
 }
 
+// sendRelays sends an instance those that may relay for it, if it has too few or one of them is no
+// longer ready. The list of all ready ones is sorted.
+func (s *Server) sendRelays(sess *session, all []link.Entry) {
+	isReady := func(e link.Entry) bool {
+		i, ok := slices.BinarySearchFunc(all, e.Name, func(o link.Entry, name string) int { return strings.Compare(o.Name, name) })
+		return ok && all[i] == e
+	}
+	if len(sess.sentRelays) == link.MaxRelays && !slices.ContainsFunc(sess.sentRelays, func(e link.Entry) bool { return !isReady(e) }) {
+		return
+	}
+	relays := link.RelaysFor(all, sess.hello.Name, sess.hello.DataCentre)
+	if slices.Equal(relays, sess.sentRelays) {
+		return
+	}
+	sess.sentRelays = relays
+	sess.Enqueue(func(m *link.ControlMessage) { m.Relays, m.HasRelays = relays, true })
+}
+
 // sendEntries sends an instance its list of ready instances and the number of all of them,
 // as far as they have changed.
 func (s *Server) sendEntries(sess *session, list []link.Entry, count int) {
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -47,6 +47,9 @@
 // SetEntryCount does nothing: control instances don't use the number of instances.
 func (*follower) SetEntryCount(int) {}
 
+// SetRelays does nothing: control instances send no requests to targets.
+func (*follower) SetRelays([]link.Entry) {}
+
 // HandleLinkLost does nothing: no request of a control instance depends on the link.
 func (*follower) HandleLinkLost() {}
 
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -20,6 +20,8 @@
 	sentRevision uint64
 	// sentEntries are the ready instances last sent to it.
 	sentEntries []link.Entry
+	// sentRelays are the instances that may relay for it, as last sent to it.
+	sentRelays []link.Entry
 	// toldLeader is the peer address of the leader that it was last told.
 	toldLeader string
 	// sentCount is the number of ready instances last sent to it.
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -66,6 +66,8 @@
 	// of all ready instances.
 	SetEntries(entries []Entry)
 	SetEntryCount(n int)
+	// SetRelays receives the instances of other data centres that may relay for this follower.
+	SetRelays(relays []Entry)
 	// HandleLinkLost is called when a link has ended.
 	HandleLinkLost()
 	// HandleConfirmed is called when the registry updates received so far are known to be no
@@ -452,6 +454,9 @@
 		c.entries = list
 		c.Follower.SetEntries(list)
 	}
+	if m.HasRelays {
+		c.Follower.SetRelays(m.Relays)
+	}
 	if m.EntryCount > 0 {
 		c.Follower.SetEntryCount(m.EntryCount)
 	}
--- a/internal/link/entries_test.go
+++ b/internal/link/entries_test.go
@@ -92,3 +92,23 @@
 		}
 	})
 }
+
+// TestRelaysFor: relays are in other data centres, and not the same for all instances of one.
+func TestRelaysFor(t *testing.T) {
+	var all []Entry
+	for i := range 30 {
+		all = append(all, Entry{Name: fmt.Sprintf("e%02d", i), DataCentre: string("abc"[i%3])})
+	}
+	used := make(map[string]int)
+	for _, e := range all {
+		relays := RelaysFor(all, e.Name, e.DataCentre)
+		quicktest.Assert(t, relays, quicktest.HasLen, MaxRelays)
+		for _, r := range relays {
+			quicktest.Assert(t, r.DataCentre, quicktest.Not(quicktest.Equals), e.DataCentre)
+			used[r.Name]++
+		}
+	}
+	quicktest.Assert(t, len(used) >= len(all)*3/4, quicktest.IsTrue, quicktest.Commentf("%v", used))
+	quicktest.Assert(t, RelaysFor(all[:1], "e00", "a"), quicktest.HasLen, 0)
+	quicktest.Assert(t, RelaysFor(all[:3], "e00", "a"), quicktest.HasLen, 2)
+}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -3,9 +3,13 @@
 package link
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
@@ -22,6 +26,8 @@
 	// minLocalEntries is the minimum number of ready instances in a caller's data centre
 	// with which only those are listed. Two tolerate one failure.
 	minLocalEntries = 2
+	// MaxRelays bounds the instances of other data centres that an instance may use as relays.
+	MaxRelays = 4
 	// ReceiveTimeout is how long a side waits for a message before it ends the link: three
 	// times HeartbeatInterval plus 250 ms for the delay of a busy process.
 	ReceiveTimeout = time.Second
@@ -51,6 +57,23 @@
 	return all[:min(len(all), maxEntries)]
 }
 
+// RelaysFor returns the instances of other data centres that an instance may use as relays. They
+// differ between instances, so that those of a data centre that is cut off don't all use the same.
+func RelaysFor(all []Entry, name, dataCentre string) []Entry {
+	weigh := func(e Entry) uint64 { return xxhash.Sum64String(name + "/" + e.Name) }
+	var out []Entry
+	for _, e := range all {
+		if e.DataCentre == dataCentre {
+			continue
+		}
+		i, _ := slices.BinarySearchFunc(out, weigh(e), func(o Entry, w uint64) int { return cmp.Compare(weigh(o), w) })
+		if i < MaxRelays {
+			out = slices.Insert(out[:min(len(out), MaxRelays-1)], min(i, len(out)), e)
+		}
+	}
+	return out
+}
+
 // EntryLister lists the instances that callers of a data centre should use.
 type EntryLister interface {
 	Entries(dataCentre string) []Entry
@@ -153,6 +176,10 @@
 	// receiver has.
 	AddedEntries   []Entry  `cbor:"11,keyasint,omitempty"`
 	RemovedEntries []string `cbor:"12,keyasint,omitempty"`
+	// Relays are ready instances of other data centres that the receiver may use as relays, if
+	// HasRelays is set.
+	Relays    []Entry `cbor:"13,keyasint,omitempty"`
+	HasRelays bool    `cbor:"14,keyasint,omitempty"`
 	// FormerEntries is the list that these changes begin at. It is not sent.
 	FormerEntries []Entry `cbor:"-"`
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/hub"
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/memnet"
+	"github.com/bambooproxy/bambooproxy/internal/relay"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/store"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
@@ -35,7 +36,6 @@
 	t     *testing.T
 	net   memnet.Network
 	serve serveFunc
-	gates []*gate.Server
 
 	controls []*hub.Server
 	// stopControl ends the control instance with the same index.
@@ -113,15 +113,22 @@
 	for i := range entries {
 		host := fmt.Sprintf(entryHost, i+1)
 		calls := &wire.Pool{Dial: f.net.Dialer(host + ":7"), Self: host + ":7"}
+		dialer := &relay.Dialer{Direct: f.net.Dialer(host), Calls: calls, DataCentre: entryDC(i), Log: logger, Metrics: metrics.NewRegistry()}
+		client := &hop.Client{Dial: dialer.Dial}
 		g := &gate.Server{
 			Name: host, DataCentre: entryDC(i), Address: host + ":80", HeaderCodec: platform.HeaderCodec{},
-			TargetClient: &hop.Client{Dial: f.net.Dialer(host)}, Metrics: metrics.NewRegistry(), Log: logger,
+			TargetClient: client, Metrics: metrics.NewRegistry(), Log: logger,
 			Budget: &gate.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		}
 		g.Link = &link.Client{Self: link.Hello{Name: host, PeerAddr: host + ":7", DataCentre: entryDC(i)}, Calls: calls, Follower: g, Log: logger}
 		g.Link.SetSeeds(seeds)
 		g.Setup()
-		f.gates = append(f.gates, g)
+		dialer.Peers, dialer.OnCutOff = g.RelayPeers, client.Close
+		tunnels := &relay.Server{Direct: f.net.Dialer(host), IsSuspect: dialer.IsSuspect, Gate: g, Log: logger}
+		peers := &wire.Server{Streams: []wire.StreamMethod{tunnels.Method()}}
+		peerListener, err := f.net.Listen(host + ":7")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		f.wait.Go(func() { _ = peers.Serve(ctx, peerListener) })
 		ln, err := f.net.Listen(host + ":80")
 		quicktest.Assert(t, err, quicktest.IsNil)
 		srv := &http.Server{Handler: g}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -23,6 +23,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/hub"
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/meter"
+	"github.com/bambooproxy/bambooproxy/internal/relay"
 	"github.com/bambooproxy/bambooproxy/internal/store"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
@@ -78,6 +79,8 @@
 	peerPool   *wire.Pool
 	peerServer *wire.Server
 	gate       *gate.Server
+	dialer     *relay.Dialer
+	relay      *relay.Server
 	link       *link.Client
 	hub        *hub.Server
 	callers    callerConns
@@ -133,9 +136,11 @@
 	if s.Callers == "" {
 		return
 	}
+	p.dialer = &relay.Dialer{Direct: p.network.dial, Calls: p.peerPool, DataCentre: s.DataCentre, Log: p.Log, Metrics: p.metrics}
+	client := &hop.Client{Dial: p.dialer.Dial}
 	p.gate = &gate.Server{
 		Name: s.Name, DataCentre: s.DataCentre, Address: s.Callers, HeaderCodec: p.HeaderCodec,
-		TargetClient: &hop.Client{Dial: p.network.dial}, Log: p.Log, Metrics: p.metrics,
+		TargetClient: client, Log: p.Log, Metrics: p.metrics,
 		Clock: sinceBoot, DrainTime: drainTime(time.Duration(s.Grace)), BufferBytes: s.Memory << 20 / bufferDivisor,
 		Budget: &gate.RetryBudget{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: time.Duration(s.Repeats.Window)},
 	}
@@ -143,6 +148,10 @@
 	p.link.SetSeeds(p.peerAddrs(s.Seeds))
 	p.gate.Link = p.link
 	p.gate.Setup()
+	// Idle connections may have been cut silently.
+	p.dialer.Peers, p.dialer.OnCutOff = p.gate.RelayPeers, client.Close
+	p.relay = &relay.Server{Direct: p.network.dial, IsSuspect: p.dialer.IsSuspect, Gate: p.gate, Log: p.Log}
+	p.peerServer.Streams = append(p.peerServer.Streams, p.relay.Method())
 }
 
 // peerAddrs returns the peer addresses of the instances with the given control addresses,
@@ -165,12 +174,12 @@
 // start opens the listeners and starts the components in g.
 func (p *Process) start(ctx context.Context, g *errgroup.Group) error {
 	s := p.Settings
+	ln, err := p.network.listen(ctx, s.Peers)
+	if err != nil {
+		return errors.Wrapf(err, "listen for peers on %s", s.Peers)
+	}
+	g.Go(func() error { return p.peerServer.Serve(ctx, ln) })
 	if p.hub != nil {
-		ln, err := p.network.listen(ctx, s.Peers)
-		if err != nil {
-			return errors.Wrapf(err, "listen for peers on %s", s.Peers)
-		}
-		g.Go(func() error { return p.peerServer.Serve(ctx, ln) })
 		g.Go(func() error { return p.hub.Run(ctx) })
 	}
 	if p.gate != nil {
@@ -243,7 +252,8 @@
 		return
 	}
 	p.gate.Drain()
-	awaitDrained(time.Duration(p.Settings.Grace), p.gate.InFlight, &p.callers)
+	inFlight := func() int64 { return p.gate.InFlight() + p.relay.Active() }
+	awaitDrained(time.Duration(p.Settings.Grace), inFlight, &p.callers)
 	p.Log.Info().Int64("active", p.gate.InFlight()).Int("connections", p.callers.openCount()).Msg("drain finished")
 }
 
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,123 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/phuslu/log"
+
+	"github.com/bambooproxy/bambooproxy/internal/wire"
+)
+
+const (
+	// openTimeout bounds the wait for the request for a tunnel, and that for the target.
+	openTimeout = 500 * time.Millisecond
+	// maxTunnels bounds the tunnels through one instance: each takes two file descriptors.
+	maxTunnels = 500
+)
+
+// Gate decides which tunnels an instance serves.
+type Gate interface {
+	// AcceptsTunnel reports whether there may be a tunnel to a target now.
+	AcceptsTunnel(target string) bool
+	// HandleTunnelNotice handles what a target asked for in a response through a tunnel.
+	HandleTunnelNotice(target string, n Notice)
+}
+
+// Server serves tunnels to targets for other instances.
+type Server struct {
+	// Direct opens a connection to a target from this instance.
+	Direct wire.DialFunc
+	// IsSuspect reports whether that is unlikely to succeed.
+	IsSuspect func(target string) bool
+	Gate      Gate
+	Log       *log.Logger
+
+	active atomic.Int64
+}
+
+// Method returns the stream method that serves tunnels.
+func (s *Server) Method() wire.StreamMethod { return wire.StreamMethod{Name: Method, Run: s.serve} }
+
+// Active returns the number of tunnels.
+func (s *Server) Active() int64 { return s.active.Load() }
+
+// serve serves one tunnel until the target or the other instance ends it.
+func (s *Server) serve(ctx context.Context, st *wire.Stream) error {
+	defer s.active.Add(-1)
+	if s.active.Add(1) > maxTunnels {
+		return st.Send(&downMessage{Result: unavailable})
+	}
+	timer := time.AfterFunc(openTimeout, st.Close)
+	var first upMessage
+	err := st.Receive(&first)
+	timer.Stop()
+	if err != nil {
+		return err
+	}
+	target := first.Address
+	if !s.Gate.AcceptsTunnel(target) || s.IsSuspect(target) {
+		return st.Send(&downMessage{Result: unavailable})
+	}
+	dialCtx, cancel := context.WithTimeout(ctx, openTimeout)
+	conn, err := s.Direct(dialCtx, target)
+	cancel()
+	if err != nil {
+		s.Log.Debug().Str("target", target).Err(err).Msg("tunnel not opened")
+		m := downMessage{Result: unavailable}
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			m.Result = refused
+		}
+		return st.Send(&m)
+	}
+	defer conn.Close()
+	if err := st.Send(&downMessage{Result: opened}); err != nil {
+		return err
+	}
+	go func() {
+		// The connection ends with the tunnel, which ends the read below.
+		defer conn.Close()
+		s.copyUp(st, conn, target)
+	}()
+	return copyDown(st, conn)
+}
+
+// copyUp passes on what the other instance sends until it closes the tunnel.
+func (s *Server) copyUp(st *wire.Stream, conn net.Conn, target string) {
+	for {
+		var m upMessage
+		if st.Receive(&m) != nil {
+			return
+		}
+		if m.Notice != nil {
+			s.Gate.HandleTunnelNotice(target, *m.Notice)
+		}
+		if _, err := conn.Write(m.Data); err != nil {
+			return
+		}
+	}
+}
+
+// copyDown sends what the target sends until it closes the connection.
+func copyDown(st *wire.Stream, conn net.Conn) error {
+	buf := make([]byte, chunkBytes)
+	for {
+		n, err := conn.Read(buf)
+		if n > 0 || errors.Is(err, io.EOF) {
+			if sendErr := st.Send(&downMessage{Data: buf[:n], End: errors.Is(err, io.EOF)}); sendErr != nil {
+				return sendErr
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -34,7 +34,12 @@
 
 // Open opens a stream to the method at addr, which lasts until it is closed or ctx ends.
 func (p *Pool) Open(ctx context.Context, addr, method string) (*Stream, error) {
-	dialCtx, cancel := context.WithTimeout(ctx, dialTimeout)
+	return p.OpenWithin(ctx, ctx, addr, method)
+}
+
+// OpenWithin is Open with a context of its own, dialCtx, for the wait for the connection.
+func (p *Pool) OpenWithin(dialCtx, ctx context.Context, addr, method string) (*Stream, error) {
+	dialCtx, cancel := context.WithTimeout(dialCtx, dialTimeout)
 	defer cancel()
 	conn, err := p.Dial(dialCtx, addr)
 	if err != nil {
