node: connections outlast two seconds of silence

Cause: TCP_USER_TIMEOUT of 1.5 s. Linux also uses it to decide when keep-alive probes give up, whatever their number, so a connection ended 2 s after the last packet, not after 3 s as its probes say. Change: it is as long as the probes take.

TestSilentPeerIsKept failed before (ended after 2 s). Ruled out: more probes, which the kernel ignores; no user timeout, with which lost bytes would be sent again for a quarter of an hour.

--- a/internal/node/network.go
+++ b/internal/node/network.go
@@ -11,8 +11,9 @@
 
 const (
 	// userTimeout is the value of TCP_USER_TIMEOUT: how long sent bytes or keep-alive probes
-	// may stay unacknowledged before the connection is closed.
-	userTimeout = 1500 * time.Millisecond
+	// may stay unacknowledged before the connection is closed. It also overrides keepAliveProbes,
+	// so it is no shorter than those: a peer may be silent for a second or two and go on.
+	userTimeout = keepAliveIdle + keepAliveProbes*keepAliveInterval
 	// keepAliveIdle and keepAliveInterval have the least value that sockets allow.
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
--- a/internal/node/network_test.go
+++ b/internal/node/network_test.go
@@ -5,6 +5,7 @@
 	"testing"
 
 	"github.com/frankban/quicktest"
+	"golang.org/x/sys/unix"
 )
 
 // TestNetworkBind checks that listeners and outgoing connections use the bind IP. Where
@@ -27,3 +28,29 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	quicktest.Assert(t, host, quicktest.Equals, bindIP)
 }
+
+// TestSilentPeerIsKept guards against connections that the kernel closes because a sound peer was
+// silent for two seconds. Linux sends probes after the idle time and at each interval, and gives up
+// at the first one for which the user timeout is over, whatever the number of probes.
+func TestSilentPeerIsKept(t *testing.T) {
+	const silence = 2
+	var n network
+	ln, err := n.listen(t.Context(), "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer ln.Close()
+	c, err := n.dial(t.Context(), ln.Addr().String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	option := func(name int) (value int) {
+		quicktest.Assert(t, raw.Control(func(fd uintptr) { value, err = unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, name) }), quicktest.IsNil)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		return value
+	}
+	endsAfter := option(unix.TCP_KEEPIDLE)
+	for endsAfter*1000 < option(unix.TCP_USER_TIMEOUT) {
+		endsAfter += option(unix.TCP_KEEPINTVL)
+	}
+	quicktest.Assert(t, endsAfter > silence, quicktest.IsTrue, quicktest.Commentf("ended after %d s", endsAfter))
+}
