poison: successive crashes of one request all count

Engines that end within 100 ms count as one crash, as they may have a common cause. Two that end one after the other under the same request, the second after it was sent there because the first had gone, are no such case, and callers' records show 45 to 110 ms between them.

Change: a group of crashes close together counts as often as one request of it has crashed engines one after the other.

Not done: a new process at an address as evidence of a crash whose connections stay open in silence, or that was over before the check.

--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -22,6 +22,9 @@
 	// maxRequestCrashes bounds the crashes under the same request that count against a segment of
 	// its prompt: they don't tell the segment from the rest of the request.
 	maxRequestCrashes = 2
+	// minRequests is the number of requests that must have crashed targets until a segment that they
+	// have in common is blamed: a sound one may be unlucky twice.
+	minRequests = 3
 	// knownCrashTime is how long a segment of which there have been answers must have crashed
 	// engines: an answer that began after the first crash could have survived by then.
 	knownCrashTime = 2 * SurvivalTime
@@ -370,6 +373,9 @@
 	first, last       time.Time
 	// byRequest counts the crashes by the requests that had the segment.
 	byRequest map[string]int
+	// group is how often the last group of crashes counts, and chains holds its requests.
+	group  int
+	chains map[string]chain
 }
 
 // worstSuspect returns the segment that explains most of the crashes, which are sorted by time. Of
@@ -377,7 +383,7 @@
 // crash, too.
 func (d *Detector) worstSuspect(now time.Time, crashes []*crash, r rule) (worst suspect, ok bool) {
 	for _, s := range d.suspects(crashes, r) {
-		if r.known && now.Sub(s.first) < knownCrashTime {
+		if r.known && now.Sub(s.first) < knownCrashTime || !r.ofRequests && s.requestCount() < minRequests {
 			continue
 		}
 		// If no answer at all has survived since, the cause may be any. Only suspects are known to
@@ -424,22 +430,46 @@
 	return isRequest(segment) == r.ofRequests && isKnown == r.known && !survivedAt.After(c.at)
 }
 
-// add counts a crash under a request that has the segment.
+// add counts a crash under a request that has the segment. Crashes within separation of the last one
+// that counted form a group, which counts as often as one request of it has crashed targets one after
+// the other: it was sent to the next one when the one before had ended, so these did not end together.
 func (s *suspect) add(c *crash, q request, r rule) {
 	s.requests++
+	if s.crashes == 0 || c.at.Sub(s.last) >= separation {
+		s.group, s.chains = 0, make(map[string]chain)
+	}
+	length := 1
+	former, known := s.chains[q.name]
 	switch {
-	case s.crashes == 0 || c.at.Sub(s.last) >= separation:
-	case r.ofRequests && (q.repeated || q.sentAt.After(s.last)) && c.at.After(s.last):
-		// It was sent when the former target had ended, so they did not end together.
+	case !known:
+	case q.name != "" && c.at.After(former.last) && (q.repeated || q.sentAt.After(former.last)):
+		length = former.length + 1
 	default:
 		return
 	}
-	if q.name != "" && !r.ofRequests && s.byRequest[q.name] >= maxRequestCrashes {
+	s.chains[q.name] = chain{length, c.at}
+	if length <= s.group || q.name != "" && !r.ofRequests && s.byRequest[q.name] >= maxRequestCrashes {
 		return
 	}
 	s.byRequest[q.name]++
 	s.crashes++
-	s.last = c.at
+	s.group, s.last = length, c.at
+}
+
+// requestCount returns the number of requests whose crashes count. Those without a name are all
+// different.
+func (s *suspect) requestCount() int {
+	unnamed, ok := s.byRequest[""]
+	if ok {
+		return len(s.byRequest) - 1 + unnamed
+	}
+	return len(s.byRequest)
+}
+
+// chain is a number of targets that ended one after the other under the same request.
+type chain struct {
+	length int
+	last   time.Time
 }
 
 func (s *suspect) isWorse(o suspect) bool {
