--- a/internal/gate/blocklist.go
+++ b/internal/gate/blocklist.go
@@ -24,13 +24,7 @@
 
 // find returns how long requests like this one are blocked.
 func (l *blocklist) find(x *exchange) (left time.Duration, blocked bool) {
-	segments := x.call.SharedSegments
-	l.mu.Lock()
-	tracked := l.detector.TracksRequests()
-	l.mu.Unlock()
-	if tracked {
-		segments = x.segments()
-	}
+	segments, _ := l.segmentsOf(x)
 	if len(segments) == 0 {
 		return 0, false
 	}
@@ -39,6 +33,18 @@
 	return l.detector.Find(time.Now(), segments)
 }
 
+// segmentsOf returns the shared segments of the prompt. While whole requests are tracked, the last
+// one stands for the request; otherwise its digest is not computed.
+func (l *blocklist) segmentsOf(x *exchange) (segments []string, tracked bool) {
+	l.mu.Lock()
+	tracked = l.detector.TracksRequests()
+	l.mu.Unlock()
+	if tracked {
+		return x.segments(), true
+	}
+	return x.call.SharedSegments, false
+}
+
 // segments returns the shared segments of the prompt, and the one that stands for the request.
 func (x *exchange) segments() []string {
 	return append(slices.Clone(x.call.SharedSegments), poison.RequestSegment(x.requestDigest()))
@@ -73,13 +79,7 @@
 // recordSurvival records that a target has answered a request, or that an engine has written to it
 // for poison.SurvivalTime. The answer began at began.
 func (l *blocklist) recordSurvival(x *exchange, began time.Time) {
-	segments := x.call.SharedSegments
-	l.mu.Lock()
-	tracked := l.detector.TracksRequests()
-	l.mu.Unlock()
-	if tracked {
-		segments = x.segments()
-	}
+	segments, tracked := l.segmentsOf(x)
 	if len(segments) == 0 {
 		return
 	}
