quorum: an election at once when all voters have restarted

Cause: after a kill or a loss of power of all control instances each replica waits an election timeout (1 to 1.5 s) before it votes, as a leader may hold a lease that relies on its word before the restart. Ruled out: a shorter election timeout, which also shortens what a slow disk or a paused process may take. Change: a replica that has restarted asks the other voters whether they have, too. Once all of them have, and all are in the same term, no process holds a lease, and the replica with the longest log (then the highest ID) starts the election; voters in that state don't wait. One voter that is missing, or of an older build, means the usual wait. TestEntryGetsTablesBeforeElection restarts two of three instances: with all three there is no time without a leader any more to look at; what it asks for is unchanged.

--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -661,8 +661,9 @@
 	quicktest.Assert(t, (&follower{}).Revision(), quicktest.Equals, uint64(math.MaxUint64))
 }
 
-// TestEntryGetsTablesBeforeElection restarts all control instances from their disks and starts
-// an entry: it must receive tables and targets before a leader can be elected.
+// TestEntryGetsTablesBeforeElection restarts two of three control instances from their disks and
+// starts an entry: it must receive tables and targets before a leader can be elected, which takes an
+// election timeout while one of them is missing.
 func TestEntryGetsTablesBeforeElection(t *testing.T) {
 	runCluster(t, 3, 0, func(t *testing.T, cl *cluster) {
 		cl.publish(7)
@@ -672,8 +673,8 @@
 		for a := range cl.controls {
 			disks[a] = cl.crash(a)
 		}
-		for a, d := range disks {
-			cl.startControl(a, d, false)
+		for _, a := range cl.seeds[:2] {
+			cl.startControl(a, disks[a], false)
 		}
 		e := cl.startEntry("a0", "10.0.1.1:7")
 		// Replicas grant no vote for this long after their start.
@@ -686,6 +687,26 @@
 	})
 }
 
+// TestSchedulerAfterRestartOfAll guards against entries without a scheduler for an election timeout
+// after all control instances were killed and have restarted.
+func TestSchedulerAfterRestartOfAll(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		cl.publish(7)
+		disks := make(map[string]*store.Mem)
+		for a := range cl.controls {
+			disks[a] = cl.crash(a)
+		}
+		time.Sleep(electionTimeout)
+		for a, d := range disks {
+			cl.startControl(a, d, false)
+		}
+		time.Sleep(electionTimeout / 2)
+		for _, e := range cl.entries {
+			quicktest.Check(t, e.client.IsLinkedToLeader(), quicktest.IsTrue)
+		}
+	})
+}
+
 // TestHeartbeatRefusedWithoutLeader sends a heartbeat of a target to a control instance that
 // is cut off from the leader. It must refuse the heartbeat, so that the target tries another
 // instance; otherwise the leader would count the target as silent. When the core was
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -124,6 +124,7 @@
 	// lastLeaderContact is when this replica last received a message from a leader. It grants
 	// no votes until an election timeout after that.
 	lastLeaderContact time.Duration
+	restart           restart
 	// timerDue is when the next election or heartbeat is due.
 	timerDue time.Duration
 	votes    map[ID]bool
@@ -164,8 +165,9 @@
 		return nil, err
 	}
 	// Before the restart this replica may have acknowledged a leader whose lease is still
-	// valid, so it must not vote yet.
+	// valid, so it must not vote yet; see restart.
 	c.lastLeaderContact = now
+	c.restart.pending, c.restart.probeDue = true, now
 	c.resetElectionTimer()
 	if c.isOnlyVoter() {
 		c.timerDue = now
@@ -202,8 +204,12 @@
 		c.tickLeader()
 		return
 	}
-	if now >= c.timerDue && c.config.isVoter(c.id) {
-		c.campaign(true, false)
+	if !c.config.isVoter(c.id) {
+		return
+	}
+	c.probeRestarts()
+	if now >= c.timerDue {
+		c.campaign(preVote)
 	}
 }
 
@@ -236,7 +242,7 @@
 		}
 	case TimeoutNow:
 		if m.Term == c.term && c.role == follower && c.config.isVoter(c.id) {
-			c.campaign(false, true)
+			c.campaign(afterTransfer)
 		}
 	}
 }
--- a/internal/quorum/elect.go
+++ b/internal/quorum/elect.go
@@ -28,29 +28,47 @@
 	c.resetElectionTimer()
 }
 
-// campaign starts an election. A pre-vote only checks whether votes would be granted and
-// does not change the term, so that a replica that returns after a partition does not
-// depose the leader. With transfer, the old leader has released its lease, so voters need
-// not wait for it to expire.
-func (c *Core) campaign(preVote, transfer bool) {
+// campaignKind tells why an election is held.
+type campaignKind uint8
+
+const (
+	// preVote only checks whether votes would be granted and does not change the term, so that
+	// a replica that returns after a partition does not depose the leader.
+	preVote campaignKind = iota
+	// afterPreVote is the election that follows it.
+	afterPreVote
+	// afterTransfer means that the old leader has released its lease, and afterRestart that all
+	// voters have restarted: voters need not wait for a lease to expire.
+	afterTransfer
+	afterRestart
+)
+
+// campaign starts an election.
+func (c *Core) campaign(kind campaignKind) {
 	c.becomeFollower(0)
 	c.votes = map[ID]bool{c.id: true}
 	c.role = preCandidate
-	if !preVote {
+	if kind != preVote {
 		c.role = candidate
 		c.setTerm(c.term + 1)
 		c.votedFor = c.id
 	}
-	if c.tryWin(preVote) {
+	if c.tryWin(kind == preVote) {
 		return
 	}
 	term := c.term
-	if preVote {
+	if kind == preVote {
 		term++
 	}
-	body := VoteRequest{
-		PreVote: preVote, LastIndex: c.log.lastIndex(), LastTerm: c.log.lastTerm(), LeadershipTransfer: transfer,
-	}
+	c.sendVoteRequests(term, VoteRequest{
+		PreVote: kind == preVote, LeadershipTransfer: kind == afterTransfer, Restarted: kind == afterRestart,
+	})
+}
+
+// sendVoteRequests sends a request for votes in a term, completed with the end of the log, to all
+// other voters.
+func (c *Core) sendVoteRequests(term uint64, body VoteRequest) {
+	body.LastIndex, body.LastTerm = c.log.lastIndex(), c.log.lastTerm()
 	for _, r := range c.config.Replicas {
 		if r.Voter && r.ID != c.id {
 			m := c.newMessage(r.ID, body)
@@ -60,6 +78,11 @@
 	}
 }
 
+// isUpToDate reports whether the log of a candidate has at least the entries of this one.
+func (c *Core) isUpToDate(b VoteRequest) bool {
+	return b.LastTerm > c.log.lastTerm() || b.LastTerm == c.log.lastTerm() && b.LastIndex >= c.log.lastIndex()
+}
+
 // tryWin counts the granted votes. With a majority it starts the real election after a
 // pre-vote, or becomes the leader, and returns true.
 func (c *Core) tryWin(preVote bool) bool {
@@ -73,7 +96,7 @@
 		return false
 	}
 	if preVote {
-		c.campaign(false, false)
+		c.campaign(afterPreVote)
 	} else {
 		c.becomeLeader()
 	}
@@ -91,20 +114,23 @@
 		c.sendAfterSync(m.From, VoteReply{PreVote: b.PreVote})
 		return
 	}
-	if !b.LeadershipTransfer && c.leaderMayHoldLease() {
+	if b.PreVote && b.Restarted {
+		c.onRestartProbe(m, b)
+		return
+	}
+	mayIgnoreLease := b.LeadershipTransfer || b.Restarted && c.restart.pending
+	if !mayIgnoreLease && c.leaderMayHoldLease() {
 		return
 	}
 	if m.Term > c.term && !b.PreVote {
 		c.setTerm(m.Term)
 		c.becomeFollower(0)
 	}
-	upToDate := b.LastTerm > c.log.lastTerm() ||
-		b.LastTerm == c.log.lastTerm() && b.LastIndex >= c.log.lastIndex()
 	canVote := c.votedFor == 0 || c.votedFor == m.From
 	if b.PreVote {
 		canVote = m.Term > c.term
 	}
-	granted := upToDate && canVote
+	granted := c.isUpToDate(b) && canVote
 	if granted && !b.PreVote {
 		c.votedFor = m.From
 		c.pending.hardStateChanged = true
@@ -130,6 +156,10 @@
 		}
 		return
 	}
+	if b.Restarted {
+		c.onRestartReply(m)
+		return
+	}
 	if b.PreVote && c.role == preCandidate && m.Term == c.term+1 ||
 		!b.PreVote && c.role == candidate && m.Term == c.term {
 		c.votes[m.From] = true
@@ -150,7 +180,7 @@
 	if c.role != follower || c.leader != m.From {
 		c.becomeFollower(m.From)
 	}
-	c.lastLeaderContact = c.now
+	c.lastLeaderContact, c.restart.pending = c.now, false
 	c.resetElectionTimer()
 	return true
 }
@@ -159,7 +189,7 @@
 // of the leader's own term can be committed by counting replicas.
 func (c *Core) becomeLeader() {
 	c.role, c.leader = leader, c.id
-	c.votes = nil
+	c.votes, c.restart.pending = nil, false
 	c.peers = make(map[ID]*progress)
 	c.syncPeers()
 	c.append(Noop, nil)
--- a/internal/quorum/message.go
+++ b/internal/quorum/message.go
@@ -29,12 +29,17 @@
 	// LeadershipTransfer is set if the leader has released its lease in favour of the
 	// candidate, so that voters need not wait for the lease to expire.
 	LeadershipTransfer bool `cbor:"4,keyasint,omitempty"`
+	// Restarted is set if the candidate has restarted, and heard from no leader since. With
+	// PreVote it asks whether the receiver has, too; else all voters have.
+	Restarted bool `cbor:"5,keyasint,omitempty"`
 }
 
 // VoteReply answers a VoteRequest.
 type VoteReply struct {
 	PreVote bool `cbor:"1,keyasint,omitempty"`
 	Granted bool `cbor:"2,keyasint,omitempty"`
+	// Restarted is set if the sender has restarted, and heard from no leader since.
+	Restarted bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Append carries log entries to a follower; without entries it is a heartbeat.
--- a/internal/quorum/sim_test.go
+++ b/internal/quorum/sim_test.go
@@ -23,6 +23,9 @@
 	// voteAfterRestart lets a restarted replica vote while a leader may hold a lease that
 	// relies on it.
 	voteAfterRestart
+	// restartMajority lets a replica start an election once a majority of the voters, not all, has
+	// restarted.
+	restartMajority
 )
 
 // errNoProgress means that the group did not recover after the faults had ended.
@@ -146,6 +149,9 @@
 			return err
 		}
 		s.deliver(n)
+		if s.fault == restartMajority && len(n.core.restart.restarted) >= n.core.config.Quorum() && n.core.restart.pending && n.core.role == follower {
+			n.core.campaign(afterRestart)
+		}
 		n.core.Tick(s.clock(n))
 		s.propose(n)
 		if err := s.flush(n); err != nil {
@@ -379,7 +385,7 @@
 	return nil
 }
 
-// injectFault crashes, pauses or partitions a random replica, or empties its disk, at
+// injectFault crashes, pauses or partitions a random replica, empties its disk, or crashes all, at
 // random times.
 func (s *simulation) injectFault() {
 	n := s.nodes[s.rand.IntN(len(s.nodes))]
@@ -401,6 +407,10 @@
 		clear(s.blocked)
 	case 9:
 		s.loseDisk(n)
+	case 10:
+		for _, o := range s.nodes {
+			s.crash(o)
+		}
 	}
 }
 
