Cold targets are limited in their requests a second

Cause: a target that has just started, or whose data centre was evacuated, crashes well above a number of requests a second that the tables name. Nothing limited them, as such a target names no limit.

The record of a new process carries how long it is cold; later changes travel as notices over the link (key 15 both ways) and are no change of the registry. place.ColdLimiter spaces out requests beside the limit that a target names: the whole rate by a scheduler, 0.15 of it by cores without one, 0.6 by plain services.

--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -22,6 +22,7 @@
 
 // ApplyUpdate applies an update of the registry.
 func (s *Server) ApplyUpdate(d *reg.Delta) {
+	s.applyAnnouncedCold(d)
 	v, err := s.views.apply(d)
 	if err != nil {
 		s.Log.Error().Err(err).Uint64("revision", d.Revision).Msg("registry update could not be decoded")
@@ -36,6 +37,7 @@
 	}
 	e.Msg("registry update applied")
 	s.health.dropNotices(v)
+	s.health.setColdRates(v, s.coldShares())
 	s.placer.updateCores(v)
 }
 
@@ -84,11 +86,12 @@
 	return out
 }
 
-// FillHandover fills in what a new leader needs to go on with blocked prompts and with the
-// limits of targets.
+// FillHandover fills in what a new leader needs to go on with blocked prompts, with the limits of
+// targets and with those that are cold.
 func (s *Server) FillHandover(m *link.FollowerMessage) {
 	if v := s.views.load(); v != nil {
 		m.Limits = append(m.Limits, s.health.limits(v)...)
+		m.Cold = append(m.Cold, s.health.coldTargets(v)...)
 	}
 	s.blocklist.fillHandover(m)
 }
@@ -112,7 +115,7 @@
 // SetEntryCount sets the number of instances that share the retry budget and the limits of
 // targets.
 func (s *Server) SetEntryCount(n int) {
-	s.instanceCount.Store(int64(n))
+	s.setInstanceCount(int64(n))
 	s.placer.setShares(n)
 }
 
--- a/internal/gate/headercodec.go
+++ b/internal/gate/headercodec.go
@@ -79,6 +79,8 @@
 	// HasLimit is set.
 	Limit    float64
 	HasLimit bool
+	// Cold is how much longer the target is cold; 0 if it does not say.
+	Cold time.Duration
 }
 
 // HeaderCodec reads and writes the headers exchanged with callers and targets.
--- a/internal/gate/health.go
+++ b/internal/gate/health.go
@@ -24,6 +24,8 @@
 	// drawPhase draws the part of an interval after which a target that has just named a limit
 	// gets its first request.
 	drawPhase func() float64
+	// coldShares returns the number of instances that share the rates of cold targets.
+	coldShares func() int
 }
 
 type targetHealth struct {
@@ -49,6 +51,13 @@
 	limitedAt time.Time
 	// limiter spaces out requests that no scheduler places.
 	limiter place.Limiter
+	// cold spaces them out while the target is cold.
+	cold place.ColdLimiter
+}
+
+// newNotice returns the notice of a process that has asked for nothing.
+func newNotice(startedMs int64) notice {
+	return notice{startedMs: startedMs, cold: place.NewServiceColdLimiter()}
 }
 
 // isClosed reports whether the process wants no request from this instance now.
@@ -59,7 +68,7 @@
 func (h *health) target(id string) *targetHealth {
 	t := h.byID[id]
 	if t == nil {
-		t = &targetHealth{}
+		t = &targetHealth{notice: newNotice(0)}
 		h.byID[id] = t
 	}
 	return t
@@ -82,7 +91,7 @@
 // dropIdle forgets a target without state: targets come and go. The caller holds mu.
 func (h *health) dropIdle(id string, t *targetHealth) {
 	now := time.Now()
-	if t.inFlight == 0 && t.IsHealthy(now) && !t.notice.isClosed(now) && !t.notice.hasLimit {
+	if t.inFlight == 0 && t.IsHealthy(now) && !t.notice.isClosed(now) && !t.notice.hasLimit && !t.notice.cold.IsCold(now) {
 		delete(h.byID, id)
 	}
 }
@@ -109,7 +118,7 @@
 func (h *health) noticeOf(t site.Target) *notice {
 	n := &h.target(t.ID).notice
 	if n.startedMs != t.StartedMs {
-		*n = notice{startedMs: t.StartedMs}
+		*n = newNotice(t.StartedMs)
 	}
 	return n
 }
@@ -172,7 +181,7 @@
 	defer h.mu.Unlock()
 	for id, x := range h.byID {
 		if t, ok := v.targets[id]; !ok || t.StartedMs != x.notice.startedMs {
-			x.notice = notice{}
+			x.notice = newNotice(0)
 			h.dropIdle(id, x)
 		}
 	}
--- a/internal/gate/limit.go
+++ b/internal/gate/limit.go
@@ -108,7 +108,7 @@
 		return 0, true
 	}
 	now := time.Now()
-	return max(0, x.notice.pausedUntil.Sub(now), x.notice.limiter.Wait(now, shares)), !x.notice.leaving
+	return max(0, x.notice.pausedUntil.Sub(now), x.notice.limiter.Wait(now, shares), x.notice.cold.Wait(now, h.coldShares())), !x.notice.leaving
 }
 
 // takeTurn counts a request against the limit of a target. It returns false if the target
@@ -121,10 +121,12 @@
 		return true
 	}
 	now := time.Now()
-	if x.notice.limiter.Wait(now, shares) > 0 {
+	cold := h.coldShares()
+	if x.notice.limiter.Wait(now, shares) > 0 || x.notice.cold.Wait(now, cold) > 0 {
 		return false
 	}
 	x.notice.limiter.Take(now, shares)
+	x.notice.cold.Take(now, cold)
 	return true
 }
 
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -229,6 +229,7 @@
 		c := p.localCore(req.Pool)
 		var decisions []place.Decision
 		if c != nil {
+			c.ColdShares = p.server.coldShares()
 			decisions = c.Step(time.Now(), place.Arrive{Request: req})
 		}
 		p.mu.Unlock()
@@ -298,7 +299,8 @@
 			c = &place.Core{Standalone: true, Shares: p.server.limitShares()}
 			p.localCores[pool.Name] = c
 		}
-		c.Step(time.Now(), place.Fleet{Engine: *pool.Engine, Targets: v.pools[pool.Name]})
+		c.Step(time.Now(), place.Fleet{Engine: *pool.Engine, Targets: v.pools[pool.Name], ColdRate: pool.ColdRate})
+		p.syncCold(c, v.pools[pool.Name])
 		for _, l := range p.server.health.limits(v) {
 			l.Phase = p.server.health.drawPhase()
 			c.Step(time.Now(), l)
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -340,6 +340,9 @@
 	tellRelay(resp, relay.Notice{Leaving: reply.Leaving, Pause: pause})
 	// A proxy on the way may have answered instead.
 	isOwn := reply.RequestID == x.call.ID && (reply.Sealed || reply.NotRun)
+	if isOwn {
+		x.server.recordCold(t, reply.Cold)
+	}
 	if reply.HasLimit || isOwn {
 		x.server.recordLimit(t, reply, sentAt)
 	}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -77,6 +77,8 @@
 	relays atomic.Pointer[[]link.Entry]
 	// instanceCount is the number of ready instances of the site.
 	instanceCount atomic.Int64
+	// peakCount is a higher number of them that still counts for the limits of cold targets.
+	peakCount atomic.Pointer[countPeak]
 	// drainStart is when the drain began, in nanoseconds since startedAt; 0 while the
 	// instance serves.
 	drainStart atomic.Int64
@@ -94,6 +96,7 @@
 	s.placer.setup()
 	s.blocklist.server = s
 	s.health.setup()
+	s.health.coldShares = s.coldShares
 	s.pauses = pauseGuard{Clock: s.Clock, Relink: s.Link.Reset, IsLinked: s.Link.IsLinked}
 	if s.pauses.Clock == nil {
 		s.pauses.Clock = func() time.Duration { return time.Since(s.startedAt) }
--- a/internal/hub/audit.go
+++ b/internal/hub/audit.go
@@ -74,6 +74,9 @@
 			if err != nil {
 				s.Log.Info().Str("target", t.ID).Err(err).Msg("load report of engine failed")
 			}
+			if l.Cold > 0 {
+				s.scheduler.applyCold([]place.Cold{{Target: t.ID, StartedMs: t.StartedMs, For: l.Cold}})
+			}
 			if err != nil || s.scheduler.applyLoad(t.ID, l) {
 				mu.Lock()
 				defer mu.Unlock()
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -76,6 +76,10 @@
 	// limits holds the limits of targets, and reportedLimits what it tells a new leader of them.
 	limits         map[string]place.Limit
 	reportedLimits []place.Limit
+	// cold holds the last report of how much longer each target is cold, and reportedCold what it
+	// tells a new leader.
+	cold         map[string]place.Cold
+	reportedCold []place.Cold
 	// confirmed is set once the registry updates are confirmed.
 	confirmed bool
 	// onFirstUpdate runs once, when the next registry update arrives.
@@ -159,8 +163,19 @@
 	})
 }
 
+func (e *entryNode) ApplyCold(list []place.Cold) {
+	e.withLock(func() {
+		for _, c := range list {
+			if e.cold == nil {
+				e.cold = make(map[string]place.Cold)
+			}
+			e.cold[c.Target] = c
+		}
+	})
+}
+
 func (e *entryNode) FillHandover(m *link.FollowerMessage) {
-	e.withLock(func() { m.Blocks, m.Limits = e.reportedBlocks, e.reportedLimits })
+	e.withLock(func() { m.Blocks, m.Limits, m.Cold = e.reportedBlocks, e.reportedLimits, e.reportedCold })
 }
 
 func (e *entryNode) HandleLinkLost() { e.withLock(func() { e.linksLost++ }) }
--- /dev/null
+++ b/internal/hub/cold.go
@@ -0,0 +1,265 @@
+package hub
+
+import (
+	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+const (
+	// coldLonger and coldShorter are by how much a report must extend or shorten the time for which a
+	// target is cold to be passed on. Heartbeats repeat that time every 1.2 s, each with a delay of
+	// its own. place takes targets for cold for longer than coldLonger beyond what it is told.
+	coldLonger  = 100 * time.Millisecond
+	coldShorter = time.Second
+	// markGuard is how long after Server.MarkCold a heartbeat without a cold time is ignored. It
+	// may have been sent before the target knew that it is cold: heartbeats come every 1.2 s, and
+	// may be late.
+	markGuard = 3 * time.Second
+)
+
+// coldState is what the leader knows of how long a target is cold.
+type coldState struct {
+	// startedMs identifies the process.
+	startedMs int64
+	until     time.Time
+	// sequence is the number of the latest heartbeat that told.
+	sequence uint64
+	// markedAt is when Server.MarkCold last applied; zero if never.
+	markedAt time.Time
+}
+
+// announcedCold identifies an announcement of a cold target.
+type announcedCold struct {
+	id        string
+	startedMs int64
+	cold      time.Duration
+}
+
+// recordCold notes how much longer a target is cold by its heartbeat. A follower keeps it for its next
+// message to the leader.
+func (s *Server) recordCold(t site.Target) {
+	if s.coldPool(t.Pool).ColdRate == 0 {
+		return
+	}
+	s.forwardCold([]place.Cold{{Target: t.ID, StartedMs: t.StartedMs, For: t.Cold, Sequence: t.Sequence}})
+}
+
+// forwardCold applies reports of which targets are cold if this instance leads, and otherwise keeps
+// them for its next message to the leader.
+func (s *Server) forwardCold(list []place.Cold) {
+	if s.isLeader() {
+		s.scheduler.applyCold(list)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range list {
+		if p, ok := s.pendingCold[c.Target]; ok && p.StartedMs == c.StartedMs && p.Sequence > c.Sequence && c.Sequence > 0 {
+			continue
+		}
+		s.pendingCold[c.Target] = c
+	}
+}
+
+// MarkCold takes all targets of a data centre for cold for the time that their pools declare for targets
+// that have just started, until a later heartbeat says otherwise. It does nothing unless this instance
+// leads.
+func (s *Server) MarkCold(dataCentre string) {
+	c := &s.scheduler
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.active {
+		return
+	}
+	c.syncFleets()
+	now := time.Now()
+	var changed []place.Cold
+	for _, t := range s.registry.Targets() {
+		p := s.coldPool(t.Pool)
+		if t.DataCentre != dataCentre || p.ColdRate == 0 || p.ColdTime == 0 {
+			continue
+		}
+		st := c.coldOf(now, t)
+		st.markedAt = now
+		if until := now.Add(p.ColdTime); until.After(st.until) {
+			st.until = until
+			changed = append(changed, c.notice(now, t, st))
+		}
+	}
+	c.tellCold(now, changed, "marked")
+}
+
+// coldPool returns a pool of the current tables, or an empty one.
+func (s *Server) coldPool(name string) site.Pool {
+	tables, _ := s.registry.Tables()
+	if tables != nil {
+		for i := range tables.Pools {
+			if tables.Pools[i].Name == name {
+				return tables.Pools[i]
+			}
+		}
+	}
+	return site.Pool{}
+}
+
+// noteAnnounced notes when this instance first had each announcement of a cold target, so that it knows
+// how much of that time is over if it becomes the leader.
+func (s *Server) noteAnnounced() {
+	now := time.Now()
+	seen := make(map[announcedCold]time.Time)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.registry.Targets() {
+		if t.Cold == 0 {
+			continue
+		}
+		key := announcedCold{t.ID, t.StartedMs, t.Cold}
+		if seen[key] = now; !s.announced[key].IsZero() {
+			seen[key] = s.announced[key]
+		}
+	}
+	s.announced = seen
+}
+
+// announcedAt returns when this instance first had the announcement of a cold target.
+func (s *Server) announcedAt(now time.Time, t site.Target) time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if at, ok := s.announced[announcedCold{t.ID, t.StartedMs, t.Cold}]; ok {
+		return at
+	}
+	return now
+}
+
+// coldOf returns the state of a target's process. It begins with the announcement. The caller holds mu.
+func (s *scheduler) coldOf(now time.Time, t site.Target) *coldState {
+	st := s.cold[t.ID]
+	if st == nil || st.startedMs != t.StartedMs {
+		st = &coldState{startedMs: t.StartedMs, until: now}
+		if t.Cold > 0 {
+			st.until = s.server.announcedAt(now, t).Add(t.Cold)
+		}
+		s.cold[t.ID] = st
+	}
+	return st
+}
+
+// notice returns the notice of a state.
+func (*scheduler) notice(now time.Time, t site.Target, st *coldState) place.Cold {
+	return place.Cold{Target: t.ID, StartedMs: t.StartedMs, For: max(0, st.until.Sub(now))}
+}
+
+// applyCold applies reports of how much longer targets are cold.
+func (s *scheduler) applyCold(list []place.Cold) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active {
+		s.syncFleets()
+		s.setCold(list)
+	}
+}
+
+// setCold applies reports of how much longer targets are cold, and tells all linked instances the
+// changes. Of reports without a number only those that extend the time count: they may be older than
+// what heartbeats have told. The caller holds mu.
+func (s *scheduler) setCold(list []place.Cold) {
+	now := time.Now()
+	var changed []place.Cold
+	for _, c := range list {
+		t, ok := s.server.registry.Target(c.Target)
+		if !ok || t.State == site.Gone || t.StartedMs != c.StartedMs || s.server.coldPool(t.Pool).ColdRate == 0 {
+			continue
+		}
+		st := s.coldOf(now, t)
+		if c.Sequence > 0 && c.Sequence <= st.sequence {
+			continue
+		}
+		st.sequence = max(st.sequence, c.Sequence)
+		until := now.Add(max(0, c.For))
+		change := until.Sub(st.until)
+		if st.until.Before(now) {
+			change = until.Sub(now)
+		}
+		mayShorten := c.Sequence > 0 && (c.For > 0 || now.Sub(st.markedAt) >= markGuard)
+		if change <= coldLonger && (change > -coldShorter || !mayShorten) {
+			continue
+		}
+		st.until = until
+		changed = append(changed, s.notice(now, t, st))
+	}
+	s.tellCold(now, changed, "reported")
+}
+
+// tellCold passes changes on to the cores and to all linked instances. The caller holds mu.
+func (s *scheduler) tellCold(now time.Time, changed []place.Cold, cause string) {
+	if len(changed) == 0 {
+		return
+	}
+	for _, c := range changed {
+		for _, core := range s.cores {
+			core.Step(now, c)
+		}
+		s.server.counter("hub.cold_changes").Inc(1)
+		s.server.Log.Info().Str("target", c.Target).Int64("born", c.StartedMs).Dur("cold", c.For).Str("cause", cause).
+			Msg("target is cold or no longer")
+	}
+	s.server.sendAll(func(m *link.ControlMessage) { m.Cold = append(m.Cold, changed...) })
+}
+
+// syncCold drops the state of processes that are gone, and passes that of the others to the cores, which
+// may be new. The caller holds mu.
+func (s *scheduler) syncCold() {
+	now := time.Now()
+	for id, st := range s.cold {
+		if t, ok := s.server.registry.Target(id); !ok || t.State == site.Gone || t.StartedMs != st.startedMs {
+			delete(s.cold, id)
+		}
+	}
+	for _, c := range s.coldNotices(now) {
+		for _, core := range s.cores {
+			core.Step(now, c)
+		}
+	}
+}
+
+// coldNotices returns a notice of each target that is cold, or was when it was announced. The caller
+// holds mu.
+func (s *scheduler) coldNotices(now time.Time) []place.Cold {
+	tables, _ := s.server.registry.Tables()
+	if tables == nil {
+		return nil
+	}
+	limited := make(map[string]bool)
+	for i := range tables.Pools {
+		if p := &tables.Pools[i]; p.ColdRate > 0 {
+			limited[p.Name] = true
+		}
+	}
+	if len(limited) == 0 {
+		return nil
+	}
+	var out []place.Cold
+	for _, t := range s.server.registry.Targets() {
+		if !limited[t.Pool] {
+			continue
+		}
+		if c := s.notice(now, t, s.coldOf(now, t)); c.For > 0 || t.Cold > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+// currentCold returns the notices for an instance that has just linked.
+func (s *scheduler) currentCold() []place.Cold {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.active {
+		return nil
+	}
+	s.syncFleets()
+	return s.coldNotices(time.Now())
+}
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -38,6 +38,9 @@
 // ApplyLimits does nothing: control instances send no requests to targets.
 func (*follower) ApplyLimits([]place.Limit) {}
 
+// ApplyCold does nothing: control instances send no requests to targets.
+func (*follower) ApplyCold([]place.Cold) {}
+
 // FillHandover does nothing: control instances have no requests at targets.
 func (*follower) FillHandover(*link.FollowerMessage) {}
 
@@ -56,8 +59,8 @@
 // HandleConfirmed does nothing: the log replicates the registry.
 func (*follower) HandleConfirmed() {}
 
-// FillHeartbeat adds the instances linked here and the targets whose heartbeats arrived
-// since the last message.
+// FillHeartbeat adds the instances linked here, and the targets whose heartbeats arrived since
+// the last message with how much longer they are cold.
 func (f *follower) FillHeartbeat(m *link.FollowerMessage) {
 	m.Entries, m.HasEntries = f.s.linkedEntries(), true
 	f.s.mu.Lock()
@@ -66,4 +69,8 @@
 		m.Heartbeats = append(m.Heartbeats, id)
 	}
 	clear(f.s.pendingHeartbeats)
+	for _, c := range f.s.pendingCold {
+		m.Cold = append(m.Cold, c)
+	}
+	clear(f.s.pendingCold)
 }
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -131,17 +131,22 @@
 	if tables, _ := s.registry.Tables(); tables != nil && !hasPool(tables, t.Pool) {
 		return verd.New(verd.NotRun, verd.BadRequest, "announcement of target %q names unknown pool %q", t.ID, t.Pool)
 	}
+	if tables, _ := s.registry.Tables(); tables != nil && s.coldPool(t.Pool).ColdRate == 0 {
+		t.Cold = 0 // It has no meaning for the pool, so the registry doesn't keep it.
+	}
 	if known, ok := s.registry.Target(t.ID); ok && isRefresh(known, t) {
 		if !s.isLeader() && !s.client.IsLinkedToLeader() {
 			// The heartbeat could not be forwarded, so the leader would remove the target.
 			return verd.New(verd.NotRun, verd.Unavailable, "heartbeat of target %q not accepted: no link to the leader", t.ID)
 		}
 		s.recordHeartbeat(t.ID)
+		s.recordCold(t)
 		return nil
 	}
 	r, err := s.propose(ctx, reg.Command{Announce: &t})
 	if err == nil {
 		s.recordHeartbeat(t.ID)
+		s.recordCold(t)
 	}
 	s.Log.Info().Str("target", t.ID).Str("pool", t.Pool).Str("address", t.Address).Str("state", t.State.String()).
 		Uint64("seq", t.Sequence).Int64("born", t.StartedMs).Bool("changed", r.Changed).Err(err).Msg("announcement of target handled")
@@ -196,7 +201,7 @@
 }
 
 // isRefresh reports whether an announcement only counts as a heartbeat: it changes nothing
-// but the sequence number, or it is outdated. An outdated one that gives a ready target
+// but the sequence number and the time for which the target is cold, or it is outdated. An outdated one that gives a ready target
 // another state is no refresh.
 func isRefresh(known, t site.Target) bool {
 	if t.StartedMs == known.StartedMs {
@@ -207,8 +212,7 @@
 			return true // Drained on the report of an instance, which binds until a restart.
 		}
 	}
-	t.Sequence = known.Sequence
-	return t == known
+	return t.IsSameAs(known)
 }
 
 // Deregister marks a target as gone and returns once the change is committed. The parameter
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -38,6 +38,8 @@
 	lastSeen map[string]time.Time
 	// limits holds the limits that targets have named, by target ID.
 	limits map[string]place.Limit
+	// cold holds what is known of how long targets are cold, by target ID.
+	cold map[string]*coldState
 	// timer runs the next tick; nil if no tick is scheduled.
 	timer *time.Timer
 	// fleetRevision is the registry revision last passed to the cores.
@@ -54,6 +56,7 @@
 	s.pools = make(map[string]string)
 	s.lastSeen = make(map[string]time.Time)
 	s.limits = make(map[string]place.Limit)
+	s.cold = make(map[string]*coldState)
 	s.fleetRevision = 0
 	s.syncFleets()
 }
@@ -63,7 +66,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active = false
-	s.cores, s.sessions, s.pools, s.lastSeen, s.limits = nil, nil, nil, nil, nil
+	s.cores, s.sessions, s.pools, s.lastSeen, s.limits, s.cold = nil, nil, nil, nil, nil, nil
 	if s.timer != nil {
 		s.timer.Stop()
 		s.timer = nil
@@ -96,14 +99,15 @@
 			c = &place.Core{}
 			s.cores[p.Name] = c
 		}
-		s.step(c, place.Fleet{Engine: *p.Engine, Targets: byPool[p.Name]})
+		s.step(c, place.Fleet{Engine: *p.Engine, Targets: byPool[p.Name], ColdRate: p.ColdRate})
 	}
 	s.syncLimits()
+	s.syncCold()
 }
 
 // handle processes the placement requests and the reports in a message.
 func (s *scheduler) handle(sess *session, msg *link.FollowerMessage) {
-	if len(msg.Requests)+len(msg.Cancelled)+len(msg.Started)+len(msg.Ended)+len(msg.ActiveGrants)+len(msg.Limits) == 0 {
+	if len(msg.Requests)+len(msg.Cancelled)+len(msg.Started)+len(msg.Ended)+len(msg.ActiveGrants)+len(msg.Limits)+len(msg.Cold) == 0 {
 		return
 	}
 	s.mu.Lock()
@@ -113,6 +117,7 @@
 	}
 	s.syncFleets()
 	s.setLimits(msg.Limits)
+	s.setCold(msg.Cold)
 	for _, g := range msg.ActiveGrants {
 		g.Request.Instance = sess.hello.Name
 		if c := s.assign(sess, g.Request); c != nil {
@@ -279,6 +284,7 @@
 func (s *Server) sweep(ctx context.Context) error {
 	timing.Every(ctx, sweepInterval, func() {
 		s.scheduler.logPools()
+		s.noteAnnounced()
 		for _, t := range s.scheduler.silentTargets() {
 			_, err := s.propose(ctx, reg.Command{Deregister: &reg.Deregister{ID: t.ID, StartedMs: t.StartedMs, TimedOut: true}})
 			s.Log.Warn().Str("target", t.ID).Str("pool", t.Pool).Err(err).Msg("deregistration of target without heartbeats handled")
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -57,9 +57,9 @@
 	if leading != s.isLeader() {
 		return nil
 	}
-	if blocks, limits := s.blocker.current(), s.scheduler.currentLimits(); len(blocks)+len(limits) > 0 {
+	if blocks, limits, cold := s.blocker.current(), s.scheduler.currentLimits(), s.scheduler.currentCold(); len(blocks)+len(limits)+len(cold) > 0 {
 		sess.Enqueue(func(m *link.ControlMessage) {
-			m.Blocks, m.Limits = append(m.Blocks, blocks...), append(m.Limits, limits...)
+			m.Blocks, m.Limits, m.Cold = append(m.Blocks, blocks...), append(m.Limits, limits...), append(m.Cold, cold...)
 		})
 	}
 	s.handle(sess, &first)
@@ -202,6 +202,9 @@
 	for _, d := range msg.Leaving {
 		s.drainLeaving(sess.hello.Name, d)
 	}
+	if !s.isLeader() && len(msg.Cold) > 0 {
+		s.forwardCold(msg.Cold)
+	}
 	s.blocker.handle(msg)
 	s.scheduler.handle(sess, msg)
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -57,10 +57,11 @@
 	// ActiveGrants returns the grants in use, which are reported to a new leader.
 	ActiveGrants() []place.ActiveGrant
 	// ApplyBlocks applies changes of the requests that must not be sent to targets, and
-	// ApplyLimits those of the limits that targets name. FillHandover fills in what a new
-	// leader needs to go on with both.
+	// ApplyLimits those of the limits that targets name, and ApplyCold those of the targets that
+	// are cold. FillHandover fills in what a new leader needs to go on with all of them.
 	ApplyBlocks(blocks []poison.Block)
 	ApplyLimits(limits []place.Limit)
+	ApplyCold(list []place.Cold)
 	FillHandover(m *FollowerMessage)
 	// SetEntries receives the ready instances for this follower, and SetEntryCount the number
 	// of all ready instances.
@@ -467,6 +468,9 @@
 	if len(m.Limits) > 0 {
 		c.Follower.ApplyLimits(m.Limits)
 	}
+	if len(m.Cold) > 0 {
+		c.Follower.ApplyCold(m.Cold)
+	}
 	for _, g := range m.Grants {
 		c.Follower.HandleGrant(g)
 	}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -129,6 +129,9 @@
 	// Limits are changes of the limits that targets have named to the sender; when a link opens,
 	// all of them.
 	Limits []place.Limit `cbor:"14,keyasint,omitempty"`
+	// Cold reports how much longer targets are cold: what heartbeats or responses have told the
+	// sender; when a link opens, all that it knows to be cold.
+	Cold []place.Cold `cbor:"15,keyasint,omitempty"`
 }
 
 // Departure names a process of a target that is about to shut down.
@@ -180,6 +183,8 @@
 	// HasRelays is set.
 	Relays    []Entry `cbor:"13,keyasint,omitempty"`
 	HasRelays bool    `cbor:"14,keyasint,omitempty"`
+	// Cold reports which targets are cold, or no longer, those that have changed or all.
+	Cold []place.Cold `cbor:"15,keyasint,omitempty"`
 	// FormerEntries is the list that these changes begin at. It is not sent.
 	FormerEntries []Entry `cbor:"-"`
 }
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -15,8 +15,13 @@
 	// Shares is the number of instances whose cores share the limits that targets name; 0 means
 	// that this core sees all requests.
 	Shares int
+	// ColdShares is the number of instances that share the cold rates of engines with a standalone
+	// core; 0 means Shares. It may be higher, as a cold engine crashes where others refuse.
+	ColdShares int
 
-	model   costModel
+	model costModel
+	// coldRate is how many requests a second a cold engine tolerates; 0 means no limit.
+	coldRate float64
 	engines []*engine
 	byID    map[string]*engine
 	jobs    map[string]*job
@@ -52,6 +57,8 @@
 		c.recordLoad(now, e)
 	case Limit:
 		c.setLimit(now, e)
+	case Cold:
+		c.setCold(now, e)
 	case Tick:
 		c.tick(now)
 		return c.schedule(now)
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -27,7 +27,7 @@
 		return nil
 	}
 	c.reserve(now, j, p)
-	p.lead.limiter.Take(now, c.Shares)
+	c.takeTurn(now, p.lead)
 	g := Grant{ID: j.request.ID, Lead: p.lead.ID, Urgency: j.urgency(), PredictedTTFT: p.ttft, Waited: now.Sub(j.arrived)}
 	g.Loss = Loss{Own: p.ownLoss / j.value, Others: p.othersLoss / j.value}
 	for _, h := range p.helpers {
@@ -45,7 +45,7 @@
 		if e.State != site.Ready {
 			continue
 		}
-		left := e.limiter.Wait(now, c.Shares)
+		left := c.limitWait(now, e)
 		if !e.isClosed(now, j) && left < timeLeft {
 			return 0, false
 		}
@@ -69,9 +69,10 @@
 func (c *Core) isCrowded(now time.Time) bool {
 	slots, used := 0, 0
 	for _, e := range c.engines {
-		if c.available(now, e) && e.limiter.Wait(now, c.Shares) == 0 {
-			slots += e.Slots
-			used += min(e.answers, e.Slots)
+		if c.available(now, e) && c.limitWait(now, e) == 0 {
+			limit := e.slotLimit(now)
+			slots += limit
+			used += min(e.answers, limit)
 		}
 	}
 	return float64(used) >= crowdedLoad*float64(slots)
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -72,6 +72,9 @@
 	pausedUntil map[string]time.Time
 	// limiter spaces out its requests if it names a limit.
 	limiter Limiter
+	// cold spaces them out while it is cold. Until warmingUntil it is not packed full.
+	cold         ColdLimiter
+	warmingUntil time.Time
 	// Until uncertainUntil the slowdown is not updated, because the engine may run grants
 	// of other schedulers whose progress this core does not know.
 	uncertainUntil time.Time
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -76,6 +76,8 @@
 type Fleet struct {
 	Engine  site.Engine
 	Targets []site.Target
+	// ColdRate is how many requests a second a cold target tolerates; 0 means no limit.
+	ColdRate float64
 }
 
 // Heartbeat reports a heartbeat of a target.
@@ -100,6 +102,20 @@
 	Phase float64 `cbor:"-"`
 }
 
+// Cold reports how much longer a process of a target is cold.
+type Cold struct {
+	Target string `cbor:"1,keyasint"`
+	// StartedMs identifies the process by its start time in Unix milliseconds.
+	StartedMs int64 `cbor:"2,keyasint"`
+	// For is how much longer it is cold; 0 if it is not.
+	For time.Duration `cbor:"3,keyasint"`
+	// Sequence is the number of the heartbeat that reported it; 0 if it came in another way.
+	// Heartbeats may arrive in another order than they were sent.
+	Sequence uint64 `cbor:"4,keyasint,omitempty"`
+	// Phase, from 0 to 1, spreads the first requests of cores that share the limit.
+	Phase float64 `cbor:"-"`
+}
+
 // Tick makes the core reconsider waiting requests as time passes.
 type Tick struct{}
 
@@ -112,6 +128,7 @@
 func (Heartbeat) event()  {}
 func (LoadReport) event() {}
 func (Limit) event()      {}
+func (Cold) event()       {}
 func (Tick) event()       {}
 
 // ActiveGrant is a grant in use, as reported by the instance that uses it.
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -11,6 +11,7 @@
 // updateFleet replaces the cost model and the set of engines.
 func (c *Core) updateFleet(now time.Time, f Fleet) {
 	c.model = costModel{f.Engine}
+	c.setColdRate(now, f.ColdRate)
 	for _, e := range c.byID {
 		e.State = site.Gone
 	}
@@ -22,11 +23,13 @@
 		case e == nil:
 			e = &engine{lastSlowdown: 1, lastHeartbeat: now}
 			c.byID[t.ID] = e
+			c.announceCold(now, e, t)
 		case e.StartedMs != t.StartedMs:
 			// A new process under the same ID has none of the old one's work.
 			e.lastSlowdown, e.failures, e.lastHeartbeat, e.prediction = 1, 0, now, prediction{}
 			e.unaccounted, e.unaccountedAnswers, e.pausedUntil = 0, 0, nil
 			e.limiter.Clear()
+			c.announceCold(now, e, t)
 		}
 		e.Target = t
 	}
--- a/internal/place/limiter.go
+++ b/internal/place/limiter.go
@@ -1,6 +1,7 @@
 package place
 
 import (
+	"cmp"
 	"math"
 	"time"
 )
@@ -24,6 +25,8 @@
 	perSecond float64
 	// next is when the next request may be sent.
 	next time.Time
+	// keep is how long a turn that was not used stays valid; 0 means turnTime.
+	keep time.Duration
 }
 
 // Set sets the limit, which the given number of instances share. The phase, from 0 to 1, spreads
@@ -61,7 +64,7 @@
 	if shares > 1 {
 		// A turn that was not used in time is lost.
 		interval := l.interval(shares)
-		if late := now.Sub(l.next) - min(turnTime, interval); late > 0 {
+		if late := now.Sub(l.next) - min(cmp.Or(l.keep, turnTime), interval); late > 0 {
 			l.next = l.next.Add(interval * time.Duration(math.Ceil(float64(late)/float64(interval))))
 		}
 	}
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -55,7 +55,7 @@
 		if len(p.helpers) == parts-1 {
 			break
 		}
-		if i == lead || cand.engine.helperParts >= cand.engine.Slots || cand.engine.limiter.IsSet() {
+		if i == lead || cand.engine.helperParts >= cand.engine.Slots || cand.engine.limiter.IsSet() || cand.engine.cold.Limits(now) {
 			// To help takes orders besides, which an engine with a limit may count.
 			continue
 		}
@@ -87,10 +87,10 @@
 	tokens := float64(j.request.Prompt) / float64(parts)
 	scarce := c.idleScarce(now)
 	for _, e := range c.engines {
-		if !c.available(now, e) || e.isClosed(now, j) || e.limiter.Wait(now, c.Shares) > 0 {
+		if !c.available(now, e) || e.isClosed(now, j) || c.limitWait(now, e) > 0 {
 			continue
 		}
-		canLead := e.hasFreeSlot() && (parts > 1 || e.used()+j.tokens() <= c.model.Memory)
+		canLead := e.hasFreeSlot() && e.answers < e.slotLimit(now) && (parts > 1 || e.used()+j.tokens() <= c.model.Memory)
 		if !canLead && (parts == 1 || e.helperParts >= e.Slots) {
 			continue
 		}
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -98,7 +98,7 @@
 func (s *State) announce(t site.Target) bool {
 	i, found := s.find(t.ID)
 	if found {
-		if old := s.Targets[i]; !old.isSupersededBy(t) || equalExceptSequence(t, old.Target) {
+		if old := s.Targets[i]; !old.isSupersededBy(t) || t.IsSameAs(old.Target) {
 			return false
 		}
 	}
@@ -141,12 +141,6 @@
 	return (old.State != site.Gone || r.TimedOut) && t.Sequence > old.Sequence
 }
 
-// equalExceptSequence reports whether two announcements differ only in their sequence number.
-func equalExceptSequence(t, old site.Target) bool {
-	t.Sequence = old.Sequence
-	return t == old
-}
-
 // deregister marks a target as gone. It returns whether the state changed.
 func (s *State) deregister(d Deregister) bool {
 	i, found := s.find(d.ID)
--- a/internal/site/load.go
+++ b/internal/site/load.go
@@ -1,6 +1,10 @@
 package site
 
-import "github.com/cockroachdb/errors"
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
 
 // Load is the load that an engine reports. It is some hundred milliseconds old when it
 // arrives.
@@ -10,6 +14,8 @@
 	KVUsed, Running int
 	// Slowdown is how many times slower than declared the engine is; 0 if not reported.
 	Slowdown float64
+	// Cold is how much longer the engine is cold; 0 if not reported.
+	Cold time.Duration
 }
 
 // ErrNegativeLoad is returned by Load.Check if a field is negative.
--- a/internal/site/tables.go
+++ b/internal/site/tables.go
@@ -80,6 +80,10 @@
 	Connections int `cbor:"2,keyasint"`
 	// Engine is nil for a pool of plain HTTP services.
 	Engine *Engine `cbor:"3,keyasint"`
+	// ColdRate is how many requests a second a cold target tolerates from all instances together;
+	// 0 means no limit. ColdTime is how long a target is cold after its start.
+	ColdRate float64       `cbor:"4,keyasint,omitempty"`
+	ColdTime time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // Engine is the performance model that the operator declares for the engines of a pool.
@@ -139,6 +143,9 @@
 			return &table.FieldError{Field: field + ".name", Message: fmt.Sprintf("duplicate pool %q", p.Name)}
 		}
 		pools[p.Name] = true
+		if p.ColdRate < 0 || p.ColdTime < 0 {
+			return &table.FieldError{Field: field, Message: "the rate and the time of cold targets must not be negative"}
+		}
 		if err := p.Engine.check(field); err != nil {
 			return err
 		}
--- a/internal/site/target.go
+++ b/internal/site/target.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"time"
 
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 )
@@ -46,6 +47,16 @@
 	StartedMs int64 `cbor:"7,keyasint"`
 	// Sequence is the number of the heartbeat within the lifetime of the process.
 	Sequence uint64 `cbor:"8,keyasint"`
+	// Cold is how much longer the process was cold when it was announced; 0 if it was not. A change
+	// of it alone is no change of the target: it is reported by place.Cold.
+	Cold time.Duration `cbor:"9,keyasint,omitempty"`
+}
+
+// IsSameAs reports whether two announcements differ at most in their sequence number and in how much
+// longer the process is cold.
+func (t Target) IsSameAs(o Target) bool {
+	t.Sequence, t.Cold = o.Sequence, o.Cold
+	return t == o
 }
 
 // Check validates the target. It returns the first invalid field as a *table.FieldError.
