--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -76,9 +76,9 @@
 	// limits holds the limits of targets, and reportedLimits what it tells a new leader of them.
 	limits         map[string]place.Limit
 	reportedLimits []place.Limit
-	// cold holds the last report of how much longer each target is cold, and reportedCold what it
-	// tells a new leader.
-	cold         map[string]place.Cold
+	// coldUntil is until when each target is cold by the last report, and reportedCold what it tells
+	// a new leader.
+	coldUntil    map[string]time.Time
 	reportedCold []place.Cold
 	// confirmed is set once the registry updates are confirmed.
 	confirmed bool
@@ -166,10 +166,10 @@
 func (e *entryNode) ApplyCold(list []place.Cold) {
 	e.withLock(func() {
 		for _, c := range list {
-			if e.cold == nil {
-				e.cold = make(map[string]place.Cold)
+			if e.coldUntil == nil {
+				e.coldUntil = make(map[string]time.Time)
 			}
-			e.cold[c.Target] = c
+			e.coldUntil[c.Target] = time.Now().Add(c.For)
 		}
 	})
 }
