Cold targets are known to entries without a leader

Cause: a target that was cold again while the control instances had no leader stayed unlimited until the next one was elected, as followers refuse heartbeats then.

--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -47,23 +47,56 @@
 	s.forwardCold([]place.Cold{{Target: t.ID, StartedMs: t.StartedMs, For: t.Cold, Sequence: t.Sequence}})
 }
 
-// forwardCold applies reports of which targets are cold if this instance leads, and otherwise keeps
-// them for its next message to the leader.
+// pendingCold is a report that is not yet forwarded to the leader.
+type pendingCold struct {
+	place.Cold
+	at time.Time
+}
+
+// current returns the report with the time that is left now.
+func (p pendingCold) current(now time.Time) place.Cold {
+	p.For = max(0, p.For-now.Sub(p.at))
+	return p.Cold
+}
+
+// forwardCold applies reports of which targets are cold if this instance leads. Otherwise it keeps them
+// for its next message to the leader, and tells linked instances, which have no leader either, which
+// targets are cold.
 func (s *Server) forwardCold(list []place.Cold) {
 	if s.isLeader() {
 		s.scheduler.applyCold(list)
 		return
 	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	var cold []place.Cold
 	for _, c := range list {
 		if p, ok := s.pendingCold[c.Target]; ok && p.StartedMs == c.StartedMs && p.Sequence > c.Sequence && c.Sequence > 0 {
 			continue
 		}
-		s.pendingCold[c.Target] = c
+		s.pendingCold[c.Target] = pendingCold{c, time.Now()}
+		if c.For > 0 {
+			cold = append(cold, c)
+		}
+	}
+	s.mu.Unlock()
+	if len(cold) > 0 {
+		s.sendAll(func(m *link.ControlMessage) { m.Cold = append(m.Cold, cold...) })
 	}
 }
 
+// pendingColdTargets returns the reports of cold targets that are not yet forwarded.
+func (s *Server) pendingColdTargets() []place.Cold {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []place.Cold
+	for _, p := range s.pendingCold {
+		if c := p.current(time.Now()); c.For > 0 {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // MarkCold takes all targets of a data centre for cold for the time that their pools declare for targets
 // that have just started, until a later heartbeat says otherwise. It does nothing unless this instance
 // leads.
@@ -253,12 +286,13 @@
 	return out
 }
 
-// currentCold returns the notices for an instance that has just linked.
+// currentCold returns the notices for an instance that has just linked. An instance that does not lead
+// knows only what it could not forward.
 func (s *scheduler) currentCold() []place.Cold {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.active {
-		return nil
+		return s.server.pendingColdTargets()
 	}
 	s.syncFleets()
 	return s.coldNotices(time.Now())
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -1,6 +1,8 @@
 package hub
 
 import (
+	"time"
+
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
@@ -69,8 +71,9 @@
 		m.Heartbeats = append(m.Heartbeats, id)
 	}
 	clear(f.s.pendingHeartbeats)
+	now := time.Now()
 	for _, c := range f.s.pendingCold {
-		m.Cold = append(m.Cold, c)
+		m.Cold = append(m.Cold, c.current(now))
 	}
 	clear(f.s.pendingCold)
 }
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -135,12 +135,12 @@
 		t.Cold = 0 // It has no meaning for the pool, so the registry doesn't keep it.
 	}
 	if known, ok := s.registry.Target(t.ID); ok && isRefresh(known, t) {
+		s.recordCold(t)
 		if !s.isLeader() && !s.client.IsLinkedToLeader() {
 			// The heartbeat could not be forwarded, so the leader would remove the target.
 			return verd.New(verd.NotRun, verd.Unavailable, "heartbeat of target %q not accepted: no link to the leader", t.ID)
 		}
 		s.recordHeartbeat(t.ID)
-		s.recordCold(t)
 		return nil
 	}
 	r, err := s.propose(ctx, reg.Command{Announce: &t})
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -14,7 +14,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
-	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/quorum"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/store"
@@ -82,7 +81,7 @@
 	// pendingCold holds the latest report of how much longer each target is cold that is not yet
 	// forwarded to the leader. announced is when this instance first had the announcements of cold
 	// targets.
-	pendingCold map[string]place.Cold
+	pendingCold map[string]pendingCold
 	announced   map[announcedCold]time.Time
 	// pendingDrains are the departures of targets that are being committed.
 	pendingDrains map[link.Departure]bool
@@ -96,7 +95,7 @@
 func (s *Server) Setup() ([]wire.Method, []wire.StreamMethod) {
 	s.sessions = make(map[*session]struct{})
 	s.pendingHeartbeats = make(map[string]bool)
-	s.pendingCold = make(map[string]place.Cold)
+	s.pendingCold = make(map[string]pendingCold)
 	s.pendingDrains = make(map[link.Departure]bool)
 	s.scheduler.server = s
 	s.blocker.server = s
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -47,6 +47,9 @@
 	arrivals []arrival
 	crashes  []time.Time
 	started  int
+	// cold returns how much longer a target is cold, which its heartbeats tell; nil means that none
+	// is.
+	cold func(e *testTarget) time.Duration
 }
 
 // arrival is a request that reached an engine.
@@ -148,7 +151,11 @@
 }
 
 func (f *fleet) publish(ctx context.Context) {
-	tables := &site.Tables{
+	quicktest.Assert(f.t, f.controls[0].Publish(ctx, fleetTables(), []byte("{}")), quicktest.IsNil)
+}
+
+func fleetTables() *site.Tables {
+	return &site.Tables{
 		Version: 1, Keyed: true, Organisations: []site.Organisation{{Name: "org", Keys: []string{"key"}}}, Bounds: site.Bounds{Body: 1000},
 		Pools: []site.Pool{{Name: servicePool}, {Name: enginePool, Engine: &site.Engine{
 			Slots: 16, Memory: 405_000, Step: 1310 * time.Microsecond, Rate: 154_000, Pairs: 162 * time.Microsecond, Chunk: 2048, Stride: 34,
@@ -164,7 +171,6 @@
 			Attempts: 2, Split: []site.PoolWeight{{Pool: servicePool, Weight: 1}},
 		}},
 	}
-	quicktest.Assert(f.t, f.controls[0].Publish(ctx, tables, []byte("{}")), quicktest.IsNil)
 }
 
 // startTarget starts the process of a target, and announces it until it ends.
@@ -186,7 +192,7 @@
 		for ctx.Err() == nil {
 			e.Sequence++
 			// A control instance without a leader refuses, and the next announcement counts.
-			_ = f.controls[int(e.Sequence)%len(f.controls)].Announce(ctx, e.Target)
+			_ = f.controls[int(e.Sequence)%len(f.controls)].Announce(ctx, e.announcement())
 			select {
 			case <-ctx.Done():
 			case <-time.After(heartbeat):
@@ -195,6 +201,17 @@
 	})
 }
 
+// announcement returns what a heartbeat tells.
+func (e *testTarget) announcement() site.Target {
+	t := e.Target
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	if e.fleet.cold != nil {
+		t.Cold = e.fleet.cold(e)
+	}
+	return t
+}
+
 // crash ends the process at once, and starts another one after restartTime.
 func (e *testTarget) crash(ctx context.Context) {
 	f := e.fleet
