--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/rcrowley/go-metrics"
+
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -178,6 +180,20 @@
 	s.announced = seen
 }
 
+// countCold updates the metric of the targets that are cold; 0 unless this instance leads.
+func (s *Server) countCold() {
+	c := &s.scheduler
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, st := range c.cold {
+		if time.Now().Before(st.until) {
+			count++
+		}
+	}
+	metrics.GetOrRegisterGauge("hub.cold_targets", s.Metrics).Update(int64(count))
+}
+
 // announcedAt returns when this instance first had the announcement of a cold target.
 func (s *Server) announcedAt(now time.Time, t site.Target) time.Time {
 	s.mu.Lock()
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -286,6 +286,7 @@
 	timing.Every(ctx, sweepInterval, func() {
 		s.scheduler.logPools()
 		s.noteAnnounced()
+		s.countCold()
 		for _, t := range s.scheduler.silentTargets() {
 			_, err := s.propose(ctx, reg.Command{Deregister: &reg.Deregister{ID: t.ID, StartedMs: t.StartedMs, TimedOut: true}})
 			s.Log.Warn().Str("target", t.ID).Str("pool", t.Pool).Err(err).Msg("deregistration of target without heartbeats handled")
