--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -38,6 +38,9 @@
 // ApplyLimits does nothing: control instances send no requests to targets.
 func (*follower) ApplyLimits([]place.Limit) {}
 
+// ApplyCold does nothing: control instances send no requests to targets.
+func (*follower) ApplyCold([]place.Cold) {}
+
 // FillHandover does nothing: control instances have no requests at targets.
 func (*follower) FillHandover(*link.FollowerMessage) {}
 
@@ -56,10 +59,11 @@
 // HandleConfirmed does nothing: the log replicates the registry.
 func (*follower) HandleConfirmed() {}
 
-// FillHeartbeat adds the instances linked here and the targets whose heartbeats arrived
-// since the last message.
+// FillHeartbeat adds the instances linked here, and the targets whose heartbeats arrived since
+// the last message with how much longer they are cold.
 func (f *follower) FillHeartbeat(m *link.FollowerMessage) {
 	m.Entries, m.HasEntries = f.s.linkedEntries(), true
+	m.Cold = append(m.Cold, f.s.takeColdReports()...)
 	f.s.mu.Lock()
 	defer f.s.mu.Unlock()
 	for id := range f.s.pendingHeartbeats {
