poison: the next process of a target shows that the former one crashed

Cause: a crash counted only if the entry's next connection attempt was refused.

Change: poison.Watch keeps, for 15 s, the requests whose connection to a target ended or fell silent. Once a process with a later StartedMs has the target's ID or address they are reported as a crash, unless the former process drained, was deregistered, or showed a sign of life since. A silent process ended at some time between its last sign of life and its replacement (Crash.Window, CBOR key 6, optional); such a crash counts only if all of that time is later than the last one that counted, so targets that fall silent together count once. The leader ignores reports on processes that its log says have left (reg.HasDeparted), as an entry whose link was down may not have seen that.

TestReplayOfResends 0 of 359,912 as before, TestReplayUnderLoad passes; neither was changed. TestDepartedTargetsBlameNobody fails without the leader's check. go test internal/{poison,gate,hub,node,reg,rules}: pass; make fmt lint: pass.

The replay got fields for the new replay, unused by the others.

--- a/internal/gate/blocklist.go
+++ b/internal/gate/blocklist.go
@@ -20,6 +20,7 @@
 
 	mu       sync.Mutex
 	detector poison.Detector
+	watch    poison.Watch
 }
 
 // find returns how long requests like this one are blocked.
@@ -53,10 +54,14 @@
 // recordCrash records that the process of a target ended while it had a request. That was noticed
 // at noticedAt.
 func (l *blocklist) recordCrash(t site.Target, x *exchange, s poison.Send, noticedAt time.Time) {
-	c := poison.Crash{
+	l.report(poison.Crash{
 		Target: t.ID, StartedMs: t.StartedMs, Age: time.Since(noticedAt),
 		Suspects: [][]string{x.segments()}, Sends: []poison.Send{s},
-	}
+	})
+}
+
+// report passes a crash to the leader, or judges it without one.
+func (l *blocklist) report(c poison.Crash) {
 	l.mu.Lock()
 	l.detector.AddCrash(time.Now(), c)
 	l.mu.Unlock()
@@ -65,6 +70,63 @@
 	}
 }
 
+// processOf returns the process of a target.
+func processOf(t site.Target) poison.Process {
+	return poison.Process{Target: t.ID, Address: t.Address, StartedMs: t.StartedMs}
+}
+
+// isReplaced reports whether another process has replaced that of a target, which had not left.
+func (l *blocklist) isReplaced(t site.Target) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.watch.HasCrashed(processOf(t))
+}
+
+// recordAlive records that bytes of the process of a target were read.
+func (l *blocklist) recordAlive(t site.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watch.Alive(time.Now(), processOf(t))
+}
+
+// recordLeaving records that the process of a target is about to shut down.
+func (l *blocklist) recordLeaving(t site.Target) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.watch.Leave(processOf(t))
+}
+
+// recordFailedSend records a send that may have failed because the process of its target ended.
+func (l *blocklist) recordFailedSend(t site.Target, f poison.FailedSend) {
+	l.mu.Lock()
+	c, ok := l.watch.Fail(time.Now(), processOf(t), f)
+	l.mu.Unlock()
+	if ok {
+		l.reportReplaced(c)
+	}
+}
+
+// updateTargets processes changes of targets in the registry.
+func (l *blocklist) updateTargets(changed []site.Target) {
+	var sightings []poison.Sighting
+	for _, t := range changed {
+		sightings = append(sightings, poison.Sighting{Process: processOf(t), Leaving: t.State == site.Draining, Gone: t.State == site.Gone})
+	}
+	l.mu.Lock()
+	crashes := l.watch.Update(time.Now(), sightings)
+	l.mu.Unlock()
+	for _, c := range crashes {
+		l.reportReplaced(c)
+	}
+}
+
+// reportReplaced logs and reports a crash that the next process of the target shows.
+func (l *blocklist) reportReplaced(c poison.Crash) {
+	l.server.Log.Warn().Str("target", c.Target).Int64("born", c.StartedMs).Int("requests", len(c.Suspects)).Strs("prefix", c.Suspects[0]).
+		Dur("age", c.Age).Dur("window", c.Window).Msg("target process was replaced after requests to it had failed")
+	l.report(c)
+}
+
 // evaluate judges the crashes that this instance has seen, unless a leader does so.
 func (l *blocklist) evaluate() {
 	if l.server.Link.IsLinkedToLeader() {
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"os"
 	"strconv"
 	"syscall"
 	"time"
@@ -12,14 +13,19 @@
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
 
 // hasCrashed reports whether the process of a target ended without notice: err ended the
-// connection on which it had a request, and nothing listens on its address any more.
+// connection on which it had a request, and nothing listens on its address any more, or a later
+// process has replaced it.
 func (s *Server) hasCrashed(t site.Target, err error) bool {
 	if !endsConnection(err) {
 		return false
 	}
+	if s.blocklist.isReplaced(t) {
+		return true
+	}
 	current, ok := s.views.load().readyTarget(t.ID, t.Pool)
 	if !ok || current.StartedMs != t.StartedMs || s.health.isLeaving(t) {
 		return false
@@ -64,13 +70,21 @@
 	at     time.Time
 	// written is how long the target has been writing the answer, at least.
 	written time.Duration
+	// lastEventAt is when the last event of the answer came; zero if none has.
+	lastEventAt time.Time
 }
 
-// recordIfCrashed records if a send failed with err because the process of the target ended.
+// minSilence is how long a connection must have been silent when its request ended, if no time-out of
+// this instance ended it: an answer may pause as long.
+const minSilence = maxCountedPause
+
+// recordIfCrashed records if a send failed with err because the process of the target ended. If that
+// isn't known yet, the next process of the target may show it.
 func (x *exchange) recordIfCrashed(s send, err error) {
 	noticedAt := time.Now()
 	t := s.target
 	if !x.server.hasCrashed(t, err) {
+		x.watchSend(s, err, noticedAt)
 		return
 	}
 	x.server.Log.Warn().Str("id", x.call.ID).Str("digest", x.requestDigest()).Str("ask", x.grantID).Str("target", t.ID).Str("address", t.Address).
@@ -80,3 +94,40 @@
 		x.crashes++
 	}
 }
+
+// watchSend keeps a send that failed with err at noticedAt until it is known whether another process
+// replaces that of the target, if the connection ended or fell silent.
+func (x *exchange) watchSend(s send, err error, noticedAt time.Time) {
+	silent, ended := isSilence(err), endsConnection(err)
+	if x.ended() {
+		// This instance closed the connection.
+		silent, ended = noticedAt.Sub(s.lastByteAt()) >= minSilence, false
+	}
+	if s.written >= poison.SurvivalTime || !silent && !ended {
+		return
+	}
+	x.server.blocklist.recordFailedSend(s.target, poison.FailedSend{
+		Segments: x.segments(), SentAt: s.at, FailedAt: noticedAt, Silent: silent, Repeated: x.crashes > 0,
+	})
+	if !silent {
+		// What is sent next is sent because this connection ended.
+		x.crashes++
+	}
+}
+
+// ended reports whether the caller has disconnected, or the time limit was reached.
+func (x *exchange) ended() bool { return x.r.Context().Err() != nil || x.timeLeft() <= 0 }
+
+// isSilence reports whether err means that nothing was received for the time allowed.
+func isSilence(err error) bool {
+	var silent *engine.Silent
+	return errors.As(err, &silent) || errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// lastByteAt returns when the last event of the answer came, or else when the request was sent.
+func (s send) lastByteAt() time.Time {
+	if s.lastEventAt.IsZero() {
+		return s.at
+	}
+	return s.lastEventAt
+}
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -185,6 +185,7 @@
 	defer func() { resp.Close(reuse) }()
 	s.sends++
 	s.relay = relayOf(resp)
+	s.server.blocklist.recordAlive(lead)
 	end.Pause = s.recordNotice(lead, resp, att.sentAt)
 	if o := s.classify(lead, resp); o != nil {
 		end.FailedTarget = s.faultyTarget(lead, resp)
@@ -209,7 +210,9 @@
 		end.FailedTarget = lead.ID
 		s.failedTargets = append(s.failedTargets, lead.ID)
 		s.logFailedAttempt(lead, reason, nil)
-		s.recordIfCrashed(send{lead, att.sentAt, att.written}, err)
+		s.recordIfCrashed(send{lead, att.sentAt, att.written, att.lastEventAt}, err)
+	} else {
+		s.watchSend(send{lead, att.sentAt, att.written, att.lastEventAt}, err, time.Now())
 	}
 	return false, reason
 }
@@ -219,6 +222,7 @@
 	if ctx.Err() != nil {
 		s.sends++
 		s.mayHaveRun = true
+		s.watchSend(failed, err, time.Now())
 		return false, s.endReason()
 	}
 	var unreachable *engine.Unreachable
@@ -333,6 +337,7 @@
 		isNew := !ev.IsComment && !s.isRepeated(ev)
 		if isNew {
 			s.recordProgress(att)
+			s.server.blocklist.recordAlive(lead)
 		}
 		if reason := s.relayEvent(resp, ev); reason != "" {
 			return reason, nil
--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -35,6 +35,7 @@
 		e.Int64("version", v.index.Tables.Version).Int("routes", len(v.index.Tables.Routes))
 	}
 	e.Msg("registry update applied")
+	s.blocklist.updateTargets(d.Targets)
 	s.health.dropNotices(v)
 	s.placer.updateCores(v)
 }
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -243,6 +243,7 @@
 	defer func() { resp.Close(reuse) }()
 	x.sends++
 	x.relay = relayOf(resp)
+	s.blocklist.recordAlive(t)
 	x.recordNotice(t, resp, sentAt)
 	if o := x.classify(t, resp); o != nil {
 		_, ok := o.(notRun)
@@ -258,6 +259,8 @@
 		if ctx.Err() == nil && !errors.Is(err, errBuffersFull) {
 			s.health.recordFailure(t.ID)
 			x.recordIfCrashed(send{target: t, at: sentAt}, err)
+		} else if ctx.Err() != nil {
+			x.watchSend(send{target: t, at: sentAt}, err, time.Now())
 		}
 		x.logFailedAttempt(t, "response ended early", err)
 		return nil, mayHaveRun{"the response of a target ended early"}
@@ -355,6 +358,7 @@
 	s.Log.Info().Str("target", t.ID).Str("address", t.Address).Int64("born", t.StartedMs).Bool("leaving", leaving).Dur("pause", pause).
 		Msg("target asked for no more requests")
 	if leaving {
+		s.blocklist.recordLeaving(t)
 		s.Link.Send(func(m *link.FollowerMessage) { m.Leaving = append(m.Leaving, departures([]site.Target{t})...) })
 	}
 }
--- a/internal/hub/blocker.go
+++ b/internal/hub/blocker.go
@@ -66,6 +66,10 @@
 		changed = append(changed, lifted...)
 	}
 	for _, c := range msg.Crashes {
+		// An instance whose link was down may not have seen that the process left.
+		if b.server.registry.HasDeparted(c.Target, c.StartedMs) {
+			continue
+		}
 		b.detector.AddCrash(now, c)
 	}
 	b.publish(changed)
--- a/internal/hub/blocker_test.go
+++ b/internal/hub/blocker_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // isBlocked reports whether an entry knows that the segments are blocked.
@@ -66,3 +67,31 @@
 		wantBlocked(false)
 	})
 }
+
+// TestDepartedTargetsBlameNobody: an entry whose link was down while targets left and others took their
+// places reports crashes. The leader knows better, and must block nothing.
+func TestDepartedTargetsBlameNobody(t *testing.T) {
+	runCluster(t, 3, 2, func(t *testing.T, cl *cluster) {
+		const targets = 6
+		time.Sleep(2 * time.Second)
+		for i := range targets {
+			id := fmt.Sprint(i)
+			quicktest.Assert(t, cl.announce(id, 1, site.Ready), quicktest.IsNil)
+			if i%2 == 0 {
+				quicktest.Assert(t, cl.announce(id, 2, site.Draining), quicktest.IsNil)
+			} else {
+				quicktest.Assert(t, cl.leader().Deregister(t.Context(), id, 1), quicktest.IsNil)
+			}
+			next := clusterTarget(id, 1, site.Ready)
+			next.StartedMs = 2
+			quicktest.Assert(t, cl.leader().Announce(t.Context(), next), quicktest.IsNil)
+		}
+		for i := range targets {
+			cl.entries["10.0.1.1:7"].client.Send(func(m *link.FollowerMessage) {
+				m.Crashes = append(m.Crashes, poison.Crash{Target: fmt.Sprint(i), StartedMs: 1, Suspects: [][]string{{"bad"}}})
+			})
+			time.Sleep(time.Second)
+		}
+		quicktest.Assert(t, cl.entries["10.0.1.2:7"].isBlocked("bad"), quicktest.IsFalse)
+	})
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -64,8 +64,9 @@
 	number int
 	http   *http.Server
 	stop   context.CancelFunc
-	// crashed is guarded by fleet.mu.
-	crashed bool
+	// crashed and silent are guarded by fleet.mu. A silent process keeps its connections open.
+	crashed, silent bool
+	listener        net.Listener
 }
 
 const (
@@ -167,22 +168,35 @@
 	quicktest.Assert(f.t, f.controls[0].Publish(ctx, tables, []byte("{}")), quicktest.IsNil)
 }
 
-// startTarget starts the process of a target, and announces it until it ends.
-func (f *fleet) startTarget(ctx context.Context, pool string) {
+// startTarget starts the process of a target at an address of its own, and announces it until it ends.
+func (f *fleet) startTarget(ctx context.Context, pool string) { f.startTargetAt(ctx, pool, "") }
+
+// startTargetAt starts the process of a target at an address, or at one of its own.
+func (f *fleet) startTargetAt(ctx context.Context, pool, address string) {
 	f.mu.Lock()
 	f.started++
 	n := f.started
 	f.mu.Unlock()
+	if address == "" {
+		address = fmt.Sprintf("10.0.2.%d:80", n)
+	}
+	fleetCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	e := &testTarget{fleet: f, number: n, stop: cancel, Target: site.Target{
-		ID: fmt.Sprintf("%s-%03d", pool, n), Pool: pool, Address: fmt.Sprintf("10.0.2.%d:80", n), DataCentre: "dc", Slots: 16, State: site.Ready, StartedMs: int64(n),
+		ID: fmt.Sprintf("%s-%03d", pool, n), Pool: pool, Address: address, DataCentre: "dc", Slots: 16, State: site.Ready, StartedMs: int64(n),
 	}}
 	e.http = &http.Server{Handler: e}
 	ln, err := f.net.Listen(e.Address)
 	quicktest.Assert(f.t, err, quicktest.IsNil)
+	e.listener = ln
 	f.wait.Go(func() { _ = e.http.Serve(ln) })
 	f.wait.Go(func() {
 		defer e.http.Close()
+		defer func() {
+			if e.isSilent() {
+				<-fleetCtx.Done()
+			}
+		}()
 		for ctx.Err() == nil {
 			e.Sequence++
 			// A control instance without a leader refuses, and the next announcement counts.
@@ -216,6 +230,38 @@
 	})
 }
 
+// replace ends the process, and starts another one at the same address after a time. If it is silent,
+// it keeps its connections open and accepts others until then.
+func (e *testTarget) replace(ctx context.Context, silent bool, after time.Duration) {
+	f := e.fleet
+	f.mu.Lock()
+	if e.crashed {
+		f.mu.Unlock()
+		return
+	}
+	e.crashed, e.silent = true, silent
+	f.crashes = append(f.crashes, time.Now())
+	f.mu.Unlock()
+	e.stop()
+	if !silent {
+		e.http.Close()
+	}
+	f.wait.Go(func() {
+		select {
+		case <-ctx.Done():
+		case <-time.After(after):
+			e.listener.Close()
+			f.startTargetAt(ctx, e.Pool, e.Address)
+		}
+	})
+}
+
+func (e *testTarget) isSilent() bool {
+	e.fleet.mu.Lock()
+	defer e.fleet.mu.Unlock()
+	return e.silent
+}
+
 // ServeHTTP records a request and serves it.
 func (e *testTarget) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c, s, err := platform.DecodeRequest(r.Header)
@@ -228,7 +274,29 @@
 	f.mu.Lock()
 	f.arrivals = append(f.arrivals, arrival{time.Now(), c, e.ID, r.RemoteAddr})
 	f.mu.Unlock()
-	f.serve(e, w, c)
+	f.serve(e, &silenceWriter{w, e, r.Context()}, c)
+	if e.isSilent() {
+		<-r.Context().Done()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// silenceWriter writes nothing once the process of its target is silent.
+type silenceWriter struct {
+	http.ResponseWriter
+	target *testTarget
+	// ctx ends with the connection.
+	ctx context.Context
+}
+
+func (w *silenceWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+func (w *silenceWriter) Write(b []byte) (int, error) {
+	if w.target.isSilent() {
+		<-w.ctx.Done()
+		return 0, w.ctx.Err()
+	}
+	return w.ResponseWriter.Write(b)
 }
 
 // writeHead sets the headers of a response.
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -61,8 +61,10 @@
 // crash is one process that ended.
 type crash struct {
 	Crash
-	at, reportedAt time.Time
-	requests       []request
+	// at is when the process had ended at the latest, and earliest when it still ran. They are equal
+	// if its end itself was noticed.
+	at, earliest, reportedAt time.Time
+	requests                 []request
 	// explained is set if one of the requests has the segments of a block, and explainedByPrompt if
 	// that is a block of segments of prompts.
 	explained, explainedByPrompt bool
@@ -115,16 +117,39 @@
 	for _, known := range d.crashes {
 		if known.Target == c.Target && known.StartedMs == c.StartedMs {
 			known.requests = append(known.requests, requests...)
+			known.narrow(at, c.Window)
 			return
 		}
 	}
 	if len(d.crashes) >= maxCrashes {
 		d.crashes = slices.Delete(d.crashes, 0, 1)
 	}
-	d.crashes = append(d.crashes, &crash{Crash: c, at: at, reportedAt: now, requests: requests})
+	d.crashes = append(d.crashes, &crash{Crash: c, at: at, earliest: at.Add(-c.Window), reportedAt: now, requests: requests})
 	d.forget(now)
 }
 
+// isExact reports whether the end of the process itself was noticed.
+func (c *crash) isExact() bool { return c.earliest.Equal(c.at) }
+
+// narrow takes over the times of another report of the same crash, as far as they tell more.
+func (c *crash) narrow(at time.Time, window time.Duration) {
+	switch {
+	case c.isExact():
+	case window == 0:
+		c.at, c.earliest = at, at
+	default:
+		if at.Before(c.at) {
+			c.at = at
+		}
+		if earliest := at.Add(-window); earliest.After(c.earliest) {
+			c.earliest = earliest
+		}
+		if c.earliest.After(c.at) {
+			c.earliest = c.at
+		}
+	}
+}
+
 // TracksRequests reports whether whole requests are suspects or blocked, so that their segments are
 // needed to find and to lift blocks.
 func (d *Detector) TracksRequests() bool {
@@ -249,7 +274,7 @@
 		if now.Sub(c.at) > handoverTime {
 			continue
 		}
-		out := Crash{Target: c.Target, StartedMs: c.StartedMs, Age: now.Sub(c.at)}
+		out := Crash{Target: c.Target, StartedMs: c.StartedMs, Age: now.Sub(c.at), Window: c.at.Sub(c.earliest)}
 		for _, q := range c.requests {
 			out.Suspects, out.Sends = append(out.Suspects, q.segments), append(out.Sends, q.report(c.at))
 			for _, p := range q.segments {
@@ -328,7 +353,7 @@
 func (d *Detector) explain(now time.Time, c *crash) (renewed []Block) {
 	for _, b := range d.blocks {
 		// Requests that were sent before the block may still crash targets.
-		if c.markExplained(b) && c.at.After(b.until) {
+		if c.markExplained(b) && c.earliest.After(b.until) {
 			renewed = append(renewed, d.renew(now, b))
 		}
 	}
@@ -433,21 +458,23 @@
 // add counts a crash under a request that has the segment. Crashes within separation of the last one
 // that counted form a group, which counts as often as one request of it has crashed targets one after
 // the other: it was sent to the next one when the one before had ended, so these did not end together.
+// A crash of which only an interval is known counts if all of that is later than the last one: targets
+// that fall silent together are replaced one after the other.
 func (s *suspect) add(c *crash, q request, r rule) {
 	s.requests++
-	if s.crashes == 0 || c.at.Sub(s.last) >= separation {
+	if s.crashes == 0 || c.earliest.Sub(s.last) >= separation {
 		s.group, s.chains = 0, make(map[string]chain)
 	}
 	length := 1
 	former, known := s.chains[q.name]
 	switch {
 	case !known:
-	case q.name != "" && c.at.After(former.last) && (q.repeated || q.sentAt.After(former.last)):
+	case q.name != "" && c.isExact() && c.at.After(former.last) && (q.repeated && former.exact || q.sentAt.After(former.last)):
 		length = former.length + 1
 	default:
 		return
 	}
-	s.chains[q.name] = chain{length, c.at}
+	s.chains[q.name] = chain{length, c.at, c.isExact()}
 	if length <= s.group || q.name != "" && !r.ofRequests && s.byRequest[q.name] >= maxRequestCrashes {
 		return
 	}
@@ -470,6 +497,8 @@
 type chain struct {
 	length int
 	last   time.Time
+	// exact is crash.isExact of the last one.
+	exact bool
 }
 
 func (s *suspect) isWorse(o suspect) bool {
--- a/internal/poison/detector_test.go
+++ b/internal/poison/detector_test.go
@@ -259,6 +259,12 @@
 	place int
 	// learnAfter is the number of crashes after which what causes them must be known.
 	learnAfter int
+	// learnTime is the time for that after the crash; 0 means the usual one.
+	learnTime time.Duration
+	// replaced is set if only the next process of an engine shows that one crashed, which is there
+	// after backAfter, and silent if the connections of a crashed engine stay open.
+	replaced, silent bool
+	backAfter        time.Duration
 }
 
 // replay is a fleet under load whose engines also end for other reasons, with or without requests
@@ -278,6 +284,12 @@
 	blocks        []Block
 	// sent and refused count the sound requests.
 	sent, refused int
+
+	// watch, the number of the process of each engine, and what happens later are for
+	// replayLoad.replaced.
+	watch       Watch
+	generations []int
+	later       []laterEvent
 }
 
 type replayRequest struct {
@@ -311,11 +323,19 @@
 	r := &replay{
 		load: load, rng: rand.New(rand.NewPCG(seed, 1)),
 		running: make([][]*replayRequest, load.engines), backAt: make([]time.Time, load.engines),
+		generations: make([]int, load.engines),
+	}
+	if load.learnTime == 0 {
+		r.load.learnTime = learnTime
+	}
+	for e := range load.engines {
+		r.watch.Update(time.Now(), []Sighting{{Process: r.process(e)}})
 	}
 	perTick := func(perSecond float64) bool { return r.rng.IntN(1000) < int(perSecond*1000/float64(ticksPerSecond)) }
 	wasSettling := false
 	for i := range int(load.length / replayTick) {
 		time.Sleep(replayTick)
+		r.runLater()
 		for e := range r.running {
 			r.advance(e)
 		}
@@ -378,9 +398,12 @@
 	const writeTime = 1700 * time.Millisecond
 	for _, q := range r.running[e] {
 		age := time.Since(q.writesAt)
+		if age >= 0 && r.load.replaced {
+			r.watch.Alive(time.Now(), r.process(e))
+		}
 		if q.bad && age >= r.load.crashTime {
 			if r.crashes++; r.crashes == r.load.learnAfter {
-				r.learntAt = time.Now().Add(learnTime)
+				r.learntAt = time.Now().Add(r.load.learnTime)
 			}
 			r.end(e)
 			return
@@ -400,6 +423,12 @@
 // end ends the process of an engine, and reports the crash.
 func (r *replay) end(e int) {
 	r.ended++
+	if r.load.replaced {
+		if time.Now().After(r.backAt[e]) {
+			r.endReplaced(e)
+		}
+		return
+	}
 	c := Crash{Target: fmt.Sprint(r.ended)}
 	for _, q := range r.running[e] {
 		if time.Since(q.writesAt) < SurvivalTime {
--- a/internal/poison/event.go
+++ b/internal/poison/event.go
@@ -35,6 +35,9 @@
 	// Sends tells of each of the Suspects how it was sent. It may be shorter: instances of older
 	// builds don't report it.
 	Sends []Send `cbor:"5,keyasint,omitempty"`
+	// Window is how long before Age the process may have ended at the earliest; 0 if the end itself
+	// was noticed.
+	Window time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Send tells how a request was sent to a target that crashed.
--- /dev/null
+++ b/internal/poison/watch_test.go
@@ -0,0 +1,249 @@
+package poison
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+)
+
+// sightings of a target that is replaced.
+var (
+	former      = Process{Target: "t", Address: "a", StartedMs: 1}
+	sameID      = Sighting{Process: Process{Target: "t", Address: "b", StartedMs: 2}}
+	sameAddress = Sighting{Process: Process{Target: "u", Address: "a", StartedMs: 2}}
+)
+
+// TestReplacedProcess: a process that was replaced without having left must count as crashed for the
+// sends that had failed, and no other, least of all one that only fell silent or a planned restart.
+func TestReplacedProcess(t *testing.T) {
+	gone := Sighting{Process: former, Gone: true}
+	for name, c := range map[string]struct {
+		// meanwhile happens between the failure of a send and the changes.
+		meanwhile func(w *Watch)
+		changes   []Sighting
+		silent    bool
+		want      bool
+	}{
+		"same ID":                {nil, []Sighting{sameID}, false, true},
+		"same address":           {nil, []Sighting{gone, sameAddress}, false, true},
+		"silent":                 {nil, []Sighting{gone, sameAddress}, true, true},
+		"no new process":         {nil, nil, true, false},
+		"deregistered":           {nil, []Sighting{gone}, true, false},
+		"same process":           {nil, []Sighting{{Process: former}}, true, false},
+		"earlier process":        {nil, []Sighting{{Process: Process{Target: "u", Address: "a"}}}, true, false},
+		"another target":         {nil, []Sighting{{Process: Process{Target: "u", Address: "b", StartedMs: 2}}}, true, false},
+		"sign of life":           {func(w *Watch) { w.Alive(time.Now(), former) }, []Sighting{sameID}, false, false},
+		"drained":                {func(w *Watch) { w.Update(time.Now(), []Sighting{{Process: former, Leaving: true}}) }, []Sighting{sameID}, false, false},
+		"said that it leaves":    {func(w *Watch) { w.Leave(former) }, []Sighting{sameID}, false, false},
+		"deregistered, replaced": {func(w *Watch) { w.Update(time.Now(), []Sighting{gone}) }, []Sighting{sameAddress}, false, false},
+		"long ago":               {func(*Watch) { time.Sleep(replacementTime) }, []Sighting{sameID}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var w Watch
+				w.Update(time.Now(), []Sighting{{Process: former}})
+				sentAt := time.Now()
+				time.Sleep(time.Second)
+				w.Fail(time.Now(), former, FailedSend{Segments: []string{"s"}, SentAt: sentAt, FailedAt: time.Now(), Silent: c.silent})
+				time.Sleep(time.Second)
+				if c.meanwhile != nil {
+					c.meanwhile(&w)
+				}
+				got := w.Update(time.Now(), c.changes)
+				quicktest.Assert(t, len(got) == 1, quicktest.Equals, c.want)
+				quicktest.Assert(t, w.HasCrashed(former), quicktest.Equals, c.want || name == "sign of life" || name == "long ago")
+				if !c.want {
+					return
+				}
+				want := Crash{Target: "t", StartedMs: 1, Age: time.Second, Suspects: [][]string{{"s"}}, Sends: []Send{{Age: time.Second}}}
+				if c.silent {
+					want.Age, want.Window, want.Sends[0].Age = 0, 2*time.Second, 2*time.Second
+				}
+				quicktest.Assert(t, got[0], quicktest.DeepEquals, want)
+				// A send that fails later is evidence at once.
+				_, ok := w.Fail(time.Now(), former, FailedSend{Segments: []string{"s"}, SentAt: sentAt, FailedAt: time.Now(), Silent: true})
+				quicktest.Assert(t, ok, quicktest.IsTrue)
+			})
+		})
+	}
+}
+
+// TestSilentTargetsThatEndTogether: targets of a rack fall silent at one instant, while each has a
+// popular request, and are replaced one after the other. That says nothing about the request.
+func TestSilentTargetsThatEndTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var d Detector
+		var w Watch
+		process := func(i int, startedMs int64) Process {
+			return Process{Target: fmt.Sprint(i), Address: fmt.Sprint(i), StartedMs: startedMs}
+		}
+		const targets = 8
+		for i := range targets {
+			w.Update(time.Now(), []Sighting{{Process: process(i, 1)}})
+		}
+		time.Sleep(time.Second)
+		for i := range targets {
+			// The requests were sent, and given up, at different times.
+			sentAt := time.Now().Add(-time.Duration(i) * 100 * time.Millisecond)
+			w.Fail(time.Now(), process(i, 1), FailedSend{Segments: []string{RequestSegment("popular")}, SentAt: sentAt, FailedAt: time.Now(), Silent: true})
+		}
+		for i := range targets {
+			time.Sleep(time.Second)
+			for _, c := range w.Update(time.Now(), []Sighting{{Process: process(i, 2)}}) {
+				d.AddCrash(time.Now(), c)
+			}
+			time.Sleep(SettleTime)
+			quicktest.Assert(t, d.Evaluate(time.Now()), quicktest.HasLen, 0)
+		}
+		quicktest.Assert(t, d.crashes, quicktest.HasLen, targets)
+	})
+}
+
+// TestReportsNarrowCrash: what several instances know of the time of one crash must be joined.
+func TestReportsNarrowCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var d Detector
+		time.Sleep(time.Minute)
+		now := time.Now()
+		for _, c := range []struct{ age, window, wantAge, wantWindow time.Duration }{
+			{time.Second, 4 * time.Second, time.Second, 4 * time.Second},
+			{2 * time.Second, 2 * time.Second, 2 * time.Second, 2 * time.Second},
+			{time.Second, 5 * time.Second, 2 * time.Second, 2 * time.Second},
+			{3 * time.Second, 0, 3 * time.Second, 0},
+			{time.Second, 3 * time.Second, 3 * time.Second, 0},
+		} {
+			d.AddCrash(now, Crash{Target: "t", Age: c.age, Window: c.window, Suspects: [][]string{{"s"}}})
+			crashes, _ := d.Evidence(now)
+			quicktest.Assert(t, crashes, quicktest.HasLen, 1)
+			quicktest.Assert(t, [2]time.Duration{crashes[0].Age, crashes[0].Window}, quicktest.Equals, [2]time.Duration{c.wantAge, c.wantWindow})
+		}
+	})
+}
+
+// TestReplayOfReplacedProcesses replays fleets in which only the next process of an engine shows that
+// the former one crashed: the connections of some ended, those of others fell silent. A request or a
+// segment that crashes engines must be blocked in the end, without such ones nothing may be, and in
+// all fewer than a thousandth of the sound requests.
+func TestReplayOfReplacedProcesses(t *testing.T) {
+	const (
+		seeds           = 32
+		allowedLate     = 3
+		soundPerRefused = 1000
+		// manyRestarts is a seed in which many restarts passed until a rare segment was blocked.
+		manyRestarts = 148
+	)
+	var mu sync.Mutex
+	sent, refused, crashes, worst := 0, 0, 0, 0
+	play := func(t *testing.T, seed uint64) {
+		load := resendLoad(seed)
+		rng := rand.New(rand.NewPCG(seed, 3))
+		load.length, load.replaced, load.silent = 90*time.Second, true, seed%8 >= 4
+		load.backAfter = []time.Duration{0, 500 * time.Millisecond, 3 * time.Second}[rng.IntN(3)]
+		load.learnTime = load.backAfter + learnTime
+		if load.silent {
+			// Engines that fall silent within one restart count once, so each crash that counts takes a
+			// restart and the time until the next request comes. Two more restarts are the margin.
+			load.backAfter = 3 * time.Second
+			perCrash := load.backAfter + maxHeartbeat + time.Duration(float64(time.Second)/load.bad)
+			load.learnAfter, load.learnTime = 1, (knownCrashLimit+2)*perCrash
+		}
+		synctest.Test(t, func(t *testing.T) {
+			r := playReplay(seed, load)
+			quicktest.Check(t, r.late <= allowedLate, quicktest.IsTrue, quicktest.Commentf("seed %d: %d late requests, %d crashes, %+v", seed, r.late, r.crashes, load))
+			mu.Lock()
+			defer mu.Unlock()
+			sent, refused, crashes, worst = sent+r.sent, refused+r.refused, crashes+r.crashes, max(worst, r.late)
+		})
+		synctest.Test(t, func(t *testing.T) {
+			load.bad = 0
+			r := playReplay(seed, load)
+			quicktest.Check(t, r.blocks, quicktest.HasLen, 0, quicktest.Commentf("seed %d without crashers", seed))
+		})
+	}
+	t.Run("seeds", func(t *testing.T) {
+		const groups = 8
+		for g := range uint64(groups) {
+			t.Run(fmt.Sprint(g), func(t *testing.T) {
+				t.Parallel()
+				for seed := g; seed < seeds; seed += groups {
+					play(t, seed)
+				}
+			})
+		}
+		t.Run("many restarts", func(t *testing.T) {
+			t.Parallel()
+			play(t, manyRestarts)
+		})
+	})
+	t.Logf("%d of %d sound requests refused, %.1f crashes and at most %d late requests a seed", refused, sent, float64(crashes)/(seeds+1), worst)
+	quicktest.Check(t, refused*soundPerRefused < sent, quicktest.IsTrue, quicktest.Commentf("%d of %d sound requests refused", refused, sent))
+}
+
+// maxHeartbeat is how long after its start the announcement of a process may come.
+const maxHeartbeat = 1200 * time.Millisecond
+
+// process returns the current process of an engine.
+func (r *replay) process(e int) Process {
+	return Process{Target: fmt.Sprint("e", e), Address: fmt.Sprint("e", e), StartedMs: int64(r.generations[e])}
+}
+
+// endReplaced ends an engine whose crash only the next process shows.
+func (r *replay) endReplaced(e int) {
+	// giveUpTime is how long instances wait for an answer.
+	const giveUpTime = 300 * time.Millisecond
+	p := r.process(e)
+	backAt := time.Now().Add(r.load.backAfter)
+	seenAt := backAt.Add(time.Duration(r.rng.IntN(int(maxHeartbeat/time.Millisecond))) * time.Millisecond)
+	failedAt := time.Now()
+	if r.load.silent {
+		failedAt = failedAt.Add(giveUpTime)
+	}
+	for _, q := range r.running[e] {
+		if time.Since(q.writesAt) < SurvivalTime {
+			r.later = append(r.later, laterEvent{failedAt, func() {
+				r.report(r.watch.Fail(time.Now(), p, FailedSend{Segments: q.segments, SentAt: q.sentAt, FailedAt: failedAt, Silent: r.load.silent, Repeated: q.repeated && !r.load.silent}))
+			}})
+		}
+		if !q.repeated {
+			r.resends = append(r.resends, &replayRequest{segments: q.segments, bad: q.bad, repeated: true, resendAt: failedAt.Add(r.load.resendAfter)})
+		}
+	}
+	r.running[e], r.backAt[e] = nil, seenAt
+	r.later = append(r.later, laterEvent{seenAt, func() {
+		r.generations[e]++
+		for _, c := range r.watch.Update(time.Now(), []Sighting{{Process: r.process(e)}}) {
+			r.report(c, true)
+		}
+	}})
+}
+
+// report adds a crash that the watch has found.
+func (r *replay) report(c Crash, ok bool) {
+	if ok {
+		r.AddCrash(time.Now(), c)
+	}
+}
+
+// laterEvent is something that happens at a time in a replay.
+type laterEvent struct {
+	at time.Time
+	do func()
+}
+
+// runLater runs what is due.
+func (r *replay) runLater() {
+	due := r.later
+	r.later = nil
+	for _, l := range due {
+		if time.Now().Before(l.at) {
+			r.later = append(r.later, l)
+		} else {
+			l.do()
+		}
+	}
+}
--- a/internal/reg/machine.go
+++ b/internal/reg/machine.go
@@ -27,7 +27,8 @@
 	// same one.
 	deltas map[deltaKey]Delta
 	// changed is closed on the next change of the state; nil if there are no waiters.
-	changed chan struct{}
+	changed  chan struct{}
+	departed departed
 }
 
 var _ quorum.StateMachine = (*Machine)(nil)
@@ -129,6 +130,7 @@
 	if err != nil {
 		r.Error = err.Error()
 	} else {
+		m.departed.note(&m.state, c)
 		r = m.state.Apply(c)
 	}
 	if r.Changed {
