link: entries go back to the new leader, and not between cut-off instances

(c) Links to instances that don't lead last 300, 600, then 1,000 ms; two in a row at cut-off ones are 1.6 s of the 2 s allowed.

Change: after EOF of a link to an instance that did not lead, it is tried first. Welcome.Term (CBOR key 4, optional) lets an entry ignore a leader that has answered that it doesn't lead in the same term. maxFollowerLink is 600 ms.

--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -84,9 +84,14 @@
 func (s *Server) describeControl(leading bool) *link.Welcome {
 	w := &link.Welcome{IsLeader: leading}
 	n := s.replica()
+	st := n.Status()
 	if addr, ok := n.Leader(); ok && !leading && addr != s.PeerAddr {
 		w.LeaderAddr = addr
 	}
+	// A replica that was elected leads before this instance does.
+	if !leading && !st.IsLeader {
+		w.Term = st.Term
+	}
 	for _, r := range n.Status().Config.Replicas {
 		w.ControlAddrs = append(w.ControlAddrs, r.Addr)
 	}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"maps"
 	"math"
 	"slices"
@@ -38,9 +39,10 @@
 	// followerLink is how long a link to a control instance that does not lead is kept. It
 	// doubles with each such link in a row, up to maxFollowerLink. The peer names the leader
 	// as soon as it knows it, but one that is cut off from the others never does, and its
-	// registry falls behind.
+	// registry falls behind. Of five control instances two may be cut off and be asked one after the
+	// other; with 1 s each, tables were in force later than 2 s after they were accepted.
 	followerLink    = 300 * time.Millisecond
-	maxFollowerLink = time.Second
+	maxFollowerLink = 600 * time.Millisecond
 )
 
 // Follower handles what a Client receives, and supplies what it sends.
@@ -114,6 +116,8 @@
 	confirmed bool
 	// notLeading is when each control instance last answered without leading.
 	notLeading map[string]time.Time
+	// deposed holds the term in which each control instance last answered that it doesn't lead.
+	deposed map[string]uint64
 	// followerLinks counts the links to instances that don't lead since the last one that did.
 	followerLinks int
 	// cancelSession ends the session.
@@ -229,6 +233,7 @@
 		add(all[(start+uint64(i))%uint64(len(all))])
 	}
 	maps.DeleteFunc(c.notLeading, func(a string, _ time.Time) bool { return !slices.Contains(out, a) })
+	maps.DeleteFunc(c.deposed, func(a string, _ uint64) bool { return !slices.Contains(out, a) })
 	slices.SortStableFunc(out[first:], func(a, b string) int { return c.notLeading[a].Compare(c.notLeading[b]) })
 	return out
 }
@@ -245,14 +250,20 @@
 		return false
 	}
 	defer s.Stream.Close()
-	c.noteLeading(addr, w.IsLeader)
+	c.noteLeading(addr, w)
 	if c.Suspended != nil && c.Suspended() {
 		return true
 	}
 	confirmed := c.confirm(addr, w)
-	if !w.IsLeader && w.LeaderAddr != "" && w.LeaderAddr != addr && c.setLeader(w.LeaderAddr) {
-		// The next round tries the leader first.
-		return true
+	if !w.IsLeader && w.LeaderAddr != "" && w.LeaderAddr != addr {
+		if c.isOutdated(w) {
+			// The peer is behind, and perhaps cut off. The next round asks another one.
+			return true
+		}
+		if c.setLeader(w.LeaderAddr) {
+			// The next round tries the leader first.
+			return true
+		}
 	}
 	if !confirmed {
 		// The registry of one control instance without a leader may be outdated, so the
@@ -268,29 +279,43 @@
 	err = s.Run(ctx)
 	c.detach(s)
 	c.Log.Info().Str("peer", addr).Err(err).Msg("link to control instance ended")
-	if w.IsLeader {
+	switch {
+	case w.IsLeader:
 		c.dropLeader(addr)
+	case errors.Is(err, io.EOF):
+		// Control instances close their links when they begin to lead, so the next round tries
+		// this one first.
+		c.setLeader(addr)
 	}
 	return true
 }
 
 // noteLeading notes whether a control instance leads. One that doesn't is no longer taken for the
 // leader.
-func (c *Client) noteLeading(addr string, leads bool) {
+func (c *Client) noteLeading(addr string, w *Welcome) {
 	c.mu.Lock()
 	if c.notLeading == nil {
-		c.notLeading = make(map[string]time.Time)
+		c.notLeading, c.deposed = make(map[string]time.Time), make(map[string]uint64)
 	}
 	delete(c.notLeading, addr)
-	if !leads {
-		c.notLeading[addr] = time.Now()
+	delete(c.deposed, addr)
+	if !w.IsLeader {
+		c.notLeading[addr], c.deposed[addr] = time.Now(), w.Term
 	}
 	c.mu.Unlock()
-	if !leads {
+	if !w.IsLeader {
 		c.dropLeader(addr)
 	}
 }
 
+// isOutdated reports whether a Welcome names a leader that has itself answered that it doesn't lead in
+// that term: who has lost its leadership never leads again in the same term.
+func (c *Client) isOutdated(w *Welcome) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return w.Term > 0 && w.Term <= c.deposed[w.LeaderAddr]
+}
+
 // countFollowerLink counts a link to an instance that does not lead, and returns how many came
 // before it.
 func (c *Client) countFollowerLink() int {
@@ -431,7 +456,7 @@
 	}
 	c.mu.Unlock()
 	c.dispatch(m)
-	if w := m.Welcome; w != nil && !w.IsLeader && w.LeaderAddr != "" && c.setLeader(w.LeaderAddr) {
+	if w := m.Welcome; w != nil && !w.IsLeader && w.LeaderAddr != "" && !c.isOutdated(w) && c.setLeader(w.LeaderAddr) {
 		return errLeaderKnown
 	}
 	return nil
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -147,6 +147,9 @@
 	LeaderAddr string `cbor:"2,keyasint,omitempty"`
 	// ControlAddrs are the peer addresses of all control instances.
 	ControlAddrs []string `cbor:"3,keyasint,omitempty"`
+	// Term is the term of the log in which the sender doesn't lead, or in which LeaderAddr does; 0 if
+	// it isn't known, as with older builds.
+	Term uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // ControlMessage is a message from a control instance. Every message counts as a heartbeat
