cmds: bamboo tables check

Cause: what a site refuses, or accepts without effect, showed only after tables were sent, and the platform's form could not be checked at all.

--- a/internal/cmds/tables.go
+++ b/internal/cmds/tables.go
@@ -44,6 +44,7 @@
 			Name: "diff", Usage: "compare a file with the tables in force", ArgsUsage: "FILE",
 			Action: diff, Flags: clientFlags(jsonFlag()),
 		},
+		tablesCommand(),
 	}
 }
 
