--- a/internal/link/client_test.go
+++ b/internal/link/client_test.go
@@ -56,31 +56,7 @@
 func (c *controls) start(ctx context.Context, n int) {
 	for i := range n {
 		s := &wire.Server{Streams: []wire.StreamMethod{{Name: Method, Run: func(ctx context.Context, st *wire.Stream) error {
-			var first FollowerMessage
-			if err := st.Receive(&first); err != nil {
-				return err
-			}
-			w := c.welcome(i)
-			for k := range n {
-				w.ControlAddrs = append(w.ControlAddrs, controlAddr(k))
-			}
-			if err := st.Send(&ControlMessage{Welcome: &w}); err != nil {
-				return err
-			}
-			s := NewSession[FollowerMessage, ControlMessage](st)
-			s.OnMessage = func(context.Context, *FollowerMessage) error { return nil }
-			if i == c.leader && !w.IsLeader {
-				go func() {
-					select {
-					case <-c.changed:
-						c.wasLinked.Store(true)
-						st.Close()
-					case <-ctx.Done():
-					}
-				}()
-			}
-			_ = s.Run(ctx)
-			return nil
+			return c.serve(ctx, st, i, n)
 		}}}}
 		ln, err := c.net.Listen(controlAddr(i))
 		quicktest.Assert(c.t, err, quicktest.IsNil)
@@ -88,6 +64,38 @@
 	}
 }
 
+// serve serves a link to instance i of n.
+func (c *controls) serve(ctx context.Context, st *wire.Stream, i, n int) error {
+	var first FollowerMessage
+	if err := st.Receive(&first); err != nil {
+		return err
+	}
+	w := c.welcome(i)
+	for k := range n {
+		w.ControlAddrs = append(w.ControlAddrs, controlAddr(k))
+	}
+	if err := st.Send(&ControlMessage{Welcome: &w}); err != nil {
+		return err
+	}
+	s := NewSession[FollowerMessage, ControlMessage](st)
+	s.OnMessage = func(context.Context, *FollowerMessage) error { return nil }
+	if i == c.leader && !w.IsLeader {
+		go c.closeOnChange(ctx, st)
+	}
+	_ = s.Run(ctx)
+	return nil
+}
+
+// closeOnChange closes a link when its instance begins to lead.
+func (c *controls) closeOnChange(ctx context.Context, st *wire.Stream) {
+	select {
+	case <-c.changed:
+		c.wasLinked.Store(true)
+		st.Close()
+	case <-ctx.Done():
+	}
+}
+
 // linkTime returns how long after the change of leaders a client is linked to the leader.
 func (c *controls) linkTime(n int, name string, changeAfter time.Duration) time.Duration {
 	ctx, cancel := context.WithCancel(context.Background())
