--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -36,6 +36,7 @@
 		e.Int64("version", v.index.Tables.Version).Int("routes", len(v.index.Tables.Routes))
 	}
 	e.Msg("registry update applied")
+	s.blocklist.updateTargets(d.Targets)
 	s.health.dropNotices(v)
 	s.health.setColdRates(v, s.coldShares())
 	s.placer.updateCores(v)
