reg, link, hub, gate: evacuated data centres in the replicated state

Cause: operators have no means to keep requests away from a data centre as a whole.

Change: reg.State keeps the evacuated data centres with a counter of their own; the registry's revision stays. Control instances announce that they know the command, and the leader commits it only while the voters do. The list goes to the linked instances as ControlMessage.Evacuations. The scheduler's cores get targets there as draining, views of entries leave them out, relays refuse tunnels to them, and the audit after an election doesn't ask them; it is made up for when the evacuation ends.

--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -151,7 +151,7 @@
 	if s.drainingFor() > 0 {
 		w.Header().Set("Connection", "close")
 	}
-	if !x.prepare() {
+	if !x.prepare() || x.refuseIfEvacuated() {
 		return
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
--- a/internal/gate/tunnel.go
+++ b/internal/gate/tunnel.go
@@ -14,10 +14,11 @@
 var _ relay.Gate = (*Server)(nil)
 
 // AcceptsTunnel reports whether the address is that of a ready target that accepts requests of this
-// instance now. An instance that drains accepts no tunnel.
+// instance now. An instance that drains accepts no tunnel, nor does one whose view is not confirmed
+// yet: the data centre of the target may be evacuated.
 func (s *Server) AcceptsTunnel(address string) bool {
 	t, ok := s.readyTargetAt(address)
-	return ok && s.drainingFor() == 0 && !s.health.isClosed(t)
+	return ok && s.views.isUsable() && s.drainingFor() == 0 && !s.health.isClosed(t)
 }
 
 // HandleTunnelNotice records what a target asked for through a tunnel.
@@ -33,7 +34,7 @@
 		return site.Target{}, false
 	}
 	for _, t := range v.targets {
-		if t.Address == address && t.State == site.Ready {
+		if t.Address == address && v.isReady(t) {
 			return t, true
 		}
 	}
--- a/internal/gate/view.go
+++ b/internal/gate/view.go
@@ -18,6 +18,8 @@
 	revision uint64
 	index    *site.Index
 	targets  map[string]site.Target
+	// evacuations are the data centres whose targets count as not ready.
+	evacuations reg.Evacuations
 	// pools are the ready targets, by pool and sorted by ID.
 	pools map[string][]site.Target
 }
@@ -29,6 +31,8 @@
 	// usable is closed when there are tables that are confirmed.
 	usable    chan struct{}
 	confirmed bool
+	// evacuations is the newest list, which the next view gets.
+	evacuations reg.Evacuations
 }
 
 func (s *viewStore) setup() { s.usable = make(chan struct{}) }
@@ -89,7 +93,7 @@
 	if d.Revision <= old.revision {
 		return nil, nil
 	}
-	next := &view{revision: d.Revision, index: old.index, targets: make(map[string]site.Target, len(old.targets))}
+	next := &view{revision: d.Revision, index: old.index, targets: make(map[string]site.Target, len(old.targets)), evacuations: s.evacuations}
 	if d.PackedTables != nil {
 		t, err := reg.UnpackTables(d.PackedTables)
 		if err != nil {
@@ -116,7 +120,7 @@
 func (v *view) groupByPool() {
 	v.pools = make(map[string][]site.Target)
 	for _, t := range v.targets {
-		if t.State == site.Ready {
+		if v.isReady(t) {
 			v.pools[t.Pool] = append(v.pools[t.Pool], t)
 		}
 	}
@@ -128,5 +132,5 @@
 // readyTarget returns the target with this ID if it is ready and belongs to the pool.
 func (v *view) readyTarget(id, pool string) (site.Target, bool) {
 	t, ok := v.targets[id]
-	return t, ok && t.State == site.Ready && t.Pool == pool
+	return t, ok && v.isReady(t) && t.Pool == pool
 }
--- a/internal/hub/audit.go
+++ b/internal/hub/audit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -34,14 +35,28 @@
 // audit reads the load reports of the engines and subtracts work that no known grant accounts
 // for from their free capacity. Such work belongs to requests of instances that lost power:
 // the engine never sees their connections close, so it runs them until their time limit.
-// audit returns when no such work is left, after the longest time limit of a request, or
-// when ctx ends.
+// When the evacuation of a data centre ends, its engines are audited again: they were not asked
+// meanwhile. audit returns when ctx ends.
 func (s *Server) audit(ctx context.Context) {
 	if s.LoadReader == nil || !timing.Sleep(ctx, auditDelay) {
 		return
 	}
-	defer s.LoadReader.Close()
 	engines, limit := s.scheduler.readyEngines()
+	for {
+		s.auditUntilAccounted(ctx, engines, limit)
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.scheduler.auditWake:
+			engines, limit = s.scheduler.returnedEngines()
+		}
+	}
+}
+
+// auditUntilAccounted audits engines until no unaccounted work is left, until the longest time
+// limit of a request is over, or until ctx ends.
+func (s *Server) auditUntilAccounted(ctx context.Context, engines []site.Target, limit time.Duration) {
+	defer s.LoadReader.Close()
 	for end := time.Now().Add(limit); len(engines) > 0 && ctx.Err() == nil; {
 		remaining := s.auditEngines(ctx, engines)
 		s.Log.Info().Int("asked", len(engines)).Int("strange", len(remaining)).Msg("engine load audited")
@@ -54,6 +69,7 @@
 			return
 		}
 		timing.Sleep(ctx, auditInterval)
+		engines = s.scheduler.withoutEvacuated(engines)
 	}
 }
 
@@ -98,13 +114,31 @@
 		limit = max(limit, tables.Routes[i].Limit)
 	}
 	for _, t := range s.server.registry.Targets() {
-		if s.cores[t.Pool] != nil && t.State == site.Ready {
+		if s.cores[t.Pool] != nil && t.State == site.Ready && !s.evacuated.Has(t.DataCentre) {
 			list = append(list, t)
 		}
 	}
 	return list, limit
 }
 
+// returnedEngines returns those of readyEngines whose data centres are no longer evacuated since
+// the last call.
+func (s *scheduler) returnedEngines() (list []site.Target, limit time.Duration) {
+	list, limit = s.readyEngines()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list = slices.DeleteFunc(list, func(t site.Target) bool { return !slices.Contains(s.returned, t.DataCentre) })
+	s.returned = nil
+	return list, limit
+}
+
+// withoutEvacuated returns the engines of a list that may be asked for their load.
+func (s *scheduler) withoutEvacuated(list []site.Target) []site.Target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.DeleteFunc(list, func(t site.Target) bool { return s.evacuated.Has(t.DataCentre) })
+}
+
 // applyLoad passes an engine's load report to the pools. It returns whether the engine has
 // memory in use that no grant accounts for.
 func (s *scheduler) applyLoad(id string, l site.Load) bool {
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -20,6 +20,9 @@
 // ApplyUpdate does nothing: the log replicates the registry.
 func (*follower) ApplyUpdate(*reg.Delta) {}
 
+// ApplyEvacuations does nothing: the log replicates the evacuated data centres.
+func (*follower) ApplyEvacuations(reg.Evacuations) {}
+
 // HandleGrant does nothing: control instances have no requests to place.
 func (*follower) HandleGrant(place.Grant) {}
 
--- a/internal/hub/leadership.go
+++ b/internal/hub/leadership.go
@@ -48,6 +48,7 @@
 	s.leading = leading
 	var open []*session
 	if changed {
+		s.knowsEvacuations, s.leadingSince = nil, time.Now()
 		for sess := range s.sessions {
 			open = append(open, sess)
 		}
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -42,6 +42,12 @@
 	timer *time.Timer
 	// fleetRevision is the registry revision last passed to the cores.
 	fleetRevision uint64
+	// evacuated are the evacuated data centres last passed to the cores.
+	evacuated reg.Evacuations
+	// returned are the data centres whose evacuation has ended and whose engines are to be
+	// audited; auditWake receives a value when there are any.
+	returned  []string
+	auditWake chan struct{}
 }
 
 // start begins to place requests. Earlier grants are unknown until entries report them.
@@ -54,7 +60,7 @@
 	s.pools = make(map[string]string)
 	s.lastSeen = make(map[string]time.Time)
 	s.limits = make(map[string]place.Limit)
-	s.fleetRevision = 0
+	s.fleetRevision, s.evacuated, s.returned = 0, reg.Evacuations{}, nil
 	s.syncFleets()
 }
 
@@ -74,10 +80,12 @@
 // changed.
 func (s *scheduler) syncFleets() {
 	revision, _ := s.server.registry.Revision()
-	if revision == s.fleetRevision {
+	evacuated := s.server.currentEvacuations()
+	if revision == s.fleetRevision && evacuated.Counter == s.evacuated.Counter {
 		return
 	}
-	s.fleetRevision = revision
+	ended := s.evacuated.Without(evacuated)
+	s.fleetRevision, s.evacuated = revision, evacuated
 	tables, _ := s.server.registry.Tables()
 	if tables == nil {
 		return
@@ -96,9 +104,12 @@
 			c = &place.Core{}
 			s.cores[p.Name] = c
 		}
-		s.step(c, place.Fleet{Engine: *p.Engine, Targets: byPool[p.Name]})
+		s.step(c, fleetOf(p, byPool[p.Name], evacuated))
 	}
 	s.syncLimits()
+	if len(ended) > 0 {
+		s.endEvacuations(ended)
+	}
 }
 
 // handle processes the placement requests and the reports in a message.
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -64,6 +64,8 @@
 	blocker   blocker
 	client    *link.Client
 	forwarder forwarder
+	// evacuations are the evacuated data centres as last seen in the registry.
+	evacuations evacuationTracker
 
 	mu       sync.Mutex
 	node     *quorum.Node
@@ -80,6 +82,10 @@
 	pendingHeartbeats map[string]bool
 	// pendingDrains are the departures of targets that are being committed.
 	pendingDrains map[link.Departure]bool
+	// knowsEvacuations holds what control instances have announced since this one leads, by peer
+	// address, and leadingSince is when it began to.
+	knowsEvacuations map[string]bool
+	leadingSince     time.Time
 
 	// auditGroup holds the audit that runs while this instance leads; cancelAudit ends it.
 	auditGroup  sync.WaitGroup
@@ -91,11 +97,11 @@
 	s.sessions = make(map[*session]struct{})
 	s.pendingHeartbeats = make(map[string]bool)
 	s.pendingDrains = make(map[link.Departure]bool)
-	s.scheduler.server = s
+	s.scheduler.server, s.scheduler.auditWake = s, make(chan struct{}, 1)
 	s.blocker.server = s
 	s.forwarder.server = s
 	s.client = &link.Client{
-		Self:  link.Hello{Name: s.Name, PeerAddr: s.PeerAddr, IsControl: true},
+		Self:  link.Hello{Name: s.Name, PeerAddr: s.PeerAddr, IsControl: true, Evacuates: true},
 		Calls: s.Calls, Follower: &follower{s}, Suspended: s.isLeader, Log: s.Log,
 	}
 	s.client.SetSeeds(s.SeedAddrs)
@@ -103,6 +109,7 @@
 	methods := []wire.Method{
 		{Name: readIndexMethod, New: func() any { return new(readIndexRequest) }, Run: s.handleReadIndex},
 		{Name: forwardMethod, New: func() any { return new(forwardRequest) }, Run: s.handleForward},
+		{Name: evacuateMethod, New: func() any { return new(reg.Evacuate) }, Run: s.handleEvacuate},
 	}
 	for _, m := range s.node.Methods() {
 		methods = append(methods, s.forward(m))
@@ -151,6 +158,7 @@
 	g.Go(func() error { return s.watchLeadership(ctx) })
 	g.Go(func() error { return s.client.Run(ctx) })
 	g.Go(func() error { return s.sweep(ctx) })
+	g.Go(func() error { return s.watchEvacuations(ctx) })
 	return g.Wait()
 }
 
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -26,6 +26,8 @@
 	toldLeader string
 	// sentCount is the number of ready instances last sent to it.
 	sentCount int
+	// sentEvacuations is the counter of the evacuations last sent to it.
+	sentEvacuations uint64
 }
 
 // helloTimeout bounds the wait for the first message of a link, which carries the Hello.
@@ -118,6 +120,7 @@
 	if sess.hello.IsControl {
 		return
 	}
+	s.addEvacuations(sess, m)
 	if m.Update == nil {
 		m.Since = sess.sentRevision
 	}
@@ -175,6 +178,7 @@
 func (s *Server) addSession(sess *session) {
 	s.mu.Lock()
 	s.sessions[sess] = struct{}{}
+	s.noteCapabilityLocked(sess.hello)
 	s.changeEntriesLocked()
 	s.mu.Unlock()
 }
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -49,6 +49,9 @@
 	Revision() uint64
 	// ApplyUpdate applies changes of the registry.
 	ApplyUpdate(d *reg.Delta)
+	// ApplyEvacuations receives the data centres that are evacuated, before updates of the
+	// same message are applied.
+	ApplyEvacuations(e reg.Evacuations)
 	// HandleGrant, HandleRefusal and HandleQueued report the state of a placement request:
 	// granted, refused or queued.
 	HandleGrant(g place.Grant)
@@ -447,6 +450,10 @@
 		c.controlAddrs = m.Welcome.ControlAddrs
 		c.mu.Unlock()
 	}
+	// Targets must not count as ready before it is known that they are evacuated.
+	if m.Evacuations != nil {
+		c.Follower.ApplyEvacuations(*m.Evacuations)
+	}
 	if m.Update != nil {
 		c.Follower.ApplyUpdate(m.Update)
 	}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -93,6 +93,8 @@
 	// Compact is set if the sender accepts updates with packed targets, and changes of the list
 	// of ready instances in place of whole lists.
 	Compact bool `cbor:"6,keyasint,omitempty"`
+	// Evacuates is set if the sender is a control instance that knows evacuations of data centres.
+	Evacuates bool `cbor:"7,keyasint,omitempty"`
 }
 
 // NoUpdates is the Revision of a follower that requests no registry updates.
@@ -180,6 +182,9 @@
 	// HasRelays is set.
 	Relays    []Entry `cbor:"13,keyasint,omitempty"`
 	HasRelays bool    `cbor:"14,keyasint,omitempty"`
+	// Evacuations are the data centres whose targets get no requests: the whole list, when a link
+	// opens and on a change. A receiver keeps the one with the highest counter.
+	Evacuations *reg.Evacuations `cbor:"16,keyasint,omitempty"`
 	// FormerEntries is the list that these changes begin at. It is not sent.
 	FormerEntries []Entry `cbor:"-"`
 }
--- /dev/null
+++ b/internal/reg/evacuation.go
@@ -0,0 +1,90 @@
+package reg
+
+import (
+	"slices"
+	"unicode"
+	"unicode/utf8"
+
+	"github.com/bambooproxy/bambooproxy/pkg/table"
+)
+
+const (
+	// maxDataCentreBytes bounds the name of an evacuated data centre.
+	maxDataCentreBytes = 128
+	// MaxEvacuations bounds the evacuated data centres: a whole list goes to each instance, and
+	// the names need not be known.
+	MaxEvacuations = 256
+)
+
+// Evacuations are the data centres whose targets get no requests. The zero value has none.
+type Evacuations struct {
+	// Counter is the number of changes so far. Of two lists, the one with the higher counter is
+	// the newer one.
+	Counter uint64 `cbor:"1,keyasint"`
+	// DataCentres are sorted and without duplicates. The slice is never modified.
+	DataCentres []string `cbor:"2,keyasint,omitempty"`
+}
+
+// Has reports whether a data centre is evacuated.
+func (e Evacuations) Has(dataCentre string) bool {
+	_, found := slices.BinarySearch(e.DataCentres, dataCentre)
+	return found
+}
+
+// Without returns the data centres of e that other doesn't have.
+func (e Evacuations) Without(other Evacuations) []string {
+	var out []string
+	for _, dc := range e.DataCentres {
+		if !other.Has(dc) {
+			out = append(out, dc)
+		}
+	}
+	return out
+}
+
+// Evacuate adds a data centre to those that are evacuated, or removes it.
+type Evacuate struct {
+	DataCentre string `cbor:"1,keyasint"`
+	// Withdrawn is set if the evacuation ends.
+	Withdrawn bool `cbor:"2,keyasint,omitempty"`
+}
+
+// Check rejects a data centre that can't be a name. The name need not be known: targets may
+// announce themselves there later.
+func (e *Evacuate) Check() error {
+	isForeign := func(r rune) bool { return r == '/' || unicode.IsSpace(r) || !unicode.IsGraphic(r) }
+	switch dc := e.DataCentre; {
+	case dc == "":
+		return &table.FieldError{Field: "data centre", Message: "missing"}
+	case len(dc) > maxDataCentreBytes:
+		return &table.FieldError{Field: "data centre", Message: "the name is too long"}
+	case !utf8.ValidString(dc) || slices.ContainsFunc([]rune(dc), isForeign):
+		return &table.FieldError{Field: "data centre", Message: "the name has a slash, a space or a character that is not printable"}
+	}
+	return nil
+}
+
+// evacuate changes the evacuated data centres and returns whether that changed them. The revision
+// stays: replicas of builds that don't know the command ignore it, and must keep the same one.
+func (s *State) evacuate(e *Evacuate) bool {
+	old := s.Evacuations.DataCentres
+	i, found := slices.BinarySearch(old, e.DataCentre)
+	if found != e.Withdrawn {
+		return false
+	}
+	// Readers hold the old list.
+	if e.Withdrawn {
+		s.Evacuations.DataCentres = slices.Concat(old[:i], old[i+1:])
+	} else {
+		s.Evacuations.DataCentres = slices.Concat(old[:i], []string{e.DataCentre}, old[i:])
+	}
+	s.Evacuations.Counter++
+	return true
+}
+
+// Evacuations returns the data centres that are evacuated.
+func (m *Machine) Evacuations() Evacuations {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.Evacuations
+}
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -33,6 +33,9 @@
 	TablesRevision uint64 `cbor:"4,keyasint"`
 	// Targets are sorted by ID.
 	Targets []Record `cbor:"5,keyasint"`
+	// Evacuations is left out while it is empty, so that snapshots of sites without evacuations
+	// stay as they were.
+	Evacuations Evacuations `cbor:"6,keyasint,omitzero"`
 }
 
 // Command is a change of the state. Exactly one field is set.
@@ -40,6 +43,7 @@
 	Publish    *Publish     `cbor:"1,keyasint,omitempty"`
 	Announce   *site.Target `cbor:"2,keyasint,omitempty"`
 	Deregister *Deregister  `cbor:"3,keyasint,omitempty"`
+	Evacuate   *Evacuate    `cbor:"4,keyasint,omitempty"`
 }
 
 // Publish replaces the tables if the new version is higher.
@@ -78,6 +82,8 @@
 		changed = s.announce(*c.Announce)
 	case c.Deregister != nil:
 		changed = s.deregister(*c.Deregister)
+	case c.Evacuate != nil:
+		changed = s.evacuate(c.Evacuate)
 	}
 	return Result{Changed: changed, Revision: s.Revision}
 }
