--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -36,6 +37,8 @@
 	controls map[string]*controlNode
 	// entries are keyed by peer address, like controls.
 	entries map[string]*entryNode
+	// former marks the addresses of control instances that run a build without evacuations.
+	former map[string]bool
 	// loadReader is given to control instances that start from now on.
 	loadReader LoadReader
 }
@@ -237,6 +240,10 @@
 	}
 	cl.controls[addr] = c
 	local.Methods, local.Streams = c.Setup()
+	if cl.former[addr] {
+		c.client.Self.Evacuates = false
+		local.Methods = slices.DeleteFunc(local.Methods, func(m wire.Method) bool { return m.Name == evacuateMethod })
+	}
 	ln, err := cl.net.Listen(addr)
 	quicktest.Assert(cl.t, err, quicktest.IsNil)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/hub/evacuation.go
+++ b/internal/hub/evacuation.go
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var r evacuateResponse
-	var err error
+	var err, reason error
 	for {
 		attemptCtx, cancelAttempt := context.WithTimeout(ctx, attemptTimeout)
 		switch leader, ok := s.replica().Leader(); {
@@ -64,10 +64,17 @@
 			err = s.Calls.Call(attemptCtx, leader, evacuateMethod, e, &r)
 		}
 		cancelAttempt()
+		if reason == nil || ctx.Err() == nil {
+			// An attempt that the end of the call cuts off says nothing.
+			reason = err
+		}
 		if err == nil || !timing.Sleep(ctx, retryInterval) {
 			break
 		}
 	}
+	if err != nil {
+		err = reason
+	}
 	result := "acknowledged"
 	if err != nil {
 		result = "refused"
