--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -37,9 +37,9 @@
 	}
 }
 
-// MarkCold takes all targets of a data centre for cold for the time that their pools declare for
+// markCold takes all targets of a data centre for cold for the time that their pools declare for
 // targets that have just started, until a later report says otherwise.
-func (s *Server) MarkCold(dataCentre string) {
+func (s *Server) markCold(dataCentre string) {
 	v := s.views.load()
 	if v == nil || v.index == nil {
 		return
--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -106,9 +106,9 @@
 		quicktest.Assert(t, s.call(idempotentPath, "body").status, quicktest.Equals, 200)
 		quicktest.Assert(t, strings.Count(s.logs.String(), "target is cold or no longer"), quicktest.Equals, 2)
 
-		s.gate.MarkCold("elsewhere")
+		s.gate.markCold("elsewhere")
 		quicktest.Assert(t, known(), quicktest.HasLen, 0)
-		s.gate.MarkCold("dc")
+		s.gate.markCold("dc")
 		quicktest.Assert(t, known(), quicktest.HasLen, 1)
 		s.gate.ApplyCold([]place.Cold{report})
 
@@ -154,7 +154,7 @@
 			s.targets[0].StartedMs, s.targets[0].Cold = 7, time.Minute
 			s.publish(2)
 			s.gate.ApplyCold([]place.Cold{{Target: s.targets[0].ID, StartedMs: 7, For: time.Minute}})
-			s.gate.MarkCold("dc")
+			s.gate.markCold("dc")
 			quicktest.Assert(t, s.play(s.targets[0], path, 2*time.Second), quicktest.Equals, before)
 			var m link.FollowerMessage
 			s.gate.FillHandover(&m)
--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -16,7 +16,7 @@
 	// its own. place takes targets for cold for longer than coldLonger beyond what it is told.
 	coldLonger  = 100 * time.Millisecond
 	coldShorter = time.Second
-	// markGuard is how long after Server.MarkCold a heartbeat without a cold time is ignored. It
+	// markGuard is how long after markCold a heartbeat without a cold time is ignored. It
 	// may have been sent before the target knew that it is cold: heartbeats come every 1.2 s, and
 	// may be late.
 	markGuard = 3 * time.Second
@@ -29,7 +29,7 @@
 	until     time.Time
 	// sequence is the number of the latest heartbeat that told.
 	sequence uint64
-	// markedAt is when Server.MarkCold last applied; zero if never.
+	// markedAt is when markCold last applied; zero if never.
 	markedAt time.Time
 }
 
@@ -120,32 +120,24 @@
 	return out
 }
 
-// MarkCold takes all targets of a data centre for cold for the time that their pools declare for targets
-// that have just started, until a later heartbeat says otherwise. It does nothing unless this instance
-// leads.
-func (s *Server) MarkCold(dataCentre string) {
-	c := &s.scheduler
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if !c.active {
-		return
-	}
-	c.syncFleets()
+// markCold takes all targets of a data centre for cold for the time that their pools declare for targets
+// that have just started, until a later heartbeat says otherwise. The caller holds mu.
+func (s *scheduler) markCold(dataCentre string) {
 	now := time.Now()
 	var changed []place.Cold
-	for _, t := range s.registry.Targets() {
-		p := s.coldPool(t.Pool)
+	for _, t := range s.server.registry.Targets() {
+		p := s.server.coldPool(t.Pool)
 		if t.DataCentre != dataCentre || p.ColdRate == 0 || p.ColdTime == 0 {
 			continue
 		}
-		st := c.coldOf(now, t)
+		st := s.coldOf(now, t)
 		st.markedAt = now
 		if until := now.Add(p.ColdTime); until.After(st.until) {
 			st.until = until
-			changed = append(changed, c.notice(now, t, st))
+			changed = append(changed, s.notice(now, t, st))
 		}
 	}
-	c.tellCold(now, changed, "marked")
+	s.tellCold(now, changed, "marked")
 }
 
 // coldPool returns a pool of the current tables, or an empty one.
--- a/internal/hub/cold_test.go
+++ b/internal/hub/cold_test.go
@@ -142,10 +142,10 @@
 		quicktest.Assert(t, cl.leader().Announce(t.Context(), coldTarget("1", 1, 0)), quicktest.IsNil)
 		quicktest.Assert(t, cl.leader().Announce(t.Context(), other), quicktest.IsNil)
 		time.Sleep(time.Second)
-		cl.follower().MarkCold("dc")
+		cl.follower().markCold("dc")
 		time.Sleep(time.Second)
 		cl.wantCold(0)
-		cl.leader().MarkCold("dc")
+		cl.leader().markCold("dc")
 		quicktest.Assert(t, cl.follower().Announce(t.Context(), coldTarget("1", 2, 0)), quicktest.IsNil)
 		time.Sleep(time.Second)
 		cl.wantCold(19 * time.Second)
@@ -174,7 +174,7 @@
 		revision, _ := cl.leader().registry.Revision()
 		for _, c := range cl.controls {
 			quicktest.Assert(t, c.Announce(t.Context(), coldTarget("1", 2, 30*time.Second)), quicktest.IsNil)
-			c.MarkCold("dc")
+			c.markCold("dc")
 		}
 		cl.entries["10.0.1.1:7"].client.Send(func(m *link.FollowerMessage) {
 			m.Cold = append(m.Cold, place.Cold{Target: "1", StartedMs: 1, For: time.Minute})
@@ -197,3 +197,14 @@
 		}
 	})
 }
+
+// markCold marks a data centre as the end of an evacuation does, which only a leader acts on.
+func (n *controlNode) markCold(dataCentre string) {
+	s := &n.scheduler
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active {
+		s.syncFleets()
+		s.markCold(dataCentre)
+	}
+}
--- a/internal/link/client_test.go
+++ b/internal/link/client_test.go
@@ -29,6 +29,8 @@
 func (nobody) ActiveGrants() []place.ActiveGrant { return nil }
 func (nobody) ApplyBlocks([]poison.Block)        {}
 func (nobody) ApplyLimits([]place.Limit)         {}
+func (nobody) ApplyCold([]place.Cold)            {}
+func (nobody) ApplyEvacuations(reg.Evacuations)  {}
 func (nobody) FillHandover(*FollowerMessage)     {}
 func (nobody) SetEntries([]Entry)                {}
 func (nobody) SetRelays([]Entry)                 {}
