--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -30,8 +30,14 @@
 	// Resumed is set if the caller already has a part of the answer. Such a request is not
 	// refused in favour of others.
 	Resumed bool `cbor:"13,keyasint,omitempty"`
-	// Rank orders requests with the same due time; 0 comes first.
+	// Rank is the priority of the organisation, or that of the route if the organisation has
+	// none; 0 is the highest.
 	Rank int `cbor:"9,keyasint"`
+	// RouteRank is the priority of the route if Rank is that of the organisation, and 0
+	// otherwise.
+	RouteRank int `cbor:"16,keyasint,omitempty"`
+	// Organisation is the name of the caller's organisation; "" if none is known.
+	Organisation string `cbor:"14,keyasint,omitempty"`
 	// DataCentre is the data centre of the requesting instance.
 	DataCentre string `cbor:"10,keyasint"`
 	// Avoid lists targets that failed this request before, and those that accept no request
--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -28,7 +28,6 @@
 
 // fleetLoads returns fleets of 23, 78 and 135 engines with the loads that they are built for.
 func fleetLoads() []fleetLoad {
-	const ms = time.Millisecond
 	class := func(c *simClass, output float64, ttft, pause time.Duration, value float64) *simClass {
 		c.output, c.ttftTarget, c.maxPause, c.value = output, ttft, pause, value
 		return c
--- a/internal/place/sim_test.go
+++ b/internal/place/sim_test.go
@@ -56,6 +56,16 @@
 	ended        bool
 	lead         *simEngine
 	failed       bool
+	// organisation sent it. refusals counts the refusals after which it came again.
+	organisation simOrganisation
+	refusals     int
+}
+
+// simOrganisation is a sender of requests with its rank and its part of all requests.
+type simOrganisation struct {
+	name string
+	rank int
+	part float64
 }
 
 // simClass is a kind of request with its sizes, targets and value.
@@ -68,6 +78,8 @@
 	ttftTarget, maxPause time.Duration
 	limit                time.Duration
 	value                float64
+	// rank is that of the route.
+	rank int
 }
 
 // eventTimeout is how long callers wait for an event before they give up.
@@ -88,6 +100,14 @@
 	lost    map[string]bool
 	// declared is the engine model that the placer is given.
 	declared site.Engine
+	// organisations send the requests; without any, all come from the same one.
+	organisations []simOrganisation
+	// organisationRNG draws the organisations, apart from rng: loads are the same with
+	// organisations and without.
+	organisationRNG *rand.Rand
+	// comeBack makes refused callers come again after the time that the refusal names, if that
+	// is within a third of the time that they have left.
+	comeBack bool
 }
 
 // placer decides like a Core.
@@ -151,7 +171,7 @@
 	s := &sim{
 		declared: m,
 		start:    time.Unix(0, 0), rng: rand.New(rand.NewPCG(seed, 1)), placer: p,
-		jobs: make(map[string]*simJob), lost: make(map[string]bool),
+		jobs: make(map[string]*simJob), lost: make(map[string]bool), organisationRNG: rand.New(rand.NewPCG(seed, 2)),
 	}
 	for i := range engines {
 		s.engines = append(s.engines, &simEngine{id: fmt.Sprintf("e%02d", i), model: costModel{m}, slowdown: 1})
@@ -185,7 +205,7 @@
 		output := max(s.declared.Stride, int(c.output*math.Exp(0.6*s.rng.NormFloat64()-0.18)))
 		// Callers' estimates are right at the median, and often far off.
 		estimate := max(s.declared.Stride, int(float64(output)*math.Exp(0.5*s.rng.NormFloat64())))
-		j := &simJob{class: c, prompt: max(50, prompt), output: output, outputEstimate: estimate, arrived: at}
+		j := &simJob{class: c, prompt: max(50, prompt), output: output, outputEstimate: estimate, arrived: at, organisation: s.drawOrganisation()}
 		s.events.add(at, func() { s.arrive(j) })
 	}
 }
@@ -201,17 +221,38 @@
 	}
 }
 
+// drawOrganisation returns the sender of the next request.
+func (s *sim) drawOrganisation() simOrganisation {
+	if len(s.organisations) == 0 {
+		return simOrganisation{}
+	}
+	x := s.organisationRNG.Float64()
+	for _, o := range s.organisations {
+		if x -= o.part; x < 0 {
+			return o
+		}
+	}
+	return s.organisations[0]
+}
+
 func (s *sim) arrive(j *simJob) {
-	j.id = fmt.Sprintf("j%05d", len(s.all))
 	s.all = append(s.all, j)
+	s.attempt(j, fmt.Sprintf("j%05d", len(s.all)-1))
+}
+
+// attempt sends a request to the placer.
+func (s *sim) attempt(j *simJob, id string) {
+	j.id = id
 	s.jobs[j.id] = j
 	c := j.class
+	timeLeft := min(c.limit-(s.now-j.arrived), c.eventTimeout())
 	s.step(Arrive{Request{
 		ID: j.id, Pool: "p", Prompt: j.prompt, Output: j.outputEstimate, TTFTLeft: c.ttftTarget, TTFTTarget: c.ttftTarget, MaxPause: c.maxPause,
-		TimeLeft: min(c.limit, c.eventTimeout()), PauseTimeout: c.eventTimeout(),
+		TimeLeft: timeLeft, PauseTimeout: c.eventTimeout(),
+		Rank: j.organisation.rank, RouteRank: c.rank, Organisation: j.organisation.name,
 	}})
-	s.events.add(s.now+c.eventTimeout(), func() {
-		if !j.granted && !j.refused {
+	s.events.add(s.now+timeLeft, func() {
+		if j.id == id && !j.granted && !j.refused {
 			j.failed = true
 			s.step(Withdraw{ID: j.id})
 		}
@@ -225,11 +266,23 @@
 		case Grant:
 			s.events.add(s.now+time.Millisecond, func() { s.send(s.jobs[d.ID], d) })
 		case Refuse:
-			s.jobs[d.ID].refused = true
+			s.refuse(s.jobs[d.ID], d)
 		}
 	}
 }
 
+// refuse ends an attempt, and lets the caller come again.
+func (s *sim) refuse(j *simJob, d Refuse) {
+	j.refused = true
+	if left := j.class.limit - (s.now - j.arrived); s.comeBack && d.RetryAfter <= left/3 {
+		s.events.add(s.now+d.RetryAfter, func() {
+			j.refused = false
+			j.refusals++
+			s.attempt(j, fmt.Sprintf("%s+", j.id))
+		})
+	}
+}
+
 // send hands a granted request to its engines.
 func (s *sim) send(j *simJob, g Grant) {
 	if j.failed {
