place, gate: a request is worth less by its ranks

Cause: the rank of a request only broke ties between due times, and the scheduler did not know the rank of the route beside that of the organisation.

Change: a request is worth half for each rank of its organisation and of its route. The entry names the organisation, and the rank of the route if the organisation has one of its own; without one, Rank is that of the route as before and counts once. Queued requests of equal due times and ranks are ordered by the rank of the route.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -28,9 +28,10 @@
 	route *site.Route
 	pool  *site.Pool
 	org   string
-	// rank orders requests of equal slack in the scheduler; 0 is the first.
-	rank int
-	body []byte
+	// rank is the priority of the organisation, or of the route if it has none; 0 is the highest.
+	// routeRank is that of the route if rank is that of the organisation.
+	rank, routeRank int
+	body            []byte
 	// digest is the value of requestDigest once it has been computed.
 	digest string
 	// bodyReader is what the body was read from; nil before that.
@@ -162,7 +163,7 @@
 	}
 	x.org = o.Name
 	if o.Ranked {
-		x.rank = o.Rank
+		x.rank, x.routeRank = o.Rank, x.route.Rank
 	}
 	return true
 }
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -70,7 +70,8 @@
 	if c.jobs[r.ID] != nil {
 		return nil
 	}
-	j := &job{request: r, arrived: now, due: now.Add(r.TTFTLeft), value: c.values.value(r)}
+	j := &job{request: r, arrived: now, due: now.Add(r.TTFTLeft), weight: r.rankWeight()}
+	j.value = c.values.value(r) * j.weight
 	j.late = r.TTFTLeft <= c.minTTFT(j, maxParts)
 	c.demand.add(now, j, c.model.prefillTime(r.Prompt), c.engineTime(j))
 	c.jobs[r.ID] = j
@@ -98,7 +99,7 @@
 }
 
 // compareQueued orders requests that can still meet their target before late ones, then by
-// due time, rank and ID.
+// due time, ranks and ID.
 func compareQueued(a, b *job) int {
 	if a.late != b.late {
 		if a.late {
@@ -106,7 +107,8 @@
 		}
 		return -1
 	}
-	return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.request.Rank, b.request.Rank), cmp.Compare(a.request.ID, b.request.ID))
+	return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.request.Rank, b.request.Rank),
+		cmp.Compare(a.request.RouteRank, b.request.RouteRank), cmp.Compare(a.request.ID, b.request.ID))
 }
 
 // schedule places the waiting requests that can be placed now. A request that waits for one
@@ -253,8 +255,9 @@
 		return
 	}
 	j := &job{
-		request: g.Request, arrived: now.Add(-g.Age), due: now.Add(g.Request.TTFTLeft - g.Age), value: c.values.value(g.Request),
+		request: g.Request, arrived: now.Add(-g.Age), due: now.Add(g.Request.TTFTLeft - g.Age), weight: g.Request.rankWeight(),
 	}
+	j.value = c.values.value(g.Request) * j.weight
 	j.late = !g.Started && j.due.Before(now)
 	p := plan{lead: lead}
 	for i, id := range g.Helpers {
--- a/internal/place/job.go
+++ b/internal/place/job.go
@@ -6,8 +6,9 @@
 type job struct {
 	request Request
 	arrived time.Time
-	// value is what an answer on time is worth, in tokens.
-	value float64
+	// value is what an answer on time is worth, in tokens. weight is the factor by its ranks
+	// that it contains.
+	value, weight float64
 
 	// granted, lead and helpers are zero until the request is granted.
 	granted time.Time
--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -127,7 +127,7 @@
 	v := j.value
 	if j.isLong() {
 		// Any answer takes one slot, so a more valuable one costs no more.
-		v = min(v, c.values.lowestMean())
+		v = min(v, c.values.lowestMean()*j.weight)
 	}
 	cost := packingCost * float64(e.Slots-e.answers) / float64(e.Slots)
 	if e.answers == 0 && scarce {
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -1,6 +1,9 @@
 package place
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// outputWeight is the value of an output token relative to a prompt token: it takes
@@ -16,8 +19,18 @@
 	maxRelativeValue = 4
 	// meanWeight is the weight of a new request in the means of its class.
 	meanWeight = 1.0 / 32
+	// maxRank bounds the ranks that reduce the value, so that sums of very unlike values
+	// lose no digits.
+	maxRank = 8
 )
 
+// rankWeight returns the part of its value that a request keeps by its ranks: half for each
+// rank of the organisation and of the route. It is a power of 2, so requests that all have the
+// same ranks are decided exactly as without ranks.
+func (r *Request) rankWeight() float64 {
+	return math.Ldexp(1, -min(max(0, r.Rank)+max(0, r.RouteRank), maxRank))
+}
+
 // valueEstimator estimates the value of answers, in tokens. The mean answer of a class is
 // worth its cost; the others of the class are worth more or less by their size relative to
 // the mean. Requests with the same target for the first event are a class.
