place: fair shares of organisations, and the most value first, while the pool is contended

Cause: in a crowded pool a freed slot went to whichever request arrived first, and what waited was refused in the order of due times. A burst of one organisation, and the retries of its refused requests, pushed out all others.

Change: while the pool is crowded and more work arrives than the engines can do, new requests queue behind those that wait, and the queue is ordered by organisations within their fair share, then by value per engine time; what can't be on time any more is refused as before. The fair share is the water level of what all organisations want against what was granted within 3 s. Kinds, organisations with a twenty-fifth of the requests and the largest requests of a kind come first while they are served too seldom. A full queue refuses its last request, not the newcomer.

--- a/internal/place/burst_test.go
+++ b/internal/place/burst_test.go
@@ -7,10 +7,13 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
+	"github.com/frankban/quicktest"
+
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
@@ -108,8 +111,14 @@
 	from, to time.Duration
 	// Between lost and found there is no scheduler, and entries place alone.
 	lost, found time.Duration
+	// minOthers is the least part on time of organisations other than bursting with the usual
+	// rank; 0 for none.
+	minOthers float64
 }
 
+// bursting is the organisation that sends too much in some bursts.
+const bursting = "o08"
+
 func bursts() []burst {
 	return []burst{
 		{
@@ -173,7 +182,7 @@
 		},
 		{
 			// One small organisation sends as many requests as the engines can take.
-			name: "first, one organisation", deployment: firstDeployment, from: second, to: 15 * second,
+			name: "first, one organisation", deployment: firstDeployment, from: second, to: 15 * second, minOthers: 0.88,
 			play: func(d *deployment, s *sim) {
 				d.add(s, 0, 15*second, 1.4, 1.4, 1.4)
 				o := s.organisations[8]
@@ -182,7 +191,7 @@
 			},
 		},
 		{
-			name: "second, one organisation", deployment: secondDeployment, from: second, to: 15 * second,
+			name: "second, one organisation", deployment: secondDeployment, from: second, to: 15 * second, minOthers: 0.88,
 			play: func(d *deployment, s *sim) {
 				d.add(s, 0, 15*second, 1.4, 1.4, 1.4)
 				o := s.organisations[8]
@@ -213,6 +222,8 @@
 	// comings counts refusals after which the caller came again, waited the requests that
 	// waited for 50 ms or more.
 	comings, waited int
+	// again counts the answers that were on time by their last attempt.
+	again int
 	// sizes are those of all requests, served those of the served ones.
 	sizes  []int
 	served []int
@@ -220,8 +231,8 @@
 
 func (o burstOutcome) String() string {
 	n := float64(max(1, o.requests))
-	return fmt.Sprintf("%5d requests, %5.1f%% waited, %5.1f%% on time, %5.1f%% late, %5.1f%% not served, %d came again, earned %.3f",
-		o.requests, 100*float64(o.waited)/n, 100*float64(o.inTime)/n, 100*float64(o.late)/n, 100*float64(o.refused)/n, o.comings, o.earnedShare())
+	return fmt.Sprintf("%5d requests, %5.1f%% waited, %5.1f%% on time (%5.1f%% by the last attempt), %5.1f%% late, %5.1f%% not served, %d came again, earned %.3f",
+		o.requests, 100*float64(o.waited)/n, 100*float64(o.inTime)/n, 100*float64(o.again)/n, 100*float64(o.late)/n, 100*float64(o.refused)/n, o.comings, o.earnedShare())
 }
 
 // onTime and servedPart are fractions of the requests.
@@ -262,6 +273,9 @@
 			}
 			o.add(j)
 			o.comings += j.refusals
+			if j.ended && !j.failed && !j.refused && j.ttft-(j.attempted-j.arrived) <= j.class.ttftTarget && j.longestGap <= j.class.maxPause {
+				o.again++
+			}
 			if j.grant.Waited >= 50*ms {
 				o.waited++
 			}
@@ -298,7 +312,44 @@
 // organisations and large requests that are starved.
 func TestBurstReplay(t *testing.T) {
 	for _, b := range bursts() {
-		t.Run(b.name, func(t *testing.T) { playBurst(t, &b) })
+		t.Run(b.name, func(t *testing.T) {
+			out := playBurst(t, &b)
+			checkOrder(t, b.deployment(), out)
+			checkService(t, out)
+			for _, org := range b.deployment().organisations {
+				// Less urgent organisations yield by their rank as well.
+				if o := out["organisation "+org.name]; b.minOthers > 0 && org.rank < 2 && org.name != bursting {
+					quicktest.Check(t, o.onTime() >= b.minOthers, quicktest.IsTrue, quicktest.Commentf("%s: %v", org.name, o))
+				}
+			}
+		})
+	}
+}
+
+// checkOrder checks that no kind is served less often than a less urgent one by more than 5 in
+// 100, or on time by more than 15 in 100.
+func checkOrder(t *testing.T, d *deployment, out map[string]*burstOutcome) {
+	for _, urgent := range []*simClass{d.short, d.medium, d.long} {
+		for _, other := range []*simClass{d.short, d.medium, d.long} {
+			if a, b := out["kind "+urgent.name], out["kind "+other.name]; urgent.rank < other.rank {
+				quicktest.Check(t, a.servedPart() >= b.servedPart()-0.05, quicktest.IsTrue, quicktest.Commentf("%s served less often than %s", urgent.name, other.name))
+				quicktest.Check(t, a.onTime() >= b.onTime()-0.15, quicktest.IsTrue, quicktest.Commentf("%s on time less often than %s", urgent.name, other.name))
+			}
+		}
+	}
+}
+
+// checkService checks that all kinds and larger organisations are served, and the largest
+// requests of a kind.
+func checkService(t *testing.T, out map[string]*burstOutcome) {
+	all := out["sum"]
+	for key, o := range out {
+		if strings.HasPrefix(key, "kind") {
+			quicktest.Check(t, o.largestServed() >= o.servedPart()/2, quicktest.IsTrue, quicktest.Commentf("largest of %s: %.2f", key, o.largestServed()))
+		}
+		if strings.HasPrefix(key, "kind") || 20*o.requests >= all.requests {
+			quicktest.Check(t, o.servedPart() >= all.servedPart()/4, quicktest.IsTrue, quicktest.Commentf("%s: %v", key, o))
+		}
 	}
 }
 
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -23,6 +23,8 @@
 	queue   []*job
 	demand  demand
 	values  valueEstimator
+	// admission counts the requests if the core sees all of them.
+	admission admission
 	// refusals counts refusals, to spread the retries of refused callers.
 	refusals int
 }
@@ -73,15 +75,39 @@
 	j := &job{request: r, arrived: now, due: now.Add(r.TTFTLeft), weight: r.rankWeight()}
 	j.value = c.values.value(r) * j.weight
 	j.late = r.TTFTLeft <= c.minTTFT(j, maxParts)
+	j.work = c.engineTime(j).Seconds()
+	j.large = c.values.relativeSize(r) > largeSize
+	if !c.Standalone {
+		c.admission.want(now, j)
+	}
 	c.demand.add(now, j, c.model.prefillTime(r.Prompt), c.engineTime(j))
 	c.jobs[r.ID] = j
-	if d := c.decide(now, j); d != nil {
+	if c.mustQueue(now, j) {
+		j.precedence = c.admission.precedence(now, j)
+	} else if d := c.decide(now, j); d != nil {
 		return []Decision{d}
 	}
-	if len(c.queue) >= maxWaiting && !r.Resumed {
-		return []Decision{c.refuse(j, "too many requests wait", c.retryAfter(r.TimeLeft))}
-	}
 	c.enqueue(j)
+	if len(c.queue) <= maxWaiting {
+		return nil
+	}
+	return c.refuseLast(now)
+}
+
+// mustQueue reports whether a new request must wait for the next tick, so that it does not come
+// before queued requests with a higher precedence.
+func (c *Core) mustQueue(now time.Time, j *job) bool {
+	return len(c.queue) > 0 && !j.request.Resumed && !j.late && c.isContended(now)
+}
+
+// refuseLast refuses the last request of the queue that is not resumed.
+func (c *Core) refuseLast(now time.Time) []Decision {
+	for i, j := range slices.Backward(c.queue) {
+		if !j.request.Resumed {
+			c.queue = slices.Delete(c.queue, i, i+1)
+			return []Decision{c.refuse(j, "too many requests wait", c.retryAfter(j.request.TimeLeft))}
+		}
+	}
 	return nil
 }
 
@@ -99,7 +125,7 @@
 }
 
 // compareQueued orders requests that can still meet their target before late ones, then by
-// due time, ranks and ID.
+// precedence, due time, ranks and ID.
 func compareQueued(a, b *job) int {
 	if a.late != b.late {
 		if a.late {
@@ -107,7 +133,7 @@
 		}
 		return -1
 	}
-	return cmp.Or(a.due.Compare(b.due), cmp.Compare(a.request.Rank, b.request.Rank),
+	return cmp.Or(a.precedence.compare(b.precedence), a.due.Compare(b.due), cmp.Compare(a.request.Rank, b.request.Rank),
 		cmp.Compare(a.request.RouteRank, b.request.RouteRank), cmp.Compare(a.request.ID, b.request.ID))
 }
 
@@ -291,7 +317,15 @@
 			j.late = true
 		}
 	}
+	contended := len(c.queue) > 0 && c.isContended(now)
+	if contended {
+		c.admission.update(now)
+	}
 	for _, j := range c.queue {
+		j.precedence = precedence{}
+		if contended {
+			j.precedence = c.admission.precedence(now, j)
+		}
 		j.late = j.late || j.due.Sub(now) < c.minTTFT(j, maxParts)
 		if j.late && j.lateSince.IsZero() {
 			j.lateSince = now
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -27,6 +27,9 @@
 		return nil
 	}
 	c.reserve(now, j, p)
+	if !c.Standalone {
+		c.admission.grant(now, j)
+	}
 	p.lead.limiter.Take(now, c.Shares)
 	g := Grant{ID: j.request.ID, Lead: p.lead.ID, Urgency: j.urgency(), PredictedTTFT: p.ttft, Waited: now.Sub(j.arrived)}
 	g.Loss = Loss{Own: p.ownLoss / j.value, Others: p.othersLoss / j.value}
@@ -77,6 +80,22 @@
 	return float64(used) >= crowdedLoad*float64(slots)
 }
 
+// isContended reports whether the pool is crowded and more is wanted than it can do.
+func (c *Core) isContended(now time.Time) bool {
+	return !c.Standalone && c.isCrowded(now) && c.admission.excess(now, c.availableEngines(now)) > 1
+}
+
+// availableEngines returns the number of engines that take work.
+func (c *Core) availableEngines(now time.Time) float64 {
+	n := 0.0
+	for _, e := range c.engines {
+		if c.available(now, e) {
+			n++
+		}
+	}
+	return n
+}
+
 // coversPrice reports whether what a request gains covers the price of its engine time.
 func (c *Core) coversPrice(now time.Time, j *job, p *plan) bool {
 	gain := j.value
--- a/internal/place/job.go
+++ b/internal/place/job.go
@@ -9,6 +9,12 @@
 	// value is what an answer on time is worth, in tokens. weight is the factor by its ranks
 	// that it contains.
 	value, weight float64
+	// work is the engine time that it takes, in seconds; large is set if it is one of the
+	// largest of its kind.
+	work  float64
+	large bool
+	// precedence is its place in the queue.
+	precedence precedence
 
 	// granted, lead and helpers are zero until the request is granted.
 	granted time.Time
--- a/internal/place/sim_test.go
+++ b/internal/place/sim_test.go
@@ -59,6 +59,8 @@
 	// organisation sent it. refusals counts the refusals after which it came again.
 	organisation simOrganisation
 	refusals     int
+	// attempted is when it came last.
+	attempted time.Duration
 }
 
 // simOrganisation is a sender of requests with its rank and its part of all requests.
@@ -242,7 +244,7 @@
 
 // attempt sends a request to the placer.
 func (s *sim) attempt(j *simJob, id string) {
-	j.id = id
+	j.id, j.attempted = id, s.now
 	s.jobs[j.id] = j
 	c := j.class
 	timeLeft := min(c.limit-(s.now-j.arrived), c.eventTimeout())
@@ -274,8 +276,10 @@
 // refuse ends an attempt, and lets the caller come again.
 func (s *sim) refuse(j *simJob, d Refuse) {
 	j.refused = true
-	if left := j.class.limit - (s.now - j.arrived); s.comeBack && d.RetryAfter <= left/3 {
-		s.events.add(s.now+d.RetryAfter, func() {
+	// Entries bound the time by what callers accept.
+	left := j.class.limit - (s.now - j.arrived)
+	if s.comeBack && left > second {
+		s.events.add(s.now+min(d.RetryAfter, left/3), func() {
 			j.refused = false
 			j.refusals++
 			s.attempt(j, fmt.Sprintf("%s+", j.id))
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -60,6 +60,15 @@
 	return m.cost * min(maxRelativeValue, baseValue+(1-baseValue)*size/m.size)
 }
 
+// relativeSize returns the size of a request relative to the mean of its class.
+func (v *valueEstimator) relativeSize(r Request) float64 {
+	m := v.means[r.TTFTTarget]
+	if m == nil {
+		return 1
+	}
+	return float64(r.Prompt+outputWeight*r.Output) / m.size
+}
+
 // lowestMean returns the mean value of the class whose answers are worth least.
 func (v *valueEstimator) lowestMean() float64 {
 	least := 0.0
