place: returns of refused callers are spread over the time that they accept

Cause: Retry-After of a refusal under overload was bounded by a third of the time to the first event, 0.67 s for short requests, so that most callers came back at the same time, into the same burst, and were refused again.

Change: entries send the time until the caller's time limit (CallerLeft, key 17). While more is wanted than the engines can do, returns are spread evenly over up to 3.2 s and within a third of that time. Requests of older entries, and all others, get the times of before. A refusal carries its request, work and time left for the log.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -102,7 +102,7 @@
 		ID: s.server.placer.newID(), Pool: s.pool.Name, Prompt: s.call.PromptTokens, Output: s.call.MaxOutputTokens,
 		TTFTLeft: s.route.Aim - age, TTFTTarget: s.route.Aim, MaxPause: s.route.Pause, TimeLeft: s.firstEventTimeout() - age, Rank: s.rank,
 		DataCentre: s.server.DataCentre, Avoid: s.avoidedTargets(), PauseTimeout: s.eventTimeout(), Resumed: s.headSent,
-		RouteRank: s.routeRank, Organisation: s.org,
+		RouteRank: s.routeRank, Organisation: s.org, CallerLeft: s.timeLeft(),
 	}
 	if s.call.ExpectedOutputTokens > 0 {
 		req.Output = min(req.Output, s.call.ExpectedOutputTokens)
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -112,7 +112,7 @@
 	began := time.Now()
 	defer func() {
 		waited := time.Since(began)
-		req.TTFTLeft, req.TimeLeft = req.TTFTLeft-waited, req.TimeLeft-waited
+		req.TTFTLeft, req.TimeLeft, req.CallerLeft = req.TTFTLeft-waited, req.TimeLeft-waited, req.CallerLeft-waited
 	}()
 	wait := min(time.Duration(gapWaitShare*float64(req.TTFTLeft)), schedulerGap-p.server.Link.SinceLeader())
 	for time.Since(began) < wait && timing.Sleep(ctx, linkPollInterval) {
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -105,7 +105,7 @@
 	for i, j := range slices.Backward(c.queue) {
 		if !j.request.Resumed {
 			c.queue = slices.Delete(c.queue, i, i+1)
-			return []Decision{c.refuse(j, "too many requests wait", c.retryAfter(j.request.TimeLeft))}
+			return []Decision{c.refuse(now, j, "too many requests wait", c.retryAfter(now, j))}
 		}
 	}
 	return nil
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -11,18 +11,18 @@
 func (c *Core) decide(now time.Time, j *job) Decision {
 	left := j.arrived.Add(j.request.TimeLeft).Sub(now)
 	if left < minTimeLeft {
-		return c.refuse(j, "its time is nearly over", time.Second)
+		return c.refuse(now, j, "its time is nearly over", time.Second)
 	}
 	if wait, closed := c.closedFor(now, j, left); closed && !j.request.Resumed {
-		return c.refuse(j, "no engine takes the request", wait)
+		return c.refuse(now, j, "no engine takes the request", wait)
 	}
 	if j.late && !j.request.Resumed && !c.Standalone && c.isCrowded(now) {
-		return c.refuse(j, "no engine can answer in time", c.retryAfter(left))
+		return c.refuse(now, j, "no engine can answer in time", c.retryAfter(now, j))
 	}
 	p, ok := c.bestPlan(now, j)
 	if !ok || !c.Standalone && (p.othersLoss+p.ownLoss > c.lossLimit(now, j) || !j.request.Resumed && !c.coversPrice(now, j, &p)) {
 		if !c.Standalone && !j.request.Resumed && !j.lateSince.IsZero() && now.Sub(j.lateSince) > maxLateWait {
-			return c.refuse(j, "the engines have more urgent work", c.retryAfter(left))
+			return c.refuse(now, j, "the engines have more urgent work", c.retryAfter(now, j))
 		}
 		return nil
 	}
@@ -106,11 +106,22 @@
 }
 
 // retryAfter returns how long a refused caller should wait before it tries again. It spreads
-// the retries over the time in which the answers being decoded now end.
-func (c *Core) retryAfter(left time.Duration) time.Duration {
+// the retries over the time in which the answers being decoded now end, and further if more is
+// wanted than the engines can do: what comes back too soon is refused again.
+func (c *Core) retryAfter(now time.Time, j *job) time.Duration {
 	c.refusals++
-	step := time.Duration(c.refusals%retryAfterSteps) * retryAfterStep
-	return min(minRetryAfter+step, left/3)
+	left := j.arrived.Add(j.request.TimeLeft).Sub(now)
+	excess := c.admission.excess(now, c.availableEngines(now)) - 1
+	if excess <= 0 || j.request.CallerLeft <= 0 {
+		step := time.Duration(c.refusals%retryAfterSteps) * retryAfterStep
+		return min(minRetryAfter+step, left/3)
+	}
+	_, part := math.Modf(float64(c.refusals) * goldenRatio)
+	// Without engines the excess is beyond all bounds.
+	spread := min(maxRetrySpread, scale(excessRetrySpread, min(excess, 1)))
+	// Callers wait for a third of the time that they have left.
+	most := j.arrived.Add(j.request.CallerLeft).Sub(now) / 3
+	return min(minRetryAfter, most) + scale(max(0, min(spread, most-minRetryAfter)), part)
 }
 
 // minTTFT returns the shortest possible time to the first event when that many engines
@@ -124,9 +135,12 @@
 }
 
 // refuse drops a request and returns the refusal.
-func (c *Core) refuse(j *job, reason string, retry time.Duration) Decision {
+func (c *Core) refuse(now time.Time, j *job, reason string, retry time.Duration) Decision {
 	delete(c.jobs, j.request.ID)
-	return Refuse{ID: j.request.ID, Reason: reason, RetryAfter: retry}
+	return Refuse{
+		ID: j.request.ID, Reason: reason, RetryAfter: retry, Request: j.request,
+		Work: c.engineTime(j), Left: j.arrived.Add(j.request.TimeLeft).Sub(now),
+	}
 }
 
 // lossLimit returns how much value a placement may cost now. For a request that can be on
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -27,6 +27,9 @@
 	PauseTimeout time.Duration `cbor:"12,keyasint"`
 	// TimeLeft is the time until the caller gives up.
 	TimeLeft time.Duration `cbor:"8,keyasint"`
+	// CallerLeft is the time until the caller's time limit; 0 if it isn't known. Unlike TimeLeft it
+	// isn't bounded by the wait for the first event.
+	CallerLeft time.Duration `cbor:"17,keyasint,omitempty"`
 	// Resumed is set if the caller already has a part of the answer. Such a request is not
 	// refused in favour of others.
 	Resumed bool `cbor:"13,keyasint,omitempty"`
@@ -166,6 +169,11 @@
 	Reason string `cbor:"2,keyasint"`
 	// RetryAfter is the time after which another attempt may succeed.
 	RetryAfter time.Duration `cbor:"3,keyasint"`
+	// Request is what was refused, Work the engine time that it needed, and Left the time left
+	// for its first event.
+	Request Request       `cbor:"-"`
+	Work    time.Duration `cbor:"-"`
+	Left    time.Duration `cbor:"-"`
 }
 
 func (Grant) decision()  {}
--- a/internal/place/weights.go
+++ b/internal/place/weights.go
@@ -56,6 +56,13 @@
 	minRetryAfter   = 400 * time.Millisecond
 	retryAfterStep  = 100 * time.Millisecond
 	retryAfterSteps = 10
+	// excessRetrySpread is the time over which retries are spread for each time that what is
+	// wanted exceeds what the engines can do; maxRetrySpread bounds it: callers
+	// wait for a third of the time that they have left, mostly 3.3 s.
+	excessRetrySpread = 4 * time.Second
+	maxRetrySpread    = 2800 * time.Millisecond
+	// goldenRatio spreads numbers evenly, however many there are.
+	goldenRatio = 0.6180339887498949
 	// closedRetryAfter is the retry time if no engine takes the request and none says for how
 	// long.
 	closedRetryAfter = time.Second
