--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -287,6 +287,11 @@
 	c.Close()
 }
 
+// isRefused reports whether this instance responded that the request did not run.
+func (x *exchange) isRefused() bool {
+	return x.status == http.StatusServiceUnavailable && x.answeredBy == byEntry
+}
+
 // timeLeft returns the time until the request's deadline.
 func (x *exchange) timeLeft() time.Duration { return time.Until(x.deadline) }
 
@@ -307,7 +312,10 @@
 		e.Int64("version", x.view.index.Tables.Version).Uint64("revision", x.view.revision)
 	}
 	if x.route != nil {
-		e.Str("route", x.route.Name).Str("organisation", x.org)
+		e.Str("route", x.route.Name).Str("organisation", x.org).Int("rank", x.rank).Int("route_rank", x.routeRank)
+	}
+	if x.isRefused() && !x.deadline.IsZero() {
+		e.Int("output", x.call.MaxOutputTokens).Dur("left", x.timeLeft())
 	}
 	if len(x.call.SharedSegments) > 0 {
 		e.Strs("prefix", x.call.SharedSegments)
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -20,6 +20,9 @@
 	}
 	metrics.GetOrRegisterCounter(meter.Label("gate."+kind, "status", strconv.Itoa(x.status)), s.Metrics).Inc(1)
 	meter.Times(meter.Label("gate.whole", "kind", kind), s.Metrics).Update(int64(took))
+	if x.isRefused() {
+		metrics.GetOrRegisterCounter(meter.Label("gate.refusals", "reason", x.reason), s.Metrics).Inc(1)
+	}
 	if x.firstEvent > 0 {
 		meter.Times("gate.first_event", s.Metrics).Update(int64(x.firstEvent))
 		meter.Times("gate.wait", s.Metrics).Update(int64(x.queueTime))
--- a/internal/gate/rank_test.go
+++ b/internal/gate/rank_test.go
@@ -2,13 +2,31 @@
 
 import (
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 
+	"github.com/bambooproxy/bambooproxy/internal/meter"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
+// TestRefusalIsExplained guards against a refusal of which the log doesn't say whose it was and how
+// much time was left, and which isn't counted by its reason.
+func TestRefusalIsExplained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, nil)
+		quicktest.Assert(t, s.call(idempotentPath, "").status, quicktest.Equals, 503)
+		for _, key := range []string{`"rank":`, `"route_rank":`, `"organisation":`, `"prompt":`, `"output":`, `"left":`} {
+			quicktest.Check(t, s.logs.String(), quicktest.Contains, key)
+		}
+		c, ok := s.gate.Metrics.Get(meter.Label("gate.refusals", "reason", "no target is available")).(metrics.Counter)
+		quicktest.Assert(t, ok, quicktest.IsTrue)
+		quicktest.Check(t, c.Count(), quicktest.Equals, int64(1))
+	})
+}
+
 // TestPlacementRequestNamesRanks guards against a scheduler that does not learn the rank of the
 // route beside that of the organisation, or counts the route's rank twice.
 func TestPlacementRequestNamesRanks(t *testing.T) {
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -188,6 +188,8 @@
 		case place.Refuse:
 			s.server.counter(meter.Label("hub.refusals", "reason", d.Reason)).Inc(1)
 			s.server.Log.Info().Str("ask", d.ID).Str("reason", d.Reason).Dur("retry", d.RetryAfter).Int("waiting", c.Waiting()).
+				Str("organisation", d.Request.Organisation).Int("rank", d.Request.Rank).Int("route_rank", d.Request.RouteRank).
+				Dur("work", d.Work).Dur("left", d.Left).
 				Int("granted", c.Granted()).Uint64("revision", s.fleetRevision).Msg("request refused")
 			if sess := s.sessions[d.ID]; sess != nil {
 				sess.Enqueue(func(m *link.ControlMessage) { m.Refusals = append(m.Refusals, d) })
