--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -28,9 +28,10 @@
 	route *site.Route
 	pool  *site.Pool
 	org   string
-	// rank orders requests of equal slack in the scheduler; 0 is the first.
-	rank int
-	body []byte
+	// rank is the priority of the organisation, or of the route if it has none; 0 is the highest.
+	// routeRank is that of the route if rank is that of the organisation.
+	rank, routeRank int
+	body            []byte
 	// digest is the value of requestDigest once it has been computed.
 	digest string
 	// bodyReader is what the body was read from; nil before that.
@@ -162,7 +163,7 @@
 	}
 	x.org = o.Name
 	if o.Ranked {
-		x.rank = o.Rank
+		x.rank, x.routeRank = o.Rank, x.route.Rank
 	}
 	return true
 }
@@ -286,6 +287,11 @@
 	c.Close()
 }
 
+// isRefused reports whether this instance responded that the request did not run.
+func (x *exchange) isRefused() bool {
+	return x.status == http.StatusServiceUnavailable && x.answeredBy == byEntry
+}
+
 // timeLeft returns the time until the request's deadline.
 func (x *exchange) timeLeft() time.Duration { return time.Until(x.deadline) }
 
@@ -306,7 +312,10 @@
 		e.Int64("version", x.view.index.Tables.Version).Uint64("revision", x.view.revision)
 	}
 	if x.route != nil {
-		e.Str("route", x.route.Name).Str("organisation", x.org)
+		e.Str("route", x.route.Name).Str("organisation", x.org).Int("rank", x.rank).Int("route_rank", x.routeRank)
+	}
+	if x.isRefused() && !x.deadline.IsZero() {
+		e.Int("output", x.call.MaxOutputTokens).Dur("left", x.timeLeft())
 	}
 	if len(x.call.SharedSegments) > 0 {
 		e.Strs("prefix", x.call.SharedSegments)
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -27,11 +27,20 @@
 	PauseTimeout time.Duration `cbor:"12,keyasint"`
 	// TimeLeft is the time until the caller gives up.
 	TimeLeft time.Duration `cbor:"8,keyasint"`
+	// CallerLeft is the time until the caller's time limit; 0 if it isn't known. Unlike TimeLeft it
+	// isn't bounded by the wait for the first event.
+	CallerLeft time.Duration `cbor:"17,keyasint,omitempty"`
 	// Resumed is set if the caller already has a part of the answer. Such a request is not
 	// refused in favour of others.
 	Resumed bool `cbor:"13,keyasint,omitempty"`
-	// Rank orders requests with the same due time; 0 comes first.
+	// Rank is the priority of the organisation, or that of the route if the organisation has
+	// none; 0 is the highest.
 	Rank int `cbor:"9,keyasint"`
+	// RouteRank is the priority of the route if Rank is that of the organisation, and 0
+	// otherwise.
+	RouteRank int `cbor:"16,keyasint,omitempty"`
+	// Organisation is the name of the caller's organisation; "" if none is known.
+	Organisation string `cbor:"14,keyasint,omitempty"`
 	// DataCentre is the data centre of the requesting instance.
 	DataCentre string `cbor:"10,keyasint"`
 	// Avoid lists targets that failed this request before, and those that accept no request
@@ -177,6 +186,11 @@
 	Reason string `cbor:"2,keyasint"`
 	// RetryAfter is the time after which another attempt may succeed.
 	RetryAfter time.Duration `cbor:"3,keyasint"`
+	// Request is what was refused, Work the engine time that it needed, and Left the time left
+	// for its first event.
+	Request Request       `cbor:"-"`
+	Work    time.Duration `cbor:"-"`
+	Left    time.Duration `cbor:"-"`
 }
 
 func (Grant) decision()  {}
