--- a/internal/conf/process.go
+++ b/internal/conf/process.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 )
 
@@ -16,6 +17,9 @@
 type Process struct {
 	Name       string `json:"name"`
 	DataCentre string `json:"data_centre"`
+	// Regions maps data centres to regions. If empty, all data centres are one region. Changes
+	// take effect at the next start.
+	Regions site.Regions `json:"regions"`
 	// Callers, Ready, Control, Directory, Peers and Metrics are the addresses to
 	// listen on. If one is empty, that endpoint is not served.
 	Callers   string `json:"callers"`
@@ -96,6 +100,7 @@
 	for _, c := range []struct{ field, message string }{
 		{"name", checkName(p.Name)},
 		{"data_centre", checkName(p.DataCentre)},
+		{"regions", checkRegions(p)},
 		{"peers", checkAddress(p.Peers)},
 		{"seeds", checkSeeds(&Settings{Seeds: p.Seeds})},
 		{"callers", checkOptionalAddress(p.Callers)},
@@ -120,6 +125,17 @@
 	return nil
 }
 
+// checkRegions reports an empty name. A data centre may be missing, also that of the process: it is
+// a region of its own then, and no reason not to start.
+func checkRegions(p *Process) string {
+	for dataCentre, region := range p.Regions {
+		if dataCentre == "" || region == "" {
+			return "empty name of a data centre or region"
+		}
+	}
+	return ""
+}
+
 func checkOptionalAddress(s string) string {
 	if s == "" {
 		return ""
--- a/internal/conf/process_test.go
+++ b/internal/conf/process_test.go
@@ -51,6 +51,7 @@
 		"no peers":       {`"10.1.0.40:7340"`, `""`, "peers"},
 		"no grace":       {`"8s"`, `"0s"`, "grace"},
 		"no folder":      {`"callers"`, `"control": "10.1.0.40:1", "callers"`, "data"},
+		"empty region":   {`"grace"`, `"regions": {"a": ""}, "grace"`, "regions"},
 		"bind a name":    {`"grace"`, `"bind": "edge", "grace"`, "bind"},
 		"unknown level":  {`"grace"`, `"log": "loud", "grace"`, "log"},
 		"negative share": {`"grace"`, `"repeats": {"ratio": -1, "slack": 1, "window": "1s"}, "grace"`, "repeats.ratio"},
@@ -76,7 +77,7 @@
 	b, err := os.ReadFile("../../deploy/settings.jsonc")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	values := map[string]string{
-		"nodeName": "n", "zone": "z", "listen.front": "10.0.0.1:1", "listen.ready": "10.0.0.1:2", "listen.control": "",
+		"nodeName": "n", "zone": "z", "zones|json": `{"z": "r"}`, "listen.front": "10.0.0.1:1", "listen.ready": "10.0.0.1:2", "listen.control": "",
 		"listen.directory": "", "ip": "10.0.0.1", "internalPorts.0": "7", "seeds|json": `["10.0.0.2:1"]`,
 		"bootstrap|json": "true", "tolerate.machines": "1", "dataDir": "", "bounds.graceS": "8", "bounds.retryBudgetRatio": "0.2",
 		"bounds.retryBudgetSlack": "106", "bounds.budgetWindowS": "10", "limits.memoryMb": "284",
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -102,6 +102,7 @@
 		ID: s.server.placer.newID(), Pool: s.pool.Name, Prompt: s.call.PromptTokens, Output: s.call.MaxOutputTokens,
 		TTFTLeft: s.route.Aim - age, TTFTTarget: s.route.Aim, MaxPause: s.route.Pause, TimeLeft: s.firstEventTimeout() - age, Rank: s.rank,
 		DataCentre: s.server.DataCentre, Avoid: s.avoidedTargets(), PauseTimeout: s.eventTimeout(), Resumed: s.headSent,
+		Regions: s.regions.allowed,
 	}
 	if s.call.ExpectedOutputTokens > 0 {
 		req.Output = min(req.Output, s.call.ExpectedOutputTokens)
@@ -113,8 +114,8 @@
 	return req
 }
 
-// avoidedTargets returns the engines that failed the request, and those that accept no
-// request from this instance now.
+// avoidedTargets returns the engines that failed the request, those that accept no request from
+// this instance now, and those outside the allowed regions.
 func (s *stream) avoidedTargets() []string {
 	out := slices.Clone(s.failedTargets)
 	closed, _ := s.server.health.closedTargets(s.server.views.load(), s.pool.Name)
@@ -123,6 +124,14 @@
 			out = append(out, id)
 		}
 	}
+	if s.isBound() {
+		// A scheduler that ignores regions must not grant these either.
+		for _, t := range s.server.views.load().pools[s.pool.Name] {
+			if !s.allows(t.DataCentre) {
+				out = append(out, t.ID)
+			}
+		}
+	}
 	return out
 }
 
@@ -153,7 +162,7 @@
 		s.refusals++
 		return false, "memory reservation on a helper engine failed"
 	}
-	defer reserved.release()
+	defer reserved.release(ctx)
 	// The reservations took a while, in which an engine may have begun to leave, or this
 	// process may have been paused for longer than the scheduler keeps its grants.
 	if s.server.pauses.pauseCount() != s.pauseCount {
@@ -228,17 +237,18 @@
 }
 
 // resolve finds the engines of a grant in the current view. An engine that drains, or wants
-// no requests from this instance, gets none even if the scheduler granted it.
+// no requests from this instance, gets none even if the scheduler granted it; neither does one
+// outside the allowed regions.
 func (s *stream) resolve(g place.Grant) (lead site.Target, helpers []PrefillHelper, ok bool) {
 	v := s.server.views.load()
 	lead, ok = v.readyTarget(g.Lead, s.pool.Name)
-	if !ok || s.server.health.isClosed(lead) {
+	if !ok || s.server.health.isClosed(lead) || !s.allows(lead.DataCentre) {
 		s.failedTargets = append(s.failedTargets, g.Lead)
 		return lead, nil, false
 	}
 	for i, id := range g.Helpers {
 		t, ok := v.readyTarget(id, s.pool.Name)
-		if !ok || s.server.health.isClosed(t) {
+		if !ok || s.server.health.isClosed(t) || !s.allows(t.DataCentre) {
 			s.failedTargets = append(s.failedTargets, id)
 			return lead, nil, false
 		}
--- a/internal/gate/engine_test.go
+++ b/internal/gate/engine_test.go
@@ -264,7 +264,7 @@
 		reserved, err := s.gate.reserve(t.Context(), "a1", list)
 		quicktest.Assert(t, err, quicktest.IsNil)
 		time.Sleep(2 * renewInterval)
-		reserved.release()
+		reserved.release(t.Context())
 		time.Sleep(time.Second)
 		s.gate.TargetClient.CloseIdle(s.targets[1].Address)
 		synctest.Wait()
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -30,7 +30,9 @@
 	org   string
 	// rank orders requests of equal slack in the scheduler; 0 is the first.
 	rank int
-	body []byte
+	// regions are the regions that the route and the organisation allow.
+	regions regionLimit
+	body    []byte
 	// digest is the value of requestDigest once it has been computed.
 	digest string
 	// bodyReader is what the body was read from; nil before that.
@@ -119,7 +121,7 @@
 		return false
 	}
 	x.pool = pool
-	return x.readBody()
+	return x.readBody() && x.checkRegions()
 }
 
 // headBytes returns the length of the request line and the headers of a request.
@@ -152,6 +154,7 @@
 // already responded.
 func (x *exchange) authorise() bool {
 	x.rank = x.route.Rank
+	x.regions.bind(x.route.Regions)
 	if x.route.Public || !x.view.index.Tables.Keyed {
 		return true
 	}
@@ -161,6 +164,7 @@
 		return false
 	}
 	x.org = o.Name
+	x.regions.bind(o.Regions)
 	if o.Ranked {
 		x.rank = o.Rank
 	}
@@ -308,6 +312,9 @@
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("organisation", x.org)
 	}
+	if x.isBound() {
+		e.Strs("regions", x.regions.allowed)
+	}
 	if len(x.call.SharedSegments) > 0 {
 		e.Strs("prefix", x.call.SharedSegments)
 	}
--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"slices"
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
@@ -100,13 +101,29 @@
 func (s *Server) SetRelays(relays []link.Entry) { s.relays.Store(&relays) }
 
 // Entries returns the ready instances for callers of a data centre. It selects them from the
-// list last received from control, which holds those for the data centre of this instance.
+// lists last received from control: those for the data centre of this instance, and the relays,
+// of which there is one in each region. Instances of lists that are out of date may have ended.
 func (s *Server) Entries(dataCentre string) []link.Entry {
+	if s.Link.SinceLeader() > link.MaxEntriesAge {
+		if !s.IsReady() {
+			return nil
+		}
+		return []link.Entry{s.entry()}
+	}
 	list := s.entries.Load()
 	if list == nil {
 		return nil
 	}
-	return link.EntriesFor(*list, dataCentre)
+	known := *list
+	if relays := s.relays.Load(); relays != nil && len(s.Regions) > 0 {
+		known = link.SortEntries(slices.Concat(known, *relays))
+	}
+	return link.EntriesFor(known, dataCentre, s.Regions)
+}
+
+// entry returns how callers reach this instance.
+func (s *Server) entry() link.Entry {
+	return link.Entry{Name: s.Name, DataCentre: s.DataCentre, Address: s.Address}
 }
 
 // SetEntryCount sets the number of instances that share the retry budget and the limits of
@@ -138,7 +155,7 @@
 		m.Leaving = departures(s.health.leavingTargets(v))
 	}
 	if s.IsReady() {
-		m.Entries = []link.Entry{{Name: s.Name, DataCentre: s.DataCentre, Address: s.Address}}
+		m.Entries = []link.Entry{s.entry()}
 	}
 }
 
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -119,7 +119,7 @@
 		return false
 	}
 	for _, o := range x.server.views.load().pools[x.pool.Name] {
-		if o.ID != t.ID && !slices.Contains(x.failedTargets, o.ID) && !x.server.health.isClosed(o) {
+		if o.ID != t.ID && x.allows(o.DataCentre) && !slices.Contains(x.failedTargets, o.ID) && !x.server.health.isClosed(o) {
 			return true
 		}
 	}
@@ -166,11 +166,11 @@
 	return best, found
 }
 
-// isOpen reports whether a target has not failed the request and accepts requests of this
-// instance now.
+// isOpen reports whether a target has not failed the request, is in an allowed region and accepts
+// requests of this instance now.
 func (x *exchange) isOpen(t site.Target) bool {
 	wait, ok := x.server.health.opensIn(t, x.server.limitShares())
-	return ok && wait == 0 && !slices.Contains(x.failedTargets, t.ID)
+	return ok && wait == 0 && x.allows(t.DataCentre) && !slices.Contains(x.failedTargets, t.ID)
 }
 
 // poolReopens returns how long it takes until a target of the pool accepts requests of this
@@ -178,6 +178,9 @@
 // how long.
 func (x *exchange) poolReopens() (reopens time.Duration, closed bool) {
 	for _, t := range x.server.views.load().pools[x.pool.Name] {
+		if !x.allows(t.DataCentre) {
+			continue
+		}
 		wait, ok := x.server.health.opensIn(t, x.server.limitShares())
 		if ok && wait == 0 {
 			return 0, false
--- a/internal/gate/reservation.go
+++ b/internal/gate/reservation.go
@@ -57,7 +57,7 @@
 	}
 	if err := r.reserveAll(ctx, reservationTTL); err != nil {
 		close(r.done)
-		r.release()
+		r.release(ctx)
 		return nil, err
 	}
 	go r.renewUntilStopped(context.WithoutCancel(ctx))
@@ -128,20 +128,21 @@
 
 // release ends the reservations in the background. It waits for a renewal in flight,
 // which would reserve the memory again if it arrived after the release.
-func (r *reservations) release() {
+func (r *reservations) release(ctx context.Context) {
 	close(r.stop)
+	ctx = context.WithoutCancel(ctx)
 	for _, h := range r.helpers {
 		go func() {
 			<-r.done
-			r.releaseOne(h)
+			r.releaseOne(ctx, h)
 		}()
 	}
 }
 
-func (r *reservations) releaseOne(h PrefillHelper) {
+func (r *reservations) releaseOne(ctx context.Context, h PrefillHelper) {
 	for attempt := range maxReleaseAttempts {
 		time.Sleep(time.Duration(attempt) * releaseBackoff)
-		ctx, cancel := context.WithTimeout(context.Background(), reservationTimeout)
+		ctx, cancel := context.WithTimeout(ctx, reservationTimeout)
 		resp, err := r.server.TargetClient.Do(ctx, h.Target.Address, r.server.HeaderCodec.Release(h))
 		status := 0
 		if err == nil {
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -12,6 +12,8 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/relay"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
@@ -43,7 +45,9 @@
 type Server struct {
 	Name, DataCentre string
 	// Address is where callers reach this instance.
-	Address      string
+	Address string
+	// Regions are the regions of the data centres.
+	Regions      site.Regions
 	HeaderCodec  HeaderCodec
 	TargetClient *hop.Client
 	Link         *link.Client
@@ -156,6 +160,9 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	if x.isBound() {
+		ctx = relay.Restrict(ctx, x.allowsRelay)
+	}
 	s.Budget.recordRequest(x.pool.Name)
 	if x.pool.Engine != nil {
 		x.serveEngine(ctx)
--- a/internal/hub/directory.go
+++ b/internal/hub/directory.go
@@ -59,17 +59,18 @@
 	return s.entryList
 }
 
-// Entries returns the ready instances that callers in a data centre should use: those of
-// that data centre, or all of them if it has too few.
+// Entries returns the ready instances that callers in a data centre should use; see
+// link.EntriesFor. Without a leader for a while it knows those only that are linked here.
 func (s *Server) Entries(dataCentre string) []link.Entry {
 	all := s.linkedEntries()
-	if received, receivedAt := s.directory.get(); !s.isLeader() || time.Since(receivedAt) < entryGrace {
+	leads := s.isLeader()
+	if received, receivedAt := s.directory.get(); leads && time.Since(receivedAt) < entryGrace || !leads && s.client.SinceLeader() <= link.MaxEntriesAge {
 		if len(all) > 0 {
 			received = link.SortEntries(slices.Concat(all, received))
 		}
 		all = received
 	}
-	return link.EntriesFor(all, dataCentre)
+	return link.EntriesFor(all, dataCentre, s.Regions)
 }
 
 // changeEntriesLocked notes that the ready instances may have changed, and schedules a
@@ -102,7 +103,7 @@
 		list := all
 		if dc := sess.hello.DataCentre; !sess.hello.IsControl {
 			if _, ok := byDataCentre[dc]; !ok {
-				byDataCentre[dc] = link.EntriesFor(all, dc)
+				byDataCentre[dc] = link.EntriesFor(all, dc, s.Regions)
 			}
 			list = byDataCentre[dc]
 			s.sendRelays(sess, all)
@@ -112,16 +113,16 @@
 }
 
 // sendRelays sends an instance those that may relay for it, if it has too few or one of them is no
-// longer ready. The list of all ready ones is sorted.
+// longer ready; with regions, also if a region lacks one. The list of all ready ones is sorted.
 func (s *Server) sendRelays(sess *session, all []link.Entry) {
 	isReady := func(e link.Entry) bool {
 		i, ok := slices.BinarySearchFunc(all, e.Name, func(o link.Entry, name string) int { return strings.Compare(o.Name, name) })
 		return ok && all[i] == e
 	}
-	if len(sess.sentRelays) == link.MaxRelays && !slices.ContainsFunc(sess.sentRelays, func(e link.Entry) bool { return !isReady(e) }) {
+	if s.Regions.Count() == 1 && len(sess.sentRelays) == link.MaxRelays && !slices.ContainsFunc(sess.sentRelays, func(e link.Entry) bool { return !isReady(e) }) {
 		return
 	}
-	relays := link.RelaysFor(all, sess.hello.Name, sess.hello.DataCentre)
+	relays := link.RelaysFor(all, sess.hello.Name, sess.hello.DataCentre, s.Regions)
 	if slices.Equal(relays, sess.sentRelays) {
 		return
 	}
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -93,7 +93,7 @@
 		}
 		c := s.cores[p.Name]
 		if c == nil {
-			c = &place.Core{}
+			c = &place.Core{Regions: s.server.Regions}
 			s.cores[p.Name] = c
 		}
 		s.step(c, place.Fleet{Engine: *p.Engine, Targets: byPool[p.Name]})
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -16,6 +16,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/quorum"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/store"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
@@ -46,6 +47,8 @@
 	Voters int
 	// DataDir is the folder for the log in the file system FS.
 	DataDir string
+	// Regions are the regions of the data centres.
+	Regions site.Regions
 	FS      store.FS
 	// Clock is the clock of the leader's lease; nil means the clock of the Go runtime.
 	Clock func() time.Duration
--- a/internal/link/entries_test.go
+++ b/internal/link/entries_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/mutate"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // TestEntryChanges changes the list of ready instances at random while messages wait or are sent:
@@ -101,7 +102,7 @@
 	}
 	used := make(map[string]int)
 	for _, e := range all {
-		relays := RelaysFor(all, e.Name, e.DataCentre)
+		relays := RelaysFor(all, e.Name, e.DataCentre, nil)
 		quicktest.Assert(t, relays, quicktest.HasLen, MaxRelays)
 		for _, r := range relays {
 			quicktest.Assert(t, r.DataCentre, quicktest.Not(quicktest.Equals), e.DataCentre)
@@ -109,6 +110,43 @@
 		}
 	}
 	quicktest.Assert(t, len(used) >= len(all)*3/4, quicktest.IsTrue, quicktest.Commentf("%v", used))
-	quicktest.Assert(t, RelaysFor(all[:1], "e00", "a"), quicktest.HasLen, 0)
-	quicktest.Assert(t, RelaysFor(all[:3], "e00", "a"), quicktest.HasLen, 2)
+	quicktest.Assert(t, RelaysFor(all[:1], "e00", "a", nil), quicktest.HasLen, 0)
+	quicktest.Assert(t, RelaysFor(all[:3], "e00", "a", nil), quicktest.HasLen, 2)
+}
+
+// TestEntriesOfRegion guards against look-ups that send callers to another region although an
+// instance of their own region is ready.
+func TestEntriesOfRegion(t *testing.T) {
+	regions := site.Regions{"a": "eu", "b": "eu", "c": "us", "d": "us"}
+	all := []Entry{{Name: "1", DataCentre: "a"}, {Name: "2", DataCentre: "b"}, {Name: "3", DataCentre: "b"}, {Name: "4", DataCentre: "c"}, {Name: "5", DataCentre: "x"}}
+	for _, c := range []struct{ dataCentre, want string }{
+		{"a", "123"}, {"b", "23"}, {"c", "4"}, {"d", "4"}, {"x", "5"}, {"unknown", "12345"},
+	} {
+		got := ""
+		for _, e := range EntriesFor(all, c.dataCentre, regions) {
+			got += e.Name
+		}
+		quicktest.Check(t, got, quicktest.Equals, c.want, quicktest.Commentf("%s", c.dataCentre))
+	}
+	quicktest.Check(t, EntriesFor(all[:1], "c", regions), quicktest.HasLen, 1)
+}
+
+// TestRelaysOfRegions: requests that are bound to a region may need a relay there, so that there must
+// be one of each region although most of the instances are elsewhere.
+func TestRelaysOfRegions(t *testing.T) {
+	regions := site.Regions{"a": "eu", "b": "eu", "c": "us", "d": "asia"}
+	var all []Entry
+	for i := range 30 {
+		all = append(all, Entry{Name: fmt.Sprintf("e%02d", i), DataCentre: string("ab"[i%2])})
+	}
+	all = append(all, Entry{Name: "f", DataCentre: "c"}, Entry{Name: "g", DataCentre: "d"})
+	for i := range 10 {
+		relays := RelaysFor(all, fmt.Sprintf("e%02d", 2*i), "a", regions)
+		quicktest.Assert(t, relays, quicktest.HasLen, MaxRelays)
+		seen := make(map[string]bool)
+		for _, r := range relays {
+			seen[regions[r.DataCentre]] = true
+		}
+		quicktest.Assert(t, seen, quicktest.HasLen, 3)
+	}
 }
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -13,6 +13,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 const (
@@ -31,6 +32,10 @@
 	// ReceiveTimeout is how long a side waits for a message before it ends the link: three
 	// times HeartbeatInterval plus 250 ms for the delay of a busy process.
 	ReceiveTimeout = time.Second
+	// MaxEntriesAge is how long look-ups use a list of ready instances without a message of the
+	// leader. Callers keep an address for up to 3 s more, and must not use that of an instance
+	// that ended more than 7 s ago.
+	MaxEntriesAge = 4 * time.Second
 )
 
 // Entry is an instance that serves callers.
@@ -42,36 +47,51 @@
 }
 
 // EntriesFor returns the instances that callers of a data centre should use: those of that
-// data centre, or all if these are fewer than minLocalEntries. It returns at most
-// maxEntries.
-func EntriesFor(all []Entry, dataCentre string) []Entry {
-	var local []Entry
+// data centre, or all of its region if these are fewer than minLocalEntries, or all of the site
+// if there are none. It returns at most maxEntries.
+func EntriesFor(all []Entry, dataCentre string, regions site.Regions) []Entry {
+	var local, near []Entry
 	for _, e := range all {
 		if e.DataCentre == dataCentre {
 			local = append(local, e)
 		}
+		if regions.Same(e.DataCentre, dataCentre) {
+			near = append(near, e)
+		}
 	}
-	if len(local) >= minLocalEntries {
+	switch {
+	case len(local) >= minLocalEntries:
 		all = local
+	case len(near) > 0:
+		all = near
 	}
 	return all[:min(len(all), maxEntries)]
 }
 
 // RelaysFor returns the instances of other data centres that an instance may use as relays. They
 // differ between instances, so that those of a data centre that is cut off don't all use the same.
-func RelaysFor(all []Entry, name, dataCentre string) []Entry {
-	weigh := func(e Entry) uint64 { return xxhash.Sum64String(name + "/" + e.Name) }
-	var out []Entry
+// There is one of each region among them, as far as MaxRelays allows: some requests may pass
+// through one region only, and callers of another region look up instances of theirs.
+func RelaysFor(all []Entry, name, dataCentre string, regions site.Regions) []Entry {
+	weights := make(map[Entry]uint64, len(all))
+	var others []Entry
 	for _, e := range all {
-		if e.DataCentre == dataCentre {
-			continue
+		if e.DataCentre != dataCentre {
+			others = append(others, e)
+			weights[e] = xxhash.Sum64String(name + "/" + e.Name)
 		}
-		i, _ := slices.BinarySearchFunc(out, weigh(e), func(o Entry, w uint64) int { return cmp.Compare(weigh(o), w) })
-		if i < MaxRelays {
-			out = slices.Insert(out[:min(len(out), MaxRelays-1)], min(i, len(out)), e)
+	}
+	slices.SortStableFunc(others, func(a, b Entry) int { return cmp.Compare(weights[a], weights[b]) })
+	var first, rest []Entry
+	for _, e := range others {
+		if slices.ContainsFunc(first, func(o Entry) bool { return regions.Same(o.DataCentre, e.DataCentre) }) {
+			rest = append(rest, e)
+		} else {
+			first = append(first, e)
 		}
 	}
-	return out
+	out := slices.Concat(first, rest)
+	return out[:min(len(out), MaxRelays)]
 }
 
 // EntryLister lists the instances that callers of a data centre should use.
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // Core places the requests of one pool on its engines. Its first event must be a Fleet.
@@ -15,6 +17,8 @@
 	// Shares is the number of instances whose cores share the limits that targets name; 0 means
 	// that this core sees all requests.
 	Shares int
+	// Regions are the regions of the engines' data centres.
+	Regions site.Regions
 
 	model   costModel
 	engines []*engine
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -16,7 +16,7 @@
 	if wait, closed := c.closedFor(now, j, left); closed && !j.request.Resumed {
 		return c.refuse(j, "no engine takes the request", wait)
 	}
-	if j.late && !j.request.Resumed && !c.Standalone && c.isCrowded(now) {
+	if j.late && !j.request.Resumed && !c.Standalone && c.isCrowded(now, j) {
 		return c.refuse(j, "no engine can answer in time", c.retryAfter(left))
 	}
 	p, ok := c.bestPlan(now, j)
@@ -42,7 +42,7 @@
 // until the first of them opens again.
 func (c *Core) closedFor(now time.Time, j *job, timeLeft time.Duration) (wait time.Duration, closed bool) {
 	for _, e := range c.engines {
-		if e.State != site.Ready {
+		if e.State != site.Ready || !c.allows(e, j) {
 			continue
 		}
 		left := e.limiter.Wait(now, c.Shares)
@@ -65,11 +65,12 @@
 }
 
 // isCrowded reports whether so many slots are in use that a late answer would make others
-// late. An engine that accepts no request now because of its limit has none to offer.
-func (c *Core) isCrowded(now time.Time) bool {
+// late. An engine that accepts no request now because of its limit, or that is in a region to which
+// the request is not bound, has none to offer.
+func (c *Core) isCrowded(now time.Time, j *job) bool {
 	slots, used := 0, 0
 	for _, e := range c.engines {
-		if c.available(now, e) && e.limiter.Wait(now, c.Shares) == 0 {
+		if c.available(now, e) && c.allows(e, j) && e.limiter.Wait(now, c.Shares) == 0 {
 			slots += e.Slots
 			used += min(e.answers, e.Slots)
 		}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -83,6 +83,11 @@
 	return e.State == site.Ready && !e.IsEjected(now) && (c.Standalone || now.Sub(e.lastHeartbeat) < heartbeatTimeout)
 }
 
+// allows reports whether the request may use an engine in that region.
+func (c *Core) allows(e *engine, j *job) bool {
+	return c.Regions.Allows(j.request.Regions, e.DataCentre)
+}
+
 // pause keeps the requests of one instance away from the engine. Others may still use it: an
 // engine that is full for all of them refuses them, too.
 func (e *engine) pause(now time.Time, instance string, d time.Duration) {
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -37,6 +37,8 @@
 	// Avoid lists targets that failed this request before, and those that accept no request
 	// from its instance now.
 	Avoid []string `cbor:"11,keyasint,omitempty"`
+	// Regions are the regions to which the request is bound; empty means all regions.
+	Regions []string `cbor:"15,keyasint,omitempty"`
 	// Instance is the name of the requesting instance. The scheduler sets it.
 	Instance string `cbor:"-"`
 }
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -87,7 +87,7 @@
 	tokens := float64(j.request.Prompt) / float64(parts)
 	scarce := c.idleScarce(now)
 	for _, e := range c.engines {
-		if !c.available(now, e) || e.isClosed(now, j) || e.limiter.Wait(now, c.Shares) > 0 {
+		if !c.available(now, e) || !c.allows(e, j) || e.isClosed(now, j) || e.limiter.Wait(now, c.Shares) > 0 {
 			continue
 		}
 		canLead := e.hasFreeSlot() && (parts > 1 || e.used()+j.tokens() <= c.model.Memory)
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -65,7 +65,7 @@
 // syscall.ECONNREFUSED only if every instance that answered was refused.
 func (d *Dialer) Dial(ctx context.Context, target string) (net.Conn, error) {
 	d.mu.Lock()
-	relays, suspect := d.paths.relays(time.Now(), target, d.DataCentre, d.Peers()), d.paths.isSuspect(target)
+	relays, suspect := d.paths.relays(time.Now(), target, d.DataCentre, allowedPeers(ctx, d.Peers())), d.paths.isSuspect(target)
 	d.mu.Unlock()
 	if len(relays) == 0 {
 		conn, err := d.Direct(ctx, target)
--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -249,3 +249,34 @@
 		s.relays[0].active.Store(0)
 	})
 }
+
+// TestRestrictedRelays guards against a request that passes through an instance outside of its
+// regions, also if that is the only one that reaches the target.
+func TestRestrictedRelays(t *testing.T) {
+	runTestbed(t, func(s *testbed) {
+		s.peers[1].DataCentre = "dc2"
+		s.cutSelf()
+		dial := func(allowed string) (string, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			defer cancel()
+			c, err := s.dialer.Dial(Restrict(ctx, func(dataCentre string) bool { return dataCentre == allowed }), targetAddr)
+			if err != nil {
+				return "", err
+			}
+			defer c.Close()
+			return c.(*Conn).Relay, nil
+		}
+		for _, p := range s.peers {
+			for range 4 {
+				relay, err := dial(p.DataCentre)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				quicktest.Assert(t, relay, quicktest.Equals, p.Addr)
+			}
+		}
+		_, err := dial("dc3")
+		quicktest.Assert(t, err, quicktest.IsNotNil)
+		s.net.Cut("10.0.1.2", targetAddr)
+		_, err = dial("dc")
+		quicktest.Assert(t, err, quicktest.IsNotNil)
+	})
+}
--- /dev/null
+++ b/internal/relay/restriction.go
@@ -0,0 +1,27 @@
+package relay
+
+import "context"
+
+// restrictionKey is the key of the restriction of relays in a context.
+type restrictionKey struct{}
+
+// Restrict returns a context with which Dialer.Dial uses only relays in data centres that allows
+// accepts: what a request sends through a relay must not leave its regions.
+func Restrict(ctx context.Context, allows func(dataCentre string) bool) context.Context {
+	return context.WithValue(ctx, restrictionKey{}, allows)
+}
+
+// allowedPeers returns the peers that the restriction in ctx allows, or all without one.
+func allowedPeers(ctx context.Context, peers []Peer) []Peer {
+	allows, ok := ctx.Value(restrictionKey{}).(func(dataCentre string) bool)
+	if !ok {
+		return peers
+	}
+	var out []Peer
+	for _, p := range peers {
+		if allows(p.DataCentre) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
--- a/internal/site/tables.go
+++ b/internal/site/tables.go
@@ -58,6 +58,8 @@
 	Public bool `cbor:"11,keyasint"`
 	// Resumable streams can continue on another target after the last event received.
 	Resumable bool `cbor:"12,keyasint"`
+	// Regions are the regions to which requests are bound; empty means all regions.
+	Regions []string `cbor:"13,keyasint,omitempty"`
 }
 
 // MayRetry reports whether a request that may have run on one target may be sent to
@@ -116,6 +118,9 @@
 	Rank int `cbor:"3,keyasint"`
 	// Ranked is set if the organisation has a rank.
 	Ranked bool `cbor:"4,keyasint"`
+	// Regions are the regions to which requests are bound, besides the limits of the route; empty
+	// means all regions.
+	Regions []string `cbor:"5,keyasint,omitempty"`
 }
 
 // Bounds limits the size of requests.
@@ -172,6 +177,9 @@
 	if r.Limit <= 0 {
 		return &table.FieldError{Field: field + ".limit", Message: fmt.Sprintf("%s is not positive", r.Limit)}
 	}
+	if slices.Contains(r.Regions, "") {
+		return &table.FieldError{Field: field + ".regions", Message: "empty name of a region"}
+	}
 	total := 0
 	for _, s := range r.Split {
 		if !pools[s.Pool] {
@@ -205,6 +213,9 @@
 		if o.Name == "" {
 			return &table.FieldError{Field: field + ".name", Message: "missing"}
 		}
+		if slices.Contains(o.Regions, "") {
+			return &table.FieldError{Field: field + ".regions", Message: "empty name of a region"}
+		}
 		for _, k := range o.Keys {
 			if other, ok := owner[k]; ok && other != i {
 				return &table.FieldError{Field: field + ".keys", Message: fmt.Sprintf("a key also belongs to organisation %q", t.Organisations[other].Name)}
