--- a/internal/gate/region_test.go
+++ b/internal/gate/region_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,7 +14,9 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/relay"
 	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
 
 // newRegionTestbed returns a testbed with three regions: the instance and every third target from
@@ -191,3 +195,34 @@
 		quicktest.Assert(t, s.gate.Entries("dc"), quicktest.HasLen, 0)
 	})
 }
+
+// TestRelaysOfBoundRequests guards against bound requests that pass through an instance of a third
+// region: they may be relayed in the allowed region and in that of the instance itself.
+func TestRelaysOfBoundRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newRegionTestbed(t, []script{closeConn, closeConn, closeConn}, []script{closeConn, closeConn, closeConn})
+		var mu sync.Mutex
+		tried := make(map[string]bool)
+		peers := []relay.Peer{{Addr: "10.0.3.1:7", DataCentre: "dc"}, {Addr: "10.0.3.2:7", DataCentre: "dc-eu"}, {Addr: "10.0.3.3:7", DataCentre: "dc-asia"}}
+		dialer := &relay.Dialer{
+			Direct: func(context.Context, string) (net.Conn, error) { return nil, io.ErrUnexpectedEOF },
+			Calls: &wire.Pool{Dial: func(_ context.Context, addr string) (net.Conn, error) {
+				mu.Lock()
+				defer mu.Unlock()
+				tried[addr] = true
+				return nil, io.ErrUnexpectedEOF
+			}},
+			Peers: func() []relay.Peer { return peers }, DataCentre: "dc", Log: s.gate.Log, Metrics: s.gate.Metrics,
+		}
+		s.gate.TargetClient.Dial = dialer.Dial
+		for _, regions := range [][]string{{"eu"}, nil} {
+			clear(tried)
+			s.bind(regions, nil)
+			for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath} {
+				quicktest.Assert(t, s.call(path, "body").status, quicktest.Equals, 503)
+			}
+			quicktest.Assert(t, tried["10.0.3.1:7"] && tried["10.0.3.2:7"], quicktest.IsTrue)
+			quicktest.Assert(t, tried["10.0.3.3:7"], quicktest.Equals, regions == nil)
+		}
+	})
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -36,6 +36,11 @@
 	t     *testing.T
 	net   memnet.Network
 	serve serveFunc
+	// regions are in the settings of all instances, and targetDC returns the data centre of a target;
+	// nil means dc. bind changes the tables before they are published; nil leaves them.
+	regions  site.Regions
+	targetDC func(number int) string
+	bind     func(t *site.Tables)
 
 	controls []*hub.Server
 	// stopControl ends the control instance with the same index.
@@ -55,6 +60,8 @@
 	call   gate.CallInfo
 	target string
 	entry  string
+	// helpers are the addresses of the helpers.
+	helpers []string
 }
 
 // testTarget is the process of an engine or a service.
@@ -84,9 +91,12 @@
 func entryDC(i int) string { return []string{"dc", "dc2"}[min(i/3, 1)] }
 
 // newFleet starts a site and waits until it serves. It ends with the context.
-func newFleet(ctx context.Context, t *testing.T, entries, engines, services int, serve serveFunc) *fleet {
+func newFleet(ctx context.Context, t *testing.T, entries, engines, services int, serve serveFunc, options ...func(f *fleet)) *fleet {
 	t.Helper()
 	f := &fleet{t: t, serve: serve}
+	for _, set := range options {
+		set(f)
+	}
 	var seeds []string
 	for i := range 3 {
 		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:7", i+1))
@@ -97,7 +107,7 @@
 		pool := &wire.Pool{Dial: f.net.Dialer(addr), Self: addr, Local: local}
 		c := &hub.Server{
 			Name: addr, DataCentre: "dc", PeerAddr: addr, SeedAddrs: seeds, Bootstrap: true, Voters: 3, Seed: uint64(i + 1),
-			DataDir: "/data", FS: &store.Mem{}, Calls: pool, Log: logger, Metrics: metrics.NewRegistry(),
+			DataDir: "/data", Regions: f.regions, FS: &store.Mem{}, Calls: pool, Log: logger, Metrics: metrics.NewRegistry(),
 		}
 		f.controls = append(f.controls, c)
 		local.Methods, local.Streams = c.Setup()
@@ -116,7 +126,7 @@
 		dialer := &relay.Dialer{Direct: f.net.Dialer(host), Calls: calls, DataCentre: entryDC(i), Log: logger, Metrics: metrics.NewRegistry()}
 		client := &hop.Client{Dial: dialer.Dial}
 		g := &gate.Server{
-			Name: host, DataCentre: entryDC(i), Address: host + ":80", HeaderCodec: platform.HeaderCodec{},
+			Name: host, DataCentre: entryDC(i), Address: host + ":80", Regions: f.regions, HeaderCodec: platform.HeaderCodec{},
 			TargetClient: client, Metrics: metrics.NewRegistry(), Log: logger,
 			Budget: &gate.RetryBudget{Ratio: 0.2, Slack: 50, Window: 10 * time.Second},
 		}
@@ -164,6 +174,9 @@
 			Attempts: 2, Split: []site.PoolWeight{{Pool: servicePool, Weight: 1}},
 		}},
 	}
+	if f.bind != nil {
+		f.bind(tables)
+	}
 	quicktest.Assert(f.t, f.controls[0].Publish(ctx, tables, []byte("{}")), quicktest.IsNil)
 }
 
@@ -177,6 +190,9 @@
 	e := &testTarget{fleet: f, number: n, stop: cancel, Target: site.Target{
 		ID: fmt.Sprintf("%s-%03d", pool, n), Pool: pool, Address: fmt.Sprintf("10.0.2.%d:80", n), DataCentre: "dc", Slots: 16, State: site.Ready, StartedMs: int64(n),
 	}}
+	if f.targetDC != nil {
+		e.DataCentre = f.targetDC(n)
+	}
 	e.http = &http.Server{Handler: e}
 	ln, err := f.net.Listen(e.Address)
 	quicktest.Assert(f.t, err, quicktest.IsNil)
@@ -226,7 +242,11 @@
 	_, _ = io.Copy(io.Discard, r.Body)
 	f := e.fleet
 	f.mu.Lock()
-	f.arrivals = append(f.arrivals, arrival{time.Now(), c, e.ID, r.RemoteAddr})
+	a := arrival{at: time.Now(), call: c, target: e.ID, entry: r.RemoteAddr}
+	for _, h := range s.Helpers {
+		a.helpers = append(a.helpers, h.Target.Address)
+	}
+	f.arrivals = append(f.arrivals, a)
 	f.mu.Unlock()
 	f.serve(e, w, c)
 }
@@ -260,7 +280,7 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return f.net.Dialer("10.0.9.9")(ctx, addr)
 	}, DisableKeepAlives: true}}
-	c.Key, c.TimeLimit, c.PromptTokens, c.MaxOutputTokens = "key", 10*time.Second, 5000, 1000
+	c.Key, c.TimeLimit, c.PromptTokens, c.MaxOutputTokens = "key", 10*time.Second, max(5000, c.PromptTokens), 1000
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fmt.Sprintf(entryHost, entry+1)+":80"+path, strings.NewReader(body))
 	quicktest.Assert(f.t, err, quicktest.IsNil)
 	q.Host, q.Header = "h", platform.EncodeCall(c)
