gate: callers that don't read hold buffers and grants no longer than their time

An engine that cut off an unread response counted as failing, and was ejected for all. Change: a write deadline of a second after the deadline of the request; the end of an engine's connection after a write to the caller that blocked for a second is no failure of the engine; a caller that is lost is neither.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -39,6 +39,10 @@
 	maxCountedPause = 250 * time.Millisecond
 	// maxRefusals bounds the number of engines that may refuse one request.
 	maxRefusals = 4
+	// slowCallerTime is how long a write to the caller must have blocked until the end of an
+	// engine's connection is no failure of the engine: engines cut off responses that stay unread
+	// for some seconds.
+	slowCallerTime = time.Second
 )
 
 // stream is an exchange whose answer is relayed as events from engines to the caller.
@@ -54,6 +58,8 @@
 	// refusals is the number of attempts that did not run because engines refused the
 	// request, could not be reached or were no longer ready.
 	refusals int
+	// callerLost is set once the response could not be written to the caller.
+	callerLost bool
 }
 
 // serveEngine sends a request to engines and relays the events to the caller.
@@ -61,7 +67,7 @@
 	s := &stream{exchange: x, lastID: x.call.LastEventID, hasLastID: x.call.HasLastEventID}
 	reason, retry := "no engine was free in time", longRetryAfter
 	x.server.placer.awaitLink(ctx)
-	for ctx.Err() == nil && x.timeLeft() > minAttemptTime && s.refusals < maxRefusals {
+	for ctx.Err() == nil && !s.callerLost && x.timeLeft() > minAttemptTime && s.refusals < maxRefusals {
 		if left, blocked := x.server.blocklist.find(x); blocked {
 			reason, retry = blockedReason, left
 			break
@@ -214,9 +220,13 @@
 		return true, ""
 	}
 	s.mayHaveRun = true
-	if ctx.Err() == nil {
-		end.FailedTarget = lead.ID
-		s.failedTargets = append(s.failedTargets, lead.ID)
+	if ctx.Err() == nil && !s.callerLost {
+		if att.maxBlocked < slowCallerTime {
+			end.FailedTarget = lead.ID
+			s.failedTargets = append(s.failedTargets, lead.ID)
+		} else {
+			reason += ", after the caller had not read for a while"
+		}
 		s.logFailedAttempt(lead, reason, nil)
 		s.recordIfCrashed(send{lead, att.sentAt, att.written}, err)
 	}
@@ -326,6 +336,8 @@
 	written time.Duration
 	// survived is set once the engine has written for poison.SurvivalTime.
 	survived bool
+	// maxBlocked is the longest time for which a write to the caller has blocked.
+	maxBlocked time.Duration
 }
 
 // relayEvents relays the events of a response to the caller. It returns "" after the last
@@ -344,9 +356,11 @@
 		if isNew {
 			s.recordProgress(att)
 		}
+		began := time.Now()
 		if reason := s.relayEvent(resp, ev); reason != "" {
 			return reason, nil
 		}
+		att.maxBlocked = max(att.maxBlocked, time.Since(began))
 		if ctx.Err() != nil {
 			return s.endReason(), nil
 		}
@@ -415,11 +429,12 @@
 	if !ev.IsComment {
 		s.countEvent()
 	}
-	if _, err := s.w.Write(ev.Raw); err != nil {
-		return "the caller disconnected"
+	_, err := s.w.Write(ev.Raw)
+	if err == nil {
+		err = http.NewResponseController(s.w).Flush()
 	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		return "the caller disconnected"
+	if s.callerLost = err != nil; s.callerLost {
+		return "the caller disconnected, or did not read in time"
 	}
 	return ""
 }
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -37,6 +37,10 @@
 	// drainAcceptPeriod is how long a draining instance still accepts requests that may
 	// last longer than itself: until most callers have looked up others.
 	drainAcceptPeriod = 2500 * time.Millisecond
+	// writeGrace is how long after the deadline of a request its caller may still read the
+	// response. After that the connection is closed, so that callers that read slowly or not at
+	// all hold neither buffers nor engines.
+	writeGrace = time.Second
 	// idleSweepInterval is how often expired idle connections are closed.
 	idleSweepInterval = time.Second
 )
@@ -163,6 +167,8 @@
 	if x.isBound() {
 		ctx = relay.Restrict(ctx, x.allowsRelay)
 	}
+	// This fails only on a closed connection, and then writes fail, too.
+	_ = http.NewResponseController(w).SetWriteDeadline(x.deadline.Add(writeGrace))
 	s.Budget.recordRequest(x.pool.Name)
 	if x.pool.Engine != nil {
 		x.serveEngine(ctx)
