Slow callers keep their connections; grants keep memory for the longest answer

Cause: TCP_USER_TIMEOUT of 3 s also ends connections whose peer reads nothing; a caller on loopback that read nothing was reset after 3.5 s, with 3.9 MB in the send buffer. Memory was granted for the length that a caller expects, which is advisory, so that longer answers could exceed the engine's KV cache. Change: 10 s and a send buffer of 256 KiB for HTTP listeners; place.Request.MaxOutput (key 17, omitted when 0) counts for memory.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -105,7 +105,7 @@
 func (s *stream) placementRequest() place.Request {
 	age := time.Since(s.start)
 	req := place.Request{
-		ID: s.server.placer.newID(), Pool: s.pool.Name, Prompt: s.call.PromptTokens, Output: s.call.MaxOutputTokens,
+		ID: s.server.placer.newID(), Pool: s.pool.Name, Prompt: s.call.PromptTokens, Output: s.call.MaxOutputTokens, MaxOutput: s.call.MaxOutputTokens,
 		TTFTLeft: s.route.Aim - age, TTFTTarget: s.route.Aim, MaxPause: s.route.Pause, TimeLeft: s.firstEventTimeout() - age, Rank: s.rank,
 		DataCentre: s.server.DataCentre, Avoid: s.avoidedTargets(), PauseTimeout: s.eventTimeout(), Resumed: s.headSent,
 		Regions: s.regions.allowed,
--- a/internal/node/network.go
+++ b/internal/node/network.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -18,6 +19,12 @@
 	keepAliveIdle     = time.Second
 	keepAliveInterval = time.Second
 	keepAliveProbes   = 2
+	// callerTimeout is userTimeout for the connections of callers. It also bounds how long a peer
+	// may leave what was sent unread, and callers may read slowly: with 3 s they lost responses.
+	callerTimeout = 10 * time.Second
+	// callerSendBytes is the size of the send buffer of such a connection. The system would let it
+	// grow to megabytes, which many callers that don't read would multiply.
+	callerSendBytes = 256 << 10
 )
 
 // network opens TCP connections that fail within seconds when the peer stops responding.
@@ -49,14 +56,36 @@
 	return lc.Listen(ctx, "tcp4", addr)
 }
 
+// listenHTTP is listen for the connections of callers, operators and targets, which may read slowly.
+func (n network) listenHTTP(ctx context.Context, addr string) (net.Listener, error) {
+	ln, err := n.listen(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	// Connections inherit the options of their listener.
+	c, err := ln.(*net.TCPListener).SyscallConn()
+	if err == nil {
+		err = setOptions(c, [3]int{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(callerTimeout.Milliseconds())},
+			[3]int{unix.SOL_SOCKET, unix.SO_SNDBUF, callerSendBytes})
+	}
+	if err != nil {
+		return nil, errors.CombineErrors(err, ln.Close())
+	}
+	return ln, nil
+}
+
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
+	return setOptions(c, [3]int{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())})
+}
+
+// setOptions sets options of a socket, each given as level, name and value.
+func setOptions(c syscall.RawConn, options ...[3]int) error {
 	var sockErr error
 	err := c.Control(func(fd uintptr) {
-		sockErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds()))
+		for _, o := range options {
+			sockErr = errors.CombineErrors(sockErr, unix.SetsockoptInt(int(fd), o[0], o[1], o[2]))
+		}
 	})
-	if err != nil {
-		return err
-	}
-	return sockErr
+	return errors.CombineErrors(err, sockErr)
 }
--- a/internal/node/network_test.go
+++ b/internal/node/network_test.go
@@ -54,3 +54,28 @@
 	}
 	quicktest.Assert(t, endsAfter > silence, quicktest.IsTrue, quicktest.Commentf("ended after %d s", endsAfter))
 }
+
+// TestCallersMayReadSlowly guards against the system resetting the connection of a caller that reads
+// nothing for some seconds, and against megabytes in the send buffer of each such connection.
+func TestCallersMayReadSlowly(t *testing.T) {
+	ln, err := network{}.listenHTTP(t.Context(), "127.0.0.1:0")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer ln.Close()
+	caller, err := net.Dial("tcp4", ln.Addr().String())
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer caller.Close()
+	c, err := ln.Accept()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	defer c.Close()
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, raw.Control(func(fd uintptr) {
+		timeout, err := unix.GetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT)
+		quicktest.Check(t, err, quicktest.IsNil)
+		quicktest.Check(t, timeout, quicktest.Equals, int(callerTimeout.Milliseconds()))
+		// The system doubles the size for its own use.
+		size, err := unix.GetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF)
+		quicktest.Check(t, err, quicktest.IsNil)
+		quicktest.Check(t, size <= 2*callerSendBytes, quicktest.IsTrue, quicktest.Commentf("%d bytes", size))
+	}), quicktest.IsNil)
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -233,7 +233,7 @@
 // serveHTTP serves a handler on an address in g. The hook connState, which may be nil, gets
 // the changes of connections.
 func (p *Process) serveHTTP(ctx context.Context, g *errgroup.Group, addr string, h http.Handler, connState func(net.Conn, http.ConnState)) error {
-	ln, err := p.network.listen(ctx, addr)
+	ln, err := p.network.listenHTTP(ctx, addr)
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -17,6 +17,8 @@
 	// Prompt and Output are in tokens; Output is an estimate.
 	Prompt int `cbor:"3,keyasint"`
 	Output int `cbor:"4,keyasint"`
+	// MaxOutput is the longest answer, in tokens, for which memory is kept; 0 means Output.
+	MaxOutput int `cbor:"17,keyasint,omitempty"`
 	// TTFTLeft is the time left until the caller wants the first event; it may be negative.
 	TTFTLeft time.Duration `cbor:"5,keyasint"`
 	// TTFTTarget is that target counted from the arrival of the request.
--- a/internal/place/job.go
+++ b/internal/place/job.go
@@ -35,8 +35,11 @@
 // engines returns all engines that prefill parts of the prompt, the lead first.
 func (j *job) engines() []*engine { return append([]*engine{j.lead}, j.helpers...) }
 
-// tokens returns the KV cache that the whole request needs, in tokens.
-func (j *job) tokens() int { return j.request.Prompt + j.request.Output }
+// tokens returns the KV cache that the whole request may need, in tokens. An engine whose memory is
+// exceeded crashes, so an answer that is longer than expected counts, too.
+func (j *job) tokens() int {
+	return j.request.Prompt + max(j.request.Output, j.request.MaxOutput)
+}
 
 // helperTokens returns the KV cache kept on helper i, in tokens.
 func (j *job) helperTokens(i int) int {
--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"testing/synctest"
@@ -280,3 +281,33 @@
 		quicktest.Assert(t, err, quicktest.IsNotNil)
 	})
 }
+
+// TestTunnelHoldsUpTarget guards against a tunnel that takes in what the other instance doesn't read:
+// the target must be held up, and go on when reading does.
+func TestTunnelHoldsUpTarget(t *testing.T) {
+	runTestbed(t, func(s *testbed) {
+		near, far := s.exchange()
+		var written atomic.Int64
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			for piece := make([]byte, chunkBytes); ; {
+				n, err := far.Write(piece)
+				if written.Add(int64(n)); err != nil {
+					return
+				}
+			}
+		}()
+		time.Sleep(time.Second)
+		held := written.Load()
+		// Two connections of 256 KiB are full, and each end holds a few pieces.
+		quicktest.Assert(t, held < (2*256+16*16)<<10, quicktest.IsTrue, quicktest.Commentf("%d bytes", held))
+		time.Sleep(time.Second)
+		quicktest.Assert(t, written.Load(), quicktest.Equals, held)
+		_, err := io.ReadFull(near, make([]byte, 2<<20))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, written.Load() >= 2<<20, quicktest.IsTrue)
+		near.Close()
+		<-done
+	})
+}
