--- a/internal/reg/oldmessages_test.go
+++ b/internal/reg/oldmessages_test.go
@@ -62,7 +62,9 @@
 	other := target
 	other.ID, other.Address = "t2", "10.0.2.2:80"
 	return []Command{
-		{Publish: &Publish{Tables: oldTables(), Source: []byte(`{"version":7}`)}}, {Announce: &target}, {Announce: &other},
+		{Publish: &Publish{Tables: oldTables(), Source: []byte(`{"version":7}`)}},
+		{Announce: &target},
+		{Announce: &other},
 		{Deregister: &Deregister{ID: "t2", StartedMs: 5, TimedOut: true}},
 	}
 }
