--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -39,6 +39,10 @@
 	maxCountedPause = 250 * time.Millisecond
 	// maxRefusals bounds the number of engines that may refuse one request.
 	maxRefusals = 4
+	// slowCallerTime is how long a write to the caller must have blocked until the end of an
+	// engine's connection is no failure of the engine: engines cut off responses that stay unread
+	// for some seconds.
+	slowCallerTime = time.Second
 )
 
 // stream is an exchange whose answer is relayed as events from engines to the caller.
@@ -54,6 +58,8 @@
 	// refusals is the number of attempts that did not run because engines refused the
 	// request, could not be reached or were no longer ready.
 	refusals int
+	// callerLost is set once the response could not be written to the caller.
+	callerLost bool
 }
 
 // serveEngine sends a request to engines and relays the events to the caller.
@@ -61,7 +67,7 @@
 	s := &stream{exchange: x, lastID: x.call.LastEventID, hasLastID: x.call.HasLastEventID}
 	reason, retry := "no engine was free in time", longRetryAfter
 	x.server.placer.awaitLink(ctx)
-	for ctx.Err() == nil && x.timeLeft() > minAttemptTime && s.refusals < maxRefusals {
+	for ctx.Err() == nil && !s.callerLost && x.timeLeft() > minAttemptTime && s.refusals < maxRefusals {
 		if left, blocked := x.server.blocklist.find(x); blocked {
 			reason, retry = blockedReason, left
 			break
@@ -102,7 +108,7 @@
 		ID: s.server.placer.newID(), Pool: s.pool.Name, Prompt: s.call.PromptTokens, Output: s.call.MaxOutputTokens,
 		TTFTLeft: s.route.Aim - age, TTFTTarget: s.route.Aim, MaxPause: s.route.Pause, TimeLeft: s.firstEventTimeout() - age, Rank: s.rank,
 		DataCentre: s.server.DataCentre, Avoid: s.avoidedTargets(), PauseTimeout: s.eventTimeout(), Resumed: s.headSent,
-		RouteRank: s.routeRank, Organisation: s.org, CallerLeft: s.timeLeft(),
+		RouteRank: s.routeRank, Organisation: s.org, CallerLeft: s.timeLeft(), Regions: s.regions.allowed,
 	}
 	if s.call.ExpectedOutputTokens > 0 {
 		req.Output = min(req.Output, s.call.ExpectedOutputTokens)
@@ -114,8 +120,8 @@
 	return req
 }
 
-// avoidedTargets returns the engines that failed the request, and those that accept no
-// request from this instance now.
+// avoidedTargets returns the engines that failed the request, those that accept no request from
+// this instance now, and those outside the allowed regions.
 func (s *stream) avoidedTargets() []string {
 	out := slices.Clone(s.failedTargets)
 	closed, _ := s.server.health.closedTargets(s.server.views.load(), s.pool.Name)
@@ -124,6 +130,14 @@
 			out = append(out, id)
 		}
 	}
+	if s.isBound() {
+		// A scheduler that ignores regions must not grant these either.
+		for _, t := range s.server.views.load().pools[s.pool.Name] {
+			if !s.allows(t.DataCentre) {
+				out = append(out, t.ID)
+			}
+		}
+	}
 	return out
 }
 
@@ -154,7 +168,7 @@
 		s.refusals++
 		return false, "memory reservation on a helper engine failed"
 	}
-	defer reserved.release()
+	defer reserved.release(ctx)
 	// The reservations took a while, in which an engine may have begun to leave, or this
 	// process may have been paused for longer than the scheduler keeps its grants.
 	if s.server.pauses.pauseCount() != s.pauseCount {
@@ -207,9 +221,13 @@
 		return true, ""
 	}
 	s.mayHaveRun = true
-	if ctx.Err() == nil {
-		end.FailedTarget = lead.ID
-		s.failedTargets = append(s.failedTargets, lead.ID)
+	if ctx.Err() == nil && !s.callerLost {
+		if att.maxBlocked < slowCallerTime {
+			end.FailedTarget = lead.ID
+			s.failedTargets = append(s.failedTargets, lead.ID)
+		} else {
+			reason += ", after the caller had not read for a while"
+		}
 		s.logFailedAttempt(lead, reason, nil)
 		s.recordIfCrashed(send{lead, att.sentAt, att.written, att.lastEventAt}, err)
 	} else {
@@ -233,17 +251,18 @@
 }
 
 // resolve finds the engines of a grant in the current view. An engine that drains, or wants
-// no requests from this instance, gets none even if the scheduler granted it.
+// no requests from this instance, gets none even if the scheduler granted it; neither does one
+// outside the allowed regions.
 func (s *stream) resolve(g place.Grant) (lead site.Target, helpers []PrefillHelper, ok bool) {
 	v := s.server.views.load()
 	lead, ok = v.readyTarget(g.Lead, s.pool.Name)
-	if !ok || s.server.health.isClosed(lead) {
+	if !ok || s.server.health.isClosed(lead) || !s.allows(lead.DataCentre) {
 		s.failedTargets = append(s.failedTargets, g.Lead)
 		return lead, nil, false
 	}
 	for i, id := range g.Helpers {
 		t, ok := v.readyTarget(id, s.pool.Name)
-		if !ok || s.server.health.isClosed(t) {
+		if !ok || s.server.health.isClosed(t) || !s.allows(t.DataCentre) {
 			s.failedTargets = append(s.failedTargets, id)
 			return lead, nil, false
 		}
@@ -321,6 +340,8 @@
 	written time.Duration
 	// survived is set once the engine has written for poison.SurvivalTime.
 	survived bool
+	// maxBlocked is the longest time for which a write to the caller has blocked.
+	maxBlocked time.Duration
 }
 
 // relayEvents relays the events of a response to the caller. It returns "" after the last
@@ -340,9 +361,11 @@
 			s.recordProgress(att)
 			s.server.blocklist.recordAlive(lead)
 		}
+		began := time.Now()
 		if reason := s.relayEvent(resp, ev); reason != "" {
 			return reason, nil
 		}
+		att.maxBlocked = max(att.maxBlocked, time.Since(began))
 		if ctx.Err() != nil {
 			return s.endReason(), nil
 		}
@@ -411,11 +434,12 @@
 	if !ev.IsComment {
 		s.countEvent()
 	}
-	if _, err := s.w.Write(ev.Raw); err != nil {
-		return "the caller disconnected"
+	_, err := s.w.Write(ev.Raw)
+	if err == nil {
+		err = http.NewResponseController(s.w).Flush()
 	}
-	if err := http.NewResponseController(s.w).Flush(); err != nil {
-		return "the caller disconnected"
+	if s.callerLost = err != nil; s.callerLost {
+		return "the caller disconnected, or did not read in time"
 	}
 	return ""
 }
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -31,7 +31,9 @@
 	// rank is the priority of the organisation, or of the route if it has none; 0 is the highest.
 	// routeRank is that of the route if rank is that of the organisation.
 	rank, routeRank int
-	body            []byte
+	// regions are the regions that the route and the organisation allow.
+	regions regionLimit
+	body    []byte
 	// digest is the value of requestDigest once it has been computed.
 	digest string
 	// bodyReader is what the body was read from; nil before that.
@@ -120,7 +122,7 @@
 		return false
 	}
 	x.pool = pool
-	return x.readBody()
+	return x.readBody() && x.checkRegions()
 }
 
 // headBytes returns the length of the request line and the headers of a request.
@@ -153,6 +155,7 @@
 // already responded.
 func (x *exchange) authorise() bool {
 	x.rank = x.route.Rank
+	x.regions.bind(x.route.Regions)
 	if x.route.Public || !x.view.index.Tables.Keyed {
 		return true
 	}
@@ -162,6 +165,7 @@
 		return false
 	}
 	x.org = o.Name
+	x.regions.bind(o.Regions)
 	if o.Ranked {
 		x.rank, x.routeRank = o.Rank, x.route.Rank
 	}
@@ -317,6 +321,9 @@
 	if x.isRefused() && !x.deadline.IsZero() {
 		e.Int("output", x.call.MaxOutputTokens).Dur("left", x.timeLeft())
 	}
+	if x.isBound() {
+		e.Strs("regions", x.regions.allowed)
+	}
 	if len(x.call.SharedSegments) > 0 {
 		e.Strs("prefix", x.call.SharedSegments)
 	}
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // Core places the requests of one pool on its engines. Its first event must be a Fleet.
@@ -18,6 +20,8 @@
 	// ColdShares is the number of instances that share the cold rates of engines with a standalone
 	// core; 0 means Shares. It may be higher, as a cold engine crashes where others refuse.
 	ColdShares int
+	// Regions are the regions of the engines' data centres.
+	Regions site.Regions
 
 	model costModel
 	// coldRate is how many requests a second a cold engine tolerates; 0 means no limit.
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -16,7 +16,7 @@
 	if wait, closed := c.closedFor(now, j, left); closed && !j.request.Resumed {
 		return c.refuse(now, j, "no engine takes the request", wait)
 	}
-	if j.late && !j.request.Resumed && !c.Standalone && c.isCrowded(now) {
+	if j.late && !j.request.Resumed && !c.Standalone && c.isCrowded(now, j) {
 		return c.refuse(now, j, "no engine can answer in time", c.retryAfter(now, j))
 	}
 	p, ok := c.bestPlan(now, j)
@@ -45,7 +45,7 @@
 // until the first of them opens again.
 func (c *Core) closedFor(now time.Time, j *job, timeLeft time.Duration) (wait time.Duration, closed bool) {
 	for _, e := range c.engines {
-		if e.State != site.Ready {
+		if e.State != site.Ready || !c.allows(e, j) {
 			continue
 		}
 		left := c.limitWait(now, e)
@@ -68,11 +68,12 @@
 }
 
 // isCrowded reports whether so many slots are in use that a late answer would make others
-// late. An engine that accepts no request now because of its limit has none to offer.
-func (c *Core) isCrowded(now time.Time) bool {
+// late. An engine that accepts no request now because of its limit, or that is in a region to which
+// the request is not bound, has none to offer; without a request all regions count.
+func (c *Core) isCrowded(now time.Time, j *job) bool {
 	slots, used := 0, 0
 	for _, e := range c.engines {
-		if c.available(now, e) && c.limitWait(now, e) == 0 {
+		if c.available(now, e) && (j == nil || c.allows(e, j)) && c.limitWait(now, e) == 0 {
 			limit := e.slotLimit(now)
 			slots += limit
 			used += min(e.answers, limit)
@@ -83,7 +84,7 @@
 
 // isContended reports whether the pool is crowded and more is wanted than it can do.
 func (c *Core) isContended(now time.Time) bool {
-	return !c.Standalone && c.isCrowded(now) && c.admission.excess(now, c.availableEngines(now)) > 1
+	return !c.Standalone && c.isCrowded(now, nil) && c.admission.excess(now, c.availableEngines(now)) > 1
 }
 
 // availableEngines returns the number of engines that take work.
