place, conf: fair shares and ranks are switched on by the setting fair

Cause: they acted on every site with organisations, the earlier deployments among them. Change: off unless the settings say fair; requests are then decided as before. Measured: go test of place, gate, hub, conf; replays of bursts run with it.

--- a/internal/conf/process.go
+++ b/internal/conf/process.go
@@ -20,6 +20,9 @@
 	// Regions maps data centres to regions. If empty, all data centres are one region. Changes
 	// take effect at the next start.
 	Regions site.Regions `json:"regions"`
+	// Fair makes requests count by the priorities of their organisation and route, and organisations
+	// share engines fairly under overload. All processes of a site must have the same value.
+	Fair bool `json:"fair"`
 	// Callers, Ready, Control, Directory, Peers and Metrics are the addresses to
 	// listen on. If one is empty, that endpoint is not served.
 	Callers   string `json:"callers"`
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -296,7 +296,7 @@
 		}
 		c := p.localCores[pool.Name]
 		if c == nil {
-			c = &place.Core{Standalone: true, Shares: p.server.limitShares(), Regions: p.server.Regions}
+			c = &place.Core{Standalone: true, Shares: p.server.limitShares(), Fair: p.server.Fair, Regions: p.server.Regions}
 			p.localCores[pool.Name] = c
 		}
 		c.Step(time.Now(), place.Fleet{Engine: *pool.Engine, Targets: v.pools[pool.Name], ColdRate: pool.ColdRate})
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -50,6 +50,8 @@
 	Name, DataCentre string
 	// Address is where callers reach this instance.
 	Address string
+	// Fair is place.Core.Fair of the cores for times without a scheduler.
+	Fair bool
 	// Regions are the regions of the data centres.
 	Regions      site.Regions
 	HeaderCodec  HeaderCodec
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -105,7 +105,7 @@
 		}
 		c := s.cores[p.Name]
 		if c == nil {
-			c = &place.Core{Regions: s.server.Regions}
+			c = &place.Core{Fair: s.server.Fair, Regions: s.server.Regions}
 			s.cores[p.Name] = c
 		}
 		s.step(c, fleetOf(p, byPool[p.Name], evacuated))
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -49,7 +49,9 @@
 	DataDir string
 	// Regions are the regions of the data centres.
 	Regions site.Regions
-	FS      store.FS
+	// Fair is place.Core.Fair of the schedulers.
+	Fair bool
+	FS   store.FS
 	// Clock is the clock of the leader's lease; nil means the clock of the Go runtime.
 	Clock func() time.Duration
 	// Seed seeds the jitter of elections; 0 means a random seed.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -129,7 +129,7 @@
 	if s.Control != "" {
 		p.hub = &hub.Server{
 			Name: s.Name, DataCentre: s.DataCentre, PeerAddr: s.Peers, ControlAddr: s.Control, SeedAddrs: p.peerAddrs(s.Seeds), Bootstrap: s.First,
-			Voters: 2*s.Losses + 1, DataDir: s.Data, Regions: s.Regions, FS: store.OS{}, Clock: sinceBoot, Calls: p.peerPool, Log: p.Log, Metrics: p.metrics,
+			Voters: 2*s.Losses + 1, DataDir: s.Data, Regions: s.Regions, Fair: s.Fair, FS: store.OS{}, Clock: sinceBoot, Calls: p.peerPool, Log: p.Log, Metrics: p.metrics,
 		}
 		if p.Handlers.LoadSource != nil {
 			p.hub.LoadReader = p.Handlers.LoadSource(&hop.Client{Dial: p.network.dial})
@@ -142,7 +142,7 @@
 	p.dialer = &relay.Dialer{Direct: p.network.dial, Calls: p.peerPool, DataCentre: s.DataCentre, Log: p.Log, Metrics: p.metrics}
 	client := &hop.Client{Dial: p.dialer.Dial}
 	p.gate = &gate.Server{
-		Name: s.Name, DataCentre: s.DataCentre, Address: s.Callers, Regions: s.Regions, HeaderCodec: p.HeaderCodec,
+		Name: s.Name, DataCentre: s.DataCentre, Address: s.Callers, Regions: s.Regions, Fair: s.Fair, HeaderCodec: p.HeaderCodec,
 		TargetClient: client, Log: p.Log, Metrics: p.metrics,
 		Clock: sinceBoot, DrainTime: drainTime(time.Duration(s.Grace)), BufferBytes: s.Memory << 20 / bufferDivisor,
 		Budget: &gate.RetryBudget{Ratio: s.Repeats.Ratio, Slack: s.Repeats.Slack, Window: time.Duration(s.Repeats.Window)},
--- a/internal/place/admit_test.go
+++ b/internal/place/admit_test.go
@@ -34,7 +34,7 @@
 // TestRetriesAreSpread guards against callers that are refused in a burst and come back at the
 // same time, or are told a time that they don't wait for.
 func TestRetriesAreSpread(t *testing.T) {
-	c, now := &Core{}, time.Unix(0, 0)
+	c, now := &Core{Fair: true}, time.Unix(0, 0)
 	c.Step(now, Fleet{Engine: publishedEngine()})
 	j := &job{request: Request{TimeLeft: 2 * second, CallerLeft: 10 * second}, arrived: now, work: 100, value: 1}
 	for range 100 {
--- a/internal/place/burst_test.go
+++ b/internal/place/burst_test.go
@@ -205,7 +205,7 @@
 // run plays a burst and returns the simulation.
 func (b *burst) run(seed uint64) *sim {
 	d := b.deployment()
-	var p placer = &Core{}
+	var p placer = &Core{Fair: true}
 	if b.found > 0 {
 		p = newFailover(b.lost, b.found)
 	}
@@ -373,11 +373,11 @@
 
 func newFailover(lost, found time.Duration) *failover {
 	f := &failover{
-		lost: time.Unix(0, 0).Add(lost), found: time.Unix(0, 0).Add(found), core: &Core{}, rng: rand.New(rand.NewPCG(9, 9)),
+		lost: time.Unix(0, 0).Add(lost), found: time.Unix(0, 0).Add(found), core: &Core{Fair: true}, rng: rand.New(rand.NewPCG(9, 9)),
 		owners: make(map[string]*Core), active: make(map[string]*ActiveGrant), granted: make(map[string]time.Time), requests: make(map[string]Request),
 	}
 	for range failoverEntries {
-		f.entries = append(f.entries, &Core{Standalone: true, Shares: failoverEntries})
+		f.entries = append(f.entries, &Core{Standalone: true, Fair: true, Shares: failoverEntries})
 	}
 	return f
 }
@@ -428,7 +428,7 @@
 // takeOver replaces the scheduler by a new one, which adopts the grants in use.
 func (f *failover) takeOver(now time.Time) {
 	f.replaced = true
-	f.core = &Core{}
+	f.core = &Core{Fair: true}
 	f.core.Step(now, f.fleet)
 	for _, id := range slices.Sorted(maps.Keys(f.active)) {
 		g := *f.active[id]
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -20,6 +20,9 @@
 	// ColdShares is the number of instances that share the cold rates of engines with a standalone
 	// core; 0 means Shares. It may be higher, as a cold engine crashes where others refuse.
 	ColdShares int
+	// Fair makes requests worth less by their ranks, and organisations share the engines fairly while
+	// more is wanted than these can do.
+	Fair bool
 	// Regions are the regions of the engines' data centres.
 	Regions site.Regions
 
@@ -83,12 +86,12 @@
 	if c.jobs[r.ID] != nil {
 		return nil
 	}
-	j := &job{request: r, arrived: now, due: now.Add(r.TTFTLeft), weight: r.rankWeight()}
+	j := &job{request: r, arrived: now, due: now.Add(r.TTFTLeft), weight: c.rankWeight(r)}
 	j.value = c.values.value(r) * j.weight
 	j.late = r.TTFTLeft <= c.minTTFT(j, maxParts)
 	j.work = c.engineTime(j).Seconds()
 	j.large = c.values.relativeSize(r) > largeSize
-	if !c.Standalone {
+	if c.sharesFairly() {
 		c.admission.want(now, j)
 	}
 	c.demand.add(now, j, c.model.prefillTime(r.Prompt), c.engineTime(j))
@@ -292,7 +295,7 @@
 		return
 	}
 	j := &job{
-		request: g.Request, arrived: now.Add(-g.Age), due: now.Add(g.Request.TTFTLeft - g.Age), weight: g.Request.rankWeight(),
+		request: g.Request, arrived: now.Add(-g.Age), due: now.Add(g.Request.TTFTLeft - g.Age), weight: c.rankWeight(g.Request),
 	}
 	j.value = c.values.value(g.Request) * j.weight
 	j.late = !g.Started && j.due.Before(now)
--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -28,7 +28,7 @@
 	}
 	c.reserve(now, j, p)
 	c.takeTurn(now, p.lead)
-	if !c.Standalone {
+	if c.sharesFairly() {
 		c.admission.grant(now, j)
 	}
 	g := Grant{ID: j.request.ID, Lead: p.lead.ID, Urgency: j.urgency(), PredictedTTFT: p.ttft, Waited: now.Sub(j.arrived)}
@@ -82,9 +82,12 @@
 	return float64(used) >= crowdedLoad*float64(slots)
 }
 
+// sharesFairly reports whether the core shares the engines fairly, for which it must see all requests.
+func (c *Core) sharesFairly() bool { return c.Fair && !c.Standalone }
+
 // isContended reports whether the pool is crowded and more is wanted than it can do.
 func (c *Core) isContended(now time.Time) bool {
-	return !c.Standalone && c.isCrowded(now, nil) && c.admission.excess(now, c.availableEngines(now)) > 1
+	return c.sharesFairly() && c.isCrowded(now, nil) && c.admission.excess(now, c.availableEngines(now)) > 1
 }
 
 // availableEngines returns the number of engines that take work.
--- a/internal/place/rank_test.go
+++ b/internal/place/rank_test.go
@@ -35,7 +35,7 @@
 // It guards against ranks that act where all requests have the same.
 func TestEqualRanksChangeNothing(t *testing.T) {
 	play := func(rank, routeRank int) []Decision {
-		p := &ranked{Core: &Core{}, rank: rank, routeRank: routeRank}
+		p := &ranked{Core: &Core{Fair: true}, rank: rank, routeRank: routeRank}
 		s := newSim(5, 16, p)
 		s.addLoad(short(), 0, 6*second, 120)
 		s.addLoad(medium(), 0, 6*second, 3)
--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -27,7 +27,10 @@
 // rankWeight returns the part of its value that a request keeps by its ranks: half for each
 // rank of the organisation and of the route. It is a power of 2, so requests that all have the
 // same ranks are decided exactly as without ranks.
-func (r *Request) rankWeight() float64 {
+func (c *Core) rankWeight(r Request) float64 {
+	if !c.Fair {
+		return 1
+	}
 	return math.Ldexp(1, -min(max(0, r.Rank)+max(0, r.RouteRank), maxRank))
 }
 
