--- a/internal/hub/evacuation_test.go
+++ b/internal/hub/evacuation_test.go
@@ -172,37 +172,41 @@
 func TestNoEvacuationBesideFormerBuild(t *testing.T) {
 	for _, former := range [][]string{{"10.0.0.1:7"}, {"10.0.0.1:7", "10.0.0.2:7", "10.0.0.3:7"}} {
 		t.Run(fmt.Sprint(len(former)), func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				cl := newCluster(t, 3, 1)
-				defer cl.close()
-				cl.leader()
-				restart := func(a string, isFormer bool) {
-					cl.former = map[string]bool{a: isFormer}
-					cl.startControl(a, cl.crash(a), false)
-					time.Sleep(4 * time.Second)
-				}
-				for _, a := range former {
-					restart(a, true)
-				}
-				for _, c := range cl.controls {
-					if cl.former[c.PeerAddr] || len(former) == 3 && c.isLeader() {
-						continue // It doesn't have the call.
-					}
-					for _, err := range []error{c.Evacuate(t.Context(), "dc"), c.EndEvacuation(t.Context(), "dc")} {
-						quicktest.Assert(t, verd.From(err).Reason, quicktest.Equals, verd.Unavailable, quicktest.Commentf("%v", err))
-					}
-				}
-				cl.wantEvacuated()
-				for _, a := range former {
-					restart(a, false)
-				}
-				cl.evacuate("dc")
-				cl.wantEvacuated("dc")
-			})
+			synctest.Test(t, func(t *testing.T) { evacuateBesideFormer(t, former) })
 		})
 	}
 }
 
+func evacuateBesideFormer(t *testing.T, former []string) {
+	cl := newCluster(t, 3, 1)
+	defer cl.close()
+	cl.leader()
+	for _, a := range former {
+		cl.restartAs(a, true)
+	}
+	for _, c := range cl.controls {
+		if cl.former[c.PeerAddr] || len(former) == 3 && c.isLeader() {
+			continue // It doesn't have the call.
+		}
+		for _, err := range []error{c.Evacuate(t.Context(), "dc"), c.EndEvacuation(t.Context(), "dc")} {
+			quicktest.Assert(t, verd.From(err).Reason, quicktest.Equals, verd.Unavailable, quicktest.Commentf("%v", err))
+		}
+	}
+	cl.wantEvacuated()
+	for _, a := range former {
+		cl.restartAs(a, false)
+	}
+	cl.evacuate("dc")
+	cl.wantEvacuated("dc")
+}
+
+// restartAs restarts a control instance, with a build that doesn't know evacuations if isFormer.
+func (cl *cluster) restartAs(addr string, isFormer bool) {
+	cl.former = map[string]bool{addr: isFormer}
+	cl.startControl(addr, cl.crash(addr), false)
+	time.Sleep(4 * time.Second)
+}
+
 // TestEvacuationWithoutLostVoters loses two of five control instances, the leader first. Guards
 // against a data centre that can't be evacuated because its own control instances are lost.
 func TestEvacuationWithoutLostVoters(t *testing.T) {
@@ -240,6 +244,51 @@
 	quicktest.Assert(cl.t, cl.leader().Announce(cl.t.Context(), x), quicktest.IsNil)
 }
 
+// grantRequester requests grants from the scheduler through an entry.
+type grantRequester struct {
+	t     *testing.T
+	entry *entryNode
+	count int
+}
+
+// request requests a grant. It must be granted, or refused at once.
+func (r *grantRequester) request(prompt int) (g place.Grant, granted bool) {
+	r.count++
+	req := place.Request{
+		ID: fmt.Sprint("a", r.count), Pool: "p", Prompt: prompt, Output: 100, TTFTLeft: 3 * time.Second, TTFTTarget: 3 * time.Second,
+		MaxPause: 250 * time.Millisecond, TimeLeft: 5 * time.Second, PauseTimeout: 2 * time.Second,
+	}
+	began := time.Now()
+	r.entry.client.Send(func(m *link.FollowerMessage) { m.Requests = append(m.Requests, req) })
+	select {
+	case g = <-r.entry.grants:
+		return g, true
+	case refusal := <-r.entry.refused:
+		quicktest.Assert(r.t, refusal.RetryAfter > 0, quicktest.IsTrue)
+		quicktest.Assert(r.t, time.Since(began) < 100*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s: %d tokens", refusal.Reason, prompt))
+	case <-time.After(10 * time.Second):
+		r.t.Fatalf("request %s of %d tokens is neither granted nor refused", req.ID, prompt)
+	}
+	return g, false
+}
+
+// used returns the engines of some grants, of short prompts and of long ones with helpers.
+func (r *grantRequester) used() map[string]bool {
+	out := make(map[string]bool)
+	helpers := 0
+	for i := range 8 {
+		g, granted := r.request([]int{1000, 120_000}[i%2])
+		quicktest.Assert(r.t, granted, quicktest.IsTrue)
+		helpers += len(g.Helpers)
+		for _, id := range append(g.Helpers, g.Lead) {
+			out[id] = true
+		}
+		r.entry.client.Send(func(m *link.FollowerMessage) { m.Ended = append(m.Ended, place.End{ID: g.ID}) })
+	}
+	quicktest.Assert(r.t, helpers > 0, quicktest.IsTrue)
+	return out
+}
+
 // TestSchedulerAvoidsEvacuated requests grants before, during and after evacuations. Guards against
 // grants, as lead or as helper, of engines in an evacuated data centre, against requests that wait
 // although all are evacuated, and against grants in use that are forgotten.
@@ -250,51 +299,15 @@
 			cl.announceIn(dc, fmt.Sprint(i+1))
 		}
 		time.Sleep(time.Second)
-		e, count := cl.entries["10.0.1.1:7"], 0
-		request := func(prompt int) (g place.Grant, granted bool) {
-			count++
-			req := place.Request{
-				ID: fmt.Sprint("a", count), Pool: "p", Prompt: prompt, Output: 100, TTFTLeft: 3 * time.Second, TTFTTarget: 3 * time.Second,
-				MaxPause: 250 * time.Millisecond, TimeLeft: 5 * time.Second, PauseTimeout: 2 * time.Second,
-			}
-			began := time.Now()
-			e.client.Send(func(m *link.FollowerMessage) { m.Requests = append(m.Requests, req) })
-			select {
-			case g = <-e.grants:
-				return g, true
-			case r := <-e.refused:
-				quicktest.Assert(t, r.RetryAfter > 0, quicktest.IsTrue)
-				quicktest.Assert(t, time.Since(began) < 100*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s: %d tokens", r.Reason, prompt))
-				return g, false
-			case <-time.After(10 * time.Second):
-				t.Fatalf("request %s of %d tokens is neither granted nor refused", req.ID, prompt)
-				return g, false
-			}
-		}
-		// used returns the engines of some grants, of short prompts and of long ones with helpers.
-		used := func() map[string]bool {
-			out := make(map[string]bool)
-			helpers := 0
-			for i := range 8 {
-				g, granted := request([]int{1000, 120_000}[i%2])
-				quicktest.Assert(t, granted, quicktest.IsTrue)
-				helpers += len(g.Helpers)
-				for _, id := range append(g.Helpers, g.Lead) {
-					out[id] = true
-				}
-				e.client.Send(func(m *link.FollowerMessage) { m.Ended = append(m.Ended, place.End{ID: g.ID}) })
-			}
-			quicktest.Assert(t, helpers > 0, quicktest.IsTrue)
-			return out
-		}
-		quicktest.Assert(t, used(), quicktest.Not(quicktest.HasLen), 0)
-		running, granted := request(1000)
+		r := &grantRequester{t: t, entry: cl.entries["10.0.1.1:7"]}
+		quicktest.Assert(t, r.used(), quicktest.Not(quicktest.HasLen), 0)
+		running, granted := r.request(1000)
 		quicktest.Assert(t, granted, quicktest.IsTrue)
 		homeOf := func(id string) string { return []string{"dc2", "dc1"}[int(id[0]-'0')%2] }
 		home := homeOf(running.Lead)
 		other := map[string]string{"dc1": "dc2", "dc2": "dc1"}[home]
 		cl.evacuate(home)
-		for id := range used() {
+		for id := range r.used() {
 			quicktest.Assert(t, homeOf(id), quicktest.Equals, other, quicktest.Commentf("engine %s is in an evacuated data centre", id))
 		}
 		time.Sleep(time.Second)
@@ -304,12 +317,12 @@
 		lead.scheduler.mu.Unlock()
 		quicktest.Assert(t, inUse, quicktest.Equals, 1)
 		cl.evacuate(other)
-		_, granted = request(1000)
+		_, granted = r.request(1000)
 		quicktest.Assert(t, granted, quicktest.IsFalse)
 		cl.endEvacuation(home)
 		cl.endEvacuation(other)
 		again := false
-		for id := range used() {
+		for id := range r.used() {
 			again = again || homeOf(id) == home
 		}
 		quicktest.Assert(t, again, quicktest.IsTrue)
--- a/internal/node/region_test.go
+++ b/internal/node/region_test.go
@@ -24,112 +24,136 @@
 func TestRequestsStayInTheirRegions(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const (
-			entries, engines, services = 6, 12, 6
-			cutOff                     = 1
-			cutAt, lossAt, end         = 5 * time.Second, 10 * time.Second, 20 * time.Second
-			interval                   = 60 * time.Millisecond
+			engines, services = 12, 6
+			end               = 20 * time.Second
+			interval          = 60 * time.Millisecond
 		)
-		// Targets with an even number are in region b.
-		isAllowed := func(number int) bool { return number%2 == 0 }
 		ctx, cancel := context.WithCancel(context.Background())
-		var mu sync.Mutex
-		attempts, resumed, retried := make(map[string]int), 0, 0
-		serve := func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
-			mu.Lock()
-			attempts[c.ID]++
-			first := attempts[c.ID] == 1
-			isRetry := !first && e.Pool == servicePool
-			if isRetry {
-				retried++
-			}
-			if c.HasLastEventID {
-				resumed++
-			}
-			mu.Unlock()
-			fails := strings.HasSuffix(c.ID, "0") && first
-			if e.Pool == servicePool {
-				writeHead(w, gate.ReplyInfo{RequestID: c.ID, NotRun: fails})
-				if fails {
-					w.WriteHeader(http.StatusServiceUnavailable)
-				}
-				return
-			}
-			writeHead(w, gate.ReplyInfo{RequestID: c.ID})
-			if fails {
-				writeStream(w, c, 4)
-				panic(http.ErrAbortHandler)
-			}
-			writeStream(w, c, 10)
-		}
-		f := newFleet(ctx, t, entries, engines, services, serve, func(f *fleet) {
-			f.regions = site.Regions{"dc": "a", "dc2": "b"}
-			f.targetDC = func(number int) string { return []string{"dc2", "dc"}[number%2] }
-			f.bind = func(t *site.Tables) {
-				t.Routes[0].Regions, t.Routes[1].Regions = []string{"b"}, []string{"b", "c"}
-				t.Organisations[0].Regions = []string{"b"}
-			}
-		})
+		p := &regionPlay{attempts: make(map[string]int)}
+		f := newFleet(ctx, t, regionEntries, engines, services, p.serve, bindToRegionB)
 		defer f.close(cancel)
 
 		start := time.Now()
 		var callers sync.WaitGroup
-		calls, served, relayed := 0, 0, 0
-		callers.Go(func() {
-			time.Sleep(cutAt)
-			for i := range f.started {
-				f.net.Refuse(fmt.Sprintf(entryHost, cutOff+1), fmt.Sprintf("10.0.2.%d:80", i+1))
-			}
-			time.Sleep(lossAt - cutAt)
-			for i, c := range f.controls {
-				// Only the leader has granted anything.
-				if metrics.GetOrRegisterCounter("hub.grants", c.Metrics).Count() > 0 {
-					f.stopControl[i]()
-				}
-			}
-		})
+		callers.Go(func() { p.injectFaults(f) })
 		for i := 0; time.Since(start) < end; i++ {
-			callers.Go(func() {
-				call := gate.CallInfo{ID: fmt.Sprintf("a%d", i)}
-				if i%16 == 0 {
-					call.PromptTokens = 300_000
-				}
-				_, whole := f.call(ctx, i%entries, []string{chatPath, lookupPath, orderPath}[i/entries%3], call)
-				mu.Lock()
-				defer mu.Unlock()
-				calls++
-				if whole {
-					served++
-				}
-			})
+			callers.Go(func() { p.call(ctx, f, i) })
 			time.Sleep(interval)
 		}
 		callers.Wait()
-
-		helpers := 0
-		numberOf := func(address string) (n int) {
-			_, err := fmt.Sscanf(address, "10.0.2.%d:80", &n)
-			quicktest.Assert(t, err, quicktest.IsNil)
-			return n
-		}
 		for _, a := range f.arrivals {
-			var n int
-			_, err := fmt.Sscanf(a.target[strings.LastIndex(a.target, "-")+1:], "%d", &n)
-			quicktest.Assert(t, err, quicktest.IsNil)
-			quicktest.Check(t, isAllowed(n), quicktest.IsTrue, quicktest.Commentf("%s reached %s", a.call.ID, a.target))
-			for _, h := range a.helpers {
-				helpers++
-				quicktest.Check(t, isAllowed(numberOf(h)), quicktest.IsTrue, quicktest.Commentf("%s has the helper %s", a.call.ID, h))
-			}
-			if host, _, _ := strings.Cut(a.entry, ":"); host != fmt.Sprintf(entryHost, entryOf(a.call.ID, entries)+1) {
-				relayed++
-			}
+			p.check(t, a)
 		}
-		t.Logf("%d of %d requests served; %d helpers, %d resumed, %d retried, %d relayed", served, calls, helpers, resumed, retried, relayed)
-		quicktest.Check(t, helpers > 0 && resumed > 0 && retried > 0 && relayed > 0, quicktest.IsTrue)
-		quicktest.Check(t, served >= calls*9/10, quicktest.IsTrue)
+		t.Logf("%d of %d requests served; %d helpers, %d resumed, %d retried, %d relayed", p.served, p.calls, p.helpers, p.resumed, p.retried, p.relayed)
+		quicktest.Check(t, p.helpers > 0 && p.resumed > 0 && p.retried > 0 && p.relayed > 0, quicktest.IsTrue)
+		quicktest.Check(t, p.served >= p.calls*9/10, quicktest.IsTrue)
 	})
 }
 
+const (
+	regionEntries = 6
+	// regionCutOff is the entry that loses its targets.
+	regionCutOff = 1
+)
+
+// bindToRegionB puts the targets with an even number into region b, and binds all requests to it.
+func bindToRegionB(f *fleet) {
+	f.regions = site.Regions{"dc": "a", "dc2": "b"}
+	f.targetDC = func(number int) string { return []string{"dc2", "dc"}[number%2] }
+	f.bind = func(t *site.Tables) {
+		t.Routes[0].Regions, t.Routes[1].Regions = []string{"b"}, []string{"b", "c"}
+		t.Organisations[0].Regions = []string{"b"}
+	}
+}
+
+// regionPlay counts what becomes of requests that are bound to a region.
+type regionPlay struct {
+	mu                                                sync.Mutex
+	attempts                                          map[string]int
+	calls, served, resumed, retried, helpers, relayed int
+}
+
+// countAttempt counts a request at a target, and reports whether it fails there.
+func (p *regionPlay) countAttempt(e *testTarget, c gate.CallInfo) (fails bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.attempts[c.ID]++
+	isFirst := p.attempts[c.ID] == 1
+	if !isFirst && e.Pool == servicePool {
+		p.retried++
+	}
+	if c.HasLastEventID {
+		p.resumed++
+	}
+	return isFirst && strings.HasSuffix(c.ID, "0")
+}
+
+// serve answers a request at a target.
+func (p *regionPlay) serve(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+	fails := p.countAttempt(e, c)
+	if e.Pool == servicePool {
+		writeHead(w, gate.ReplyInfo{RequestID: c.ID, NotRun: fails})
+		if fails {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+		return
+	}
+	writeHead(w, gate.ReplyInfo{RequestID: c.ID})
+	if fails {
+		writeStream(w, c, 4)
+		panic(http.ErrAbortHandler)
+	}
+	writeStream(w, c, 10)
+}
+
+// call sends a request to one of the entries.
+func (p *regionPlay) call(ctx context.Context, f *fleet, i int) {
+	call := gate.CallInfo{ID: fmt.Sprintf("a%d", i)}
+	if i%16 == 0 {
+		call.PromptTokens = 300_000
+	}
+	_, whole := f.call(ctx, i%regionEntries, []string{chatPath, lookupPath, orderPath}[i/regionEntries%3], call)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.calls++
+	if whole {
+		p.served++
+	}
+}
+
+// injectFaults cuts an entry off from all targets, and later stops the leader.
+func (p *regionPlay) injectFaults(f *fleet) {
+	const cutAt, lossAt = 5 * time.Second, 10 * time.Second
+	time.Sleep(cutAt)
+	for i := range f.started {
+		f.net.Refuse(fmt.Sprintf(entryHost, regionCutOff+1), fmt.Sprintf("10.0.2.%d:80", i+1))
+	}
+	time.Sleep(lossAt - cutAt)
+	for i, c := range f.controls {
+		// Only the leader has granted anything.
+		if metrics.GetOrRegisterCounter("hub.grants", c.Metrics).Count() > 0 {
+			f.stopControl[i]()
+		}
+	}
+}
+
+// check checks that a request reached a target of region b, with helpers there.
+func (p *regionPlay) check(t *testing.T, a arrival) {
+	var n int
+	_, err := fmt.Sscanf(a.target[strings.LastIndex(a.target, "-")+1:], "%d", &n)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, n%2, quicktest.Equals, 0, quicktest.Commentf("%s reached %s", a.call.ID, a.target))
+	for _, h := range a.helpers {
+		p.helpers++
+		_, err := fmt.Sscanf(h, "10.0.2.%d:80", &n)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Check(t, n%2, quicktest.Equals, 0, quicktest.Commentf("%s has the helper %s", a.call.ID, h))
+	}
+	if host, _, _ := strings.Cut(a.entry, ":"); host != fmt.Sprintf(entryHost, entryOf(a.call.ID, regionEntries)+1) {
+		p.relayed++
+	}
+}
+
 // entryOf returns the number of the entry that got the request with an ID.
 func entryOf(id string, entries int) int {
 	var i int
--- a/internal/place/region_test.go
+++ b/internal/place/region_test.go
@@ -30,37 +30,44 @@
 // the allowed ones are full.
 func TestRegionsBindPlacement(t *testing.T) {
 	for _, standalone := range []bool{false, true} {
-		now := time.Unix(0, 0)
-		c := regionCore(now, 8, standalone)
 		grants, helpers := 0, 0
-		for i := range 400 {
-			req := shortRequest(fmt.Sprint(i))
-			req.Regions = []string{"eu"}
-			if i%10 == 0 {
-				req.Prompt, req.TTFTLeft, req.TTFTTarget = 350_000, 3*time.Second, 3*time.Second
-				req.MaxPause, req.PauseTimeout, req.TimeLeft = time.Second, 9*time.Second, 9*time.Second
-			}
-			decisions := c.Step(now, Arrive{req})
-			if !standalone {
-				decisions = append(decisions, c.Step(now, Tick{})...)
-			}
-			for _, d := range decisions {
-				g, ok := d.(Grant)
-				if !ok {
-					continue
-				}
-				grants++
-				helpers += len(g.Helpers)
-				for _, id := range append(slices.Clone(g.Helpers), g.Lead) {
-					quicktest.Assert(t, id[:2], quicktest.Equals, "eu")
-				}
+		for _, g := range placeBound(standalone) {
+			grants++
+			helpers += len(g.Helpers)
+			for _, id := range append(slices.Clone(g.Helpers), g.Lead) {
+				quicktest.Assert(t, id[:2], quicktest.Equals, "eu")
 			}
-			now = now.Add(5 * time.Millisecond)
 		}
 		quicktest.Assert(t, grants > 30 && helpers > 0, quicktest.IsTrue, quicktest.Commentf("%d grants, %d helpers", grants, helpers))
 	}
 }
 
+// placeBound places more requests than the allowed engines can serve, all bound to one region, and
+// returns the grants.
+func placeBound(standalone bool) (grants []Grant) {
+	now := time.Unix(0, 0)
+	c := regionCore(now, 8, standalone)
+	for i := range 400 {
+		req := shortRequest(fmt.Sprint(i))
+		req.Regions = []string{"eu"}
+		if i%10 == 0 {
+			req.Prompt, req.TTFTLeft, req.TTFTTarget = 350_000, 3*time.Second, 3*time.Second
+			req.MaxPause, req.PauseTimeout, req.TimeLeft = time.Second, 9*time.Second, 9*time.Second
+		}
+		decisions := c.Step(now, Arrive{req})
+		if !standalone {
+			decisions = append(decisions, c.Step(now, Tick{})...)
+		}
+		for _, d := range decisions {
+			if g, ok := d.(Grant); ok {
+				grants = append(grants, g)
+			}
+		}
+		now = now.Add(5 * time.Millisecond)
+	}
+	return grants
+}
+
 // TestNoEngineInRegion guards against requests that wait for an engine which their regions don't
 // have: they must be refused at once.
 func TestNoEngineInRegion(t *testing.T) {
