--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -126,12 +126,12 @@
 // setCold notes how much longer an engine is cold.
 func (c *Core) setCold(now time.Time, r Cold) {
 	if e := c.byID[r.Target]; e != nil && e.StartedMs == r.StartedMs {
-		c.chill(now, e, r.For, r.Phase)
+		c.noteCold(now, e, r.For, r.Phase)
 	}
 }
 
-// chill notes that an engine is cold for the time left, which may be 0.
-func (c *Core) chill(now time.Time, e *engine, left time.Duration, phase float64) {
+// noteCold notes that an engine is cold for the time left, which may be 0.
+func (c *Core) noteCold(now time.Time, e *engine, left time.Duration, phase float64) {
 	if e.cold.fill = 0; c.Standalone {
 		e.cold.fill = standaloneColdFill
 	}
@@ -153,7 +153,7 @@
 func (c *Core) announceCold(now time.Time, e *engine, t site.Target) {
 	e.cold, e.warmingUntil = ColdLimiter{}, time.Time{}
 	if t.Cold > 0 {
-		c.chill(now, e, t.Cold, 1)
+		c.noteCold(now, e, t.Cold, 1)
 		e.cold.provisional = c.Standalone
 	}
 }
@@ -166,7 +166,7 @@
 	c.coldRate = rate
 	for _, e := range c.engines {
 		if e.cold.IsCold(now) {
-			c.chill(now, e, max(1, e.cold.Left(now)-coldMargin), 1)
+			c.noteCold(now, e, max(1, e.cold.Left(now)-coldMargin), 1)
 			e.cold.provisional = c.Standalone
 		}
 	}
