hub: warm targets don't report to the leader that they are not cold

Cause: followers passed on the cold time of each heartbeat, also 0 of targets that never were cold: 2,500 reports a second with 3,000 targets. Change: a report of 0 is made only for a process that an instance may take for cold: by its announcement, a former heartbeat, the end of an evacuation, or the scheduler. Test: TestWarmHeartbeatsAreNotForwarded fails without the change. A 0 that comes to another follower than the cold time did is dropped; the limit then ends by itself.

--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -43,12 +43,37 @@
 // recordCold notes how much longer a target is cold by its heartbeat. A follower keeps it for its next
 // message to the leader.
 func (s *Server) recordCold(t site.Target) {
-	if s.coldPool(t.Pool).ColdRate == 0 {
+	p := s.coldPool(t.Pool)
+	if p.ColdRate == 0 || t.Cold == 0 && !s.mayCountAsCold(time.Now(), t, p) {
 		return
 	}
 	s.forwardCold([]place.Cold{{Target: t.ID, StartedMs: t.StartedMs, For: t.Cold, Sequence: t.Sequence}})
 }
 
+// mayCountAsCold reports whether an instance may take a process for cold, so that its word that it isn't
+// is news. A fleet of thousands of warm targets would say so with each heartbeat.
+func (s *Server) mayCountAsCold(now time.Time, t site.Target, p site.Pool) bool {
+	if known, ok := s.registry.Target(t.ID); ok && known.StartedMs == t.StartedMs && known.Cold > 0 &&
+		now.Before(s.announcedAt(now, known).Add(known.Cold+markGuard)) {
+		return true
+	}
+	if at, ok := s.evacuations.endTime(t.DataCentre); ok && now.Before(at.Add(p.ColdTime+markGuard)) {
+		return true
+	}
+	s.mu.Lock()
+	h := s.heardCold[t.ID]
+	isHeard := h != nil && h.StartedMs == t.StartedMs && h.current(now).For > 0
+	s.mu.Unlock()
+	if isHeard {
+		return true
+	}
+	c := &s.scheduler
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	st := c.cold[t.ID]
+	return c.active && st != nil && st.startedMs == t.StartedMs && now.Before(st.until)
+}
+
 // heardCold is the latest report of how much longer a target is cold that a follower received.
 type heardCold struct {
 	place.Cold
--- a/internal/hub/cold_test.go
+++ b/internal/hub/cold_test.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -208,3 +209,22 @@
 		s.markCold(dataCentre)
 	}
 }
+
+// TestWarmHeartbeatsAreNotForwarded guards against a report to the leader for each heartbeat of each warm
+// target: with 3,000 targets that was 2,500 reports a second.
+func TestWarmHeartbeatsAreNotForwarded(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		cl.publishCold(1, 17)
+		for i := range 100 {
+			quicktest.Assert(t, cl.leader().Announce(t.Context(), coldTarget(strconv.Itoa(i+2), 1, 0)), quicktest.IsNil)
+		}
+		quicktest.Assert(t, cl.leader().Announce(t.Context(), coldTarget("1", 1, 20*time.Second)), quicktest.IsNil)
+		time.Sleep(time.Second)
+		f := cl.follower()
+		for i := range 101 {
+			quicktest.Assert(t, f.Announce(t.Context(), coldTarget(strconv.Itoa(i+1), 2, 0)), quicktest.IsNil)
+		}
+		quicktest.Assert(t, f.takeColdReports(), quicktest.HasLen, 1)
+		time.Sleep(time.Second)
+	})
+}
