hub, reg: cold targets and evacuations cost control no more for a large fleet of warm targets

Cause: the list of cold targets went through a copy of all targets with each change of the registry, and the scheduler took over each change at once, where it had taken them over with the next message. A fleet of 3,000 targets makes many changes. Change: the registry names the targets that were cold when they were announced; the scheduler wakes for evacuations only.

--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -185,10 +185,7 @@
 	seen := make(map[announcedCold]time.Time)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, t := range s.registry.Targets() {
-		if t.Cold == 0 {
-			continue
-		}
+	for _, t := range s.registry.ColdTargets() {
 		key := announcedCold{t.ID, t.StartedMs, t.Cold}
 		if seen[key] = now; !s.announced[key].IsZero() {
 			seen[key] = s.announced[key]
@@ -315,26 +312,20 @@
 // coldNotices returns a notice of each target that is cold, or was when it was announced. The caller
 // holds mu.
 func (s *scheduler) coldNotices(now time.Time) []place.Cold {
-	tables, _ := s.server.registry.Tables()
-	if tables == nil {
-		return nil
-	}
-	limited := make(map[string]bool)
-	for i := range tables.Pools {
-		if p := &tables.Pools[i]; p.ColdRate > 0 {
-			limited[p.Name] = true
+	var out []place.Cold
+	announced := make(map[string]bool)
+	for _, t := range s.server.registry.ColdTargets() {
+		if s.server.coldPool(t.Pool).ColdRate > 0 {
+			announced[t.ID] = true
+			out = append(out, s.notice(now, t, s.coldOf(now, t)))
 		}
 	}
-	if len(limited) == 0 {
-		return nil
-	}
-	var out []place.Cold
-	for _, t := range s.server.registry.Targets() {
-		if !limited[t.Pool] {
+	for id, st := range s.cold {
+		if announced[id] || !now.Before(st.until) {
 			continue
 		}
-		if c := s.notice(now, t, s.coldOf(now, t)); c.For > 0 || t.Cold > 0 {
-			out = append(out, c)
+		if t, ok := s.server.registry.Target(id); ok && t.State != site.Gone && t.StartedMs == st.startedMs {
+			out = append(out, s.notice(now, t, st))
 		}
 	}
 	return out
--- a/internal/hub/evacuation.go
+++ b/internal/hub/evacuation.go
@@ -237,11 +237,12 @@
 	}
 }
 
-// syncEvacuations passes changes of the evacuated data centres to the cores.
+// syncEvacuations passes changes of the evacuated data centres to the cores. All other changes of the registry
+// wait for the next message, as a large fleet makes many of them.
 func (s *scheduler) syncEvacuations() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.active {
+	if s.active && s.server.currentEvacuations().Counter != s.evacuated.Counter {
 		s.syncFleets()
 	}
 }
--- a/internal/reg/machine.go
+++ b/internal/reg/machine.go
@@ -244,6 +244,19 @@
 	return out
 }
 
+// ColdTargets returns the targets that were cold when they were announced and are not gone, by ID.
+func (m *Machine) ColdTargets() []site.Target {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []site.Target
+	for i := range m.state.Targets {
+		if t := &m.state.Targets[i].Target; t.Cold > 0 && t.State != site.Gone {
+			out = append(out, *t)
+		}
+	}
+	return out
+}
+
 // Tables returns the current tables and their source document, or nil if none were
 // published.
 func (m *Machine) Tables() (*site.Tables, []byte) {
