hub: followers report targets that the leader takes for cold as warm again

Cause: since a follower reports that a target is not cold only if it knows that the target may count as cold. It knew that from heartbeats which it received itself, and not what another instance had heard. A heartbeat that says that the target is warm again, and comes to another follower, was dropped, and the limit stayed for the rest of the announced time. Change: followers keep the notices of the leader, which they receive with all linked instances.

--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"maps"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -61,8 +62,7 @@
 		return true
 	}
 	s.mu.Lock()
-	h := s.heardCold[t.ID]
-	isHeard := h != nil && h.StartedMs == t.StartedMs && h.current(now).For > 0
+	isHeard := s.heardCold[t.ID].isColdProcess(now, t) || s.leaderCold[t.ID].isColdProcess(now, t)
 	s.mu.Unlock()
 	if isHeard {
 		return true
@@ -89,6 +89,22 @@
 	return c
 }
 
+// isColdProcess reports whether the report, if there is one, takes the process for cold.
+func (h *heardCold) isColdProcess(now time.Time, t site.Target) bool {
+	return h != nil && h.StartedMs == t.StartedMs && h.current(now).For > 0
+}
+
+// noteLeaderCold notes which targets the leader takes for cold.
+func (s *Server) noteLeaderCold(list []place.Cold) {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range list {
+		s.leaderCold[c.Target] = &heardCold{Cold: c, at: now}
+	}
+	maps.DeleteFunc(s.leaderCold, func(_ string, h *heardCold) bool { return h.current(now).For == 0 })
+}
+
 // forwardCold applies reports of which targets are cold if this instance leads. Otherwise it keeps them
 // for its next message to the leader, for the case that it becomes the leader, and for instances that
 // have no leader either: it tells those that are linked which targets are cold.
--- a/internal/hub/cold_test.go
+++ b/internal/hub/cold_test.go
@@ -137,6 +137,28 @@
 	})
 }
 
+// TestAnyFollowerForwardsWarmHeartbeat guards against a limit that stays in force because the heartbeat
+// which says that the target is warm again came to another instance than the one which said that it is
+// cold.
+func TestAnyFollowerForwardsWarmHeartbeat(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		cl.publishCold(1, 17)
+		quicktest.Assert(t, cl.leader().Announce(t.Context(), coldTarget("1", 1, 0)), quicktest.IsNil)
+		time.Sleep(time.Second)
+		first := cl.follower()
+		quicktest.Assert(t, first.Announce(t.Context(), coldTarget("1", 2, 20*time.Second)), quicktest.IsNil)
+		time.Sleep(time.Second)
+		cl.wantCold(19 * time.Second)
+		for _, c := range cl.controls {
+			if c != first && c != cl.leader() {
+				quicktest.Assert(t, c.Announce(t.Context(), coldTarget("1", 3, 0)), quicktest.IsNil)
+			}
+		}
+		time.Sleep(time.Second)
+		cl.wantCold(0)
+	})
+}
+
 // TestMarkCold: all targets of a data centre whose evacuation has ended must count as cold, although
 // heartbeats from before may still say otherwise, until later ones do.
 func TestMarkCold(t *testing.T) {
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -41,8 +41,9 @@
 // ApplyLimits does nothing: control instances send no requests to targets.
 func (*follower) ApplyLimits([]place.Limit) {}
 
-// ApplyCold does nothing: control instances send no requests to targets.
-func (*follower) ApplyCold([]place.Cold) {}
+// ApplyCold notes which targets the leader takes for cold: the next heartbeat of one of them may come
+// here.
+func (f *follower) ApplyCold(list []place.Cold) { f.s.noteLeaderCold(list) }
 
 // FillHandover does nothing: control instances have no requests at targets.
 func (*follower) FillHandover(*link.FollowerMessage) {}
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -85,10 +85,10 @@
 	loggedEntries int
 	// pendingHeartbeats are the targets whose heartbeats are not yet forwarded to the leader.
 	pendingHeartbeats map[string]bool
-	// heardCold holds the latest report of how much longer each target is cold that this instance
-	// received as a follower. announced is when this instance first had the announcements of cold
-	// targets.
-	heardCold map[string]*heardCold
+	// As a follower, heardCold holds the latest report of how much longer each target is cold that this
+	// instance received, and leaderCold the targets that the leader takes for cold.
+	heardCold, leaderCold map[string]*heardCold
+	// announced is when this instance first had the announcements of cold targets.
 	announced map[announcedCold]time.Time
 	// pendingDrains are the departures of targets that are being committed.
 	pendingDrains map[link.Departure]bool
@@ -106,7 +106,7 @@
 func (s *Server) Setup() ([]wire.Method, []wire.StreamMethod) {
 	s.sessions = make(map[*session]struct{})
 	s.pendingHeartbeats = make(map[string]bool)
-	s.heardCold = make(map[string]*heardCold)
+	s.heardCold, s.leaderCold = make(map[string]*heardCold), make(map[string]*heardCold)
 	s.pendingDrains = make(map[link.Departure]bool)
 	s.scheduler.server, s.scheduler.auditWake = s, make(chan struct{}, 1)
 	s.blocker.server = s
