site, hub, gate, place: announcements of cold targets tell when that ends

Cause: the registry keeps how much longer a target was cold when it was announced, and not when that was. An instance that has just started took all targets that were ever announced as cold for cold from now on. Change: the control instance that receives the announcement adds the time of day at which the target is no longer cold (site.Target.ColdUntilMs, key 10, optional, no change of the revision). 5 s are added for clocks that differ or jump.

--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -92,12 +92,13 @@
 		return
 	}
 	for _, t := range d.Targets {
-		if t.Cold > s.health.coldLeft(t) && t.State != site.Gone {
+		left := t.ColdLeft(time.Now())
+		if left > s.health.coldLeft(t) && t.State != site.Gone {
 			rate := v.coldRate(t)
-			changed := s.health.applyCold(t, t.Cold, rate, s.coldShares())
+			changed := s.health.applyCold(t, left, rate, s.coldShares())
 			if changed && v.revision > 0 {
 				// The first update has all targets, of which the leader reports those that are warm.
-				s.logCold(t, t.Cold, rate)
+				s.logCold(t, left, rate)
 			}
 		}
 	}
--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -68,6 +68,25 @@
 	}
 }
 
+// TestStartedInstanceUsesWarmTargets guards against an instance that has just started and takes targets
+// for cold which were announced as cold long ago: after a power loss of a whole site, 27 of 45 engines
+// stayed without requests until the next leader had told that they are warm.
+func TestStartedInstanceUsesWarmTargets(t *testing.T) {
+	for _, path := range []string{idempotentPath, resumableStreamPath} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newColdTestbed(t, path, scriptFor(path))
+				known := s.targets[0]
+				known.StartedMs, known.Cold = 7, 20*time.Second
+				known.ColdUntilMs = time.Now().Add(-10 * time.Second).UnixMilli()
+				s.publish(3)
+				got := s.play(known, path, 10*time.Second)
+				quicktest.Assert(t, got > 5*coldRate*10, quicktest.IsTrue, quicktest.Commentf("%d requests in 10 s", got))
+			})
+		})
+	}
+}
+
 // TestColdTargetOnRetries: requests whose first target fails must not exceed the rate of a cold one.
 func TestColdTargetOnRetries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -241,6 +241,9 @@
 		st = &coldState{startedMs: t.StartedMs, until: now}
 		if t.Cold > 0 {
 			st.until = s.server.announcedAt(now, t).Add(t.Cold)
+			if left := t.ColdLeft(now); left < st.until.Sub(now) {
+				st.until = now.Add(left)
+			}
 		}
 		s.cold[t.ID] = st
 	}
--- a/internal/hub/cold_test.go
+++ b/internal/hub/cold_test.go
@@ -108,6 +108,7 @@
 		cl.publishCold(1, 17)
 		first := coldTarget("1", 1, 20*time.Second)
 		quicktest.Assert(t, cl.follower().Announce(t.Context(), first), quicktest.IsNil)
+		first.ColdUntilMs = time.Now().Add(first.Cold).UnixMilli()
 		time.Sleep(time.Second)
 		for _, c := range cl.controls {
 			got, _ := c.registry.Target("1")
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -134,6 +134,9 @@
 	if tables, _ := s.registry.Tables(); tables != nil && s.coldPool(t.Pool).ColdRate == 0 {
 		t.Cold = 0 // It has no meaning for the pool, so the registry doesn't keep it.
 	}
+	if t.Cold > 0 {
+		t.ColdUntilMs = time.Now().Add(t.Cold).UnixMilli()
+	}
 	if known, ok := s.registry.Target(t.ID); ok && isRefresh(known, t) {
 		s.recordCold(t)
 		if !s.isLeader() && !s.client.IsLinkedToLeader() {
--- a/internal/place/cold.go
+++ b/internal/place/cold.go
@@ -152,8 +152,8 @@
 // owner of a standalone core follows with a report that carries a phase.
 func (c *Core) announceCold(now time.Time, e *engine, t site.Target) {
 	e.cold, e.warmingUntil = ColdLimiter{}, time.Time{}
-	if t.Cold > 0 {
-		c.noteCold(now, e, t.Cold, 1)
+	if left := t.ColdLeft(now); left > 0 {
+		c.noteCold(now, e, left, 1)
 		e.cold.provisional = c.Standalone
 	}
 }
--- a/internal/site/target.go
+++ b/internal/site/target.go
@@ -50,15 +50,31 @@
 	// Cold is how much longer the process was cold when it was announced; 0 if it was not. A change
 	// of it alone is no change of the target: it is reported by place.Cold.
 	Cold time.Duration `cbor:"9,keyasint,omitempty"`
+	// ColdUntilMs is when that time ends, in Unix milliseconds of the instance that received the
+	// announcement; 0 if it isn't known.
+	ColdUntilMs int64 `cbor:"10,keyasint,omitempty"`
 }
 
 // IsSameAs reports whether two announcements differ at most in their sequence number and in how much
 // longer the process is cold.
 func (t Target) IsSameAs(o Target) bool {
-	t.Sequence, t.Cold = o.Sequence, o.Cold
+	t.Sequence, t.Cold, t.ColdUntilMs = o.Sequence, o.Cold, o.ColdUntilMs
 	return t == o
 }
 
+// coldClockMargin is how much longer than by ColdUntilMs a process is taken for cold. The time of day of
+// two instances may differ by seconds, and may jump.
+const coldClockMargin = 5 * time.Second
+
+// ColdLeft returns how much longer the process may be cold by its announcement. An instance that has
+// just started does not know otherwise how long ago that was.
+func (t *Target) ColdLeft(now time.Time) time.Duration {
+	if t.ColdUntilMs == 0 {
+		return t.Cold
+	}
+	return max(0, min(t.Cold, time.UnixMilli(t.ColdUntilMs).Add(coldClockMargin).Sub(now)))
+}
+
 // Check validates the target. It returns the first invalid field as a *table.FieldError.
 func (t *Target) Check() error {
 	if t.ID == "" {
