quorum: a follower passes requests to join on to the leader

Cause: a replica that lost its disk asks only the initial members in its settings to be added, three of five, and only the leader accepted. While another replica led, it stayed out of the group: the group counted five voters and had four, and bore one loss less than it should. Change: a follower calls the leader with the request (JoinRequest.Forwarded, key 3, optional). Test: TestEmptyDiskJoinsThroughFollower fails before.

--- a/internal/quorum/bootstrap.go
+++ b/internal/quorum/bootstrap.go
@@ -28,6 +28,8 @@
 type JoinRequest struct {
 	ID   ID     `cbor:"1,keyasint"`
 	Addr string `cbor:"2,keyasint"`
+	// Forwarded is set by a replica that passes the request on to the leader it knows.
+	Forwarded bool `cbor:"3,keyasint,omitempty"`
 }
 
 // onHello returns this replica's ID. While the replica is starting, it waits until the
@@ -45,10 +47,17 @@
 
 // onJoin adds a replica; a member with the same address is replaced. A new address is
 // refused unless the group manages its members itself (Node.TargetVoters is set): otherwise an
-// operator must add it.
+// operator must add it. A follower passes the request on to the leader, as the new replica may
+// know the addresses of followers only.
 func (n *Node) onJoin(ctx context.Context, in any) (any, error) {
 	join := in.(*JoinRequest)
-	cfg := n.Status().Config
+	st := n.Status()
+	cfg := st.Config
+	if leader, ok := cfg.Find(st.Leader); ok && !join.Forwarded && leader.Addr != n.Addr && leader.Addr != join.Addr {
+		forwarded := *join
+		forwarded.Forwarded = true
+		return &Empty{}, n.Calls.Call(ctx, leader.Addr, joinMethod, &forwarded, &Empty{})
+	}
 	if _, ok := cfg.Find(join.ID); ok {
 		return &Empty{}, nil
 	}
@@ -133,7 +142,7 @@
 				continue
 			}
 			callCtx, cancel := context.WithTimeout(ctx, n.Timing.ElectionTimeout)
-			// Only the leader accepts. Failures are retried in the next round.
+			// Only a leader, or a follower of one, accepts. Failures are retried in the next round.
 			_ = n.Calls.Call(callCtx, addr, joinMethod, &JoinRequest{ID: n.disk.id, Addr: n.Addr}, &Empty{})
 			cancel()
 		}
@@ -170,7 +179,7 @@
 				continue
 			}
 			callCtx, cancel := context.WithTimeout(ctx, n.Timing.HeartbeatInterval)
-			// Only the leader accepts. Failures are retried in the next round.
+			// Only a leader, or a follower of one, accepts. Failures are retried in the next round.
 			_ = n.Calls.Call(callCtx, addr, joinMethod, &JoinRequest{ID: st.ID, Addr: n.Addr}, &Empty{})
 			cancel()
 		}
--- a/internal/quorum/voters_test.go
+++ b/internal/quorum/voters_test.go
@@ -102,6 +102,41 @@
 	return ""
 }
 
+// TestEmptyDiskJoinsThroughFollower guards against a replica with an empty disk that stays out of
+// the group because none of the initial members that it knows leads: the group then has one
+// voter less than it counts, and two further losses end it for good.
+func TestEmptyDiskJoinsThroughFollower(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newAutoGroup(t, 5, 5)
+		defer g.close()
+		g.waitConfig("five voters", func(c Config) bool { return c.VoterCount() == 5 })
+		for lead := g.leader(); lead != "10.0.0.4:81" && lead != "10.0.0.5:81"; lead = g.leader() {
+			g.isolate(lead)
+			g.leader(lead)
+			g.heal(lead)
+			time.Sleep(5 * time.Second)
+		}
+		g.mustPropose(g.leader(), "a")
+		const lost = "10.0.0.2:81"
+		former := g.replicas[lost].node.Status().ID
+		g.crashReplica(lost)
+		g.replicas[lost].disk = &store.Mem{}
+		g.joinExisting = true
+		g.start(lost)
+		g.waitConfig("five voters, one of them new", func(c Config) bool {
+			r, ok := c.FindAddr(lost)
+			return ok && r.Voter && r.ID != former && c.VoterCount() == 5
+		})
+		// The group bears the loss of two others now.
+		g.isolate("10.0.0.1:81")
+		g.isolate("10.0.0.3:81")
+		g.mustPropose(g.leader(), "b")
+		g.heal("10.0.0.1:81")
+		g.heal("10.0.0.3:81")
+		g.waitApplied(2, "b")
+	})
+}
+
 // TestEmptyDiskDoesNotCreateGroup guards against a second group: a founder that lost its
 // disk restarts while it can't reach the others. It must wait for them, and be added to
 // the existing group.
