wire: a stream that is closed with unread messages ends its goroutines

Cause: Stream.Close of the opening side closed the connection only. The goroutine of drpc that reads it waits while a message has come that nobody receives, doesn't notice the end, and stays for good with another one and its buffer. Each tunnel that is closed before all bytes of its target are read left two goroutines. TestTunnelHoldsUpTarget panicked then: "main bubble goroutine has exited but blocked goroutines remain".

Change: Close ends the connection through drpc, which gives up the waiting message. TestTunnelHoldsUpTarget also read its count of written bytes before the writer had counted the last piece; it waits for it. Its testbed ends its goroutines when a check fails, so that the panic doesn't hide which.

TestClosedStreamEnds panics without the change.

--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -35,8 +35,12 @@
 	// accepts is what the relays decide about tunnels.
 	accepts bool
 	target  net.Listener
+	// open are the connections that the end of the test closes.
+	open []net.Conn
 }
 
+// runTestbed runs a test in a bubble. All goroutines of the testbed end with it, also if the test fails: a
+// bubble in which others remain panics, and that hides why.
 func runTestbed(t *testing.T, test func(s *testbed)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
@@ -56,10 +60,15 @@
 			Log: logger, Metrics: metrics.NewRegistry(),
 		}
 		s.listen()
+		defer func() {
+			for _, c := range s.open {
+				c.Close()
+			}
+			s.target.Close()
+			cancel()
+			time.Sleep(time.Second)
+		}()
 		test(s)
-		s.target.Close()
-		cancel()
-		time.Sleep(time.Second)
 	})
 }
 
@@ -88,8 +97,10 @@
 	s.cutSelf()
 	near, _, err := s.dial()
 	quicktest.Assert(s.t, err, quicktest.IsNil)
+	s.open = append(s.open, near)
 	far, err = s.target.Accept()
 	quicktest.Assert(s.t, err, quicktest.IsNil)
+	s.open = append(s.open, far)
 	return near, far
 }
 
@@ -306,6 +317,8 @@
 		quicktest.Assert(t, written.Load(), quicktest.Equals, held)
 		_, err := io.ReadFull(near, make([]byte, 2<<20))
 		quicktest.Assert(t, err, quicktest.IsNil)
+		// The writer counts a piece after it has written it.
+		synctest.Wait()
 		quicktest.Assert(t, written.Load() >= 2<<20, quicktest.IsTrue)
 		near.Close()
 		<-done
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -48,10 +48,12 @@
 	c := drpcconn.New(conn)
 	st, err := c.NewStream(ctx, method, codec{})
 	if err != nil {
-		conn.Close()
+		c.Close()
 		return nil, verd.Wrap(err, verd.NotRun, verd.Unreached, "open stream %s at %s", method, addr)
 	}
-	return &Stream{stream: st, closeConn: func() { conn.Close() }}, nil
+	// Closing only conn would leave the goroutine that reads it, which notices nothing while it holds a
+	// message that nobody receives.
+	return &Stream{stream: st, closeConn: func() { c.Close() }}, nil
 }
 
 // serveStream runs the named stream method. ok is false if there is none of that name.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -174,3 +174,30 @@
 		quicktest.Assert(t, <-done, quicktest.IsNil)
 	})
 }
+
+// TestClosedStreamEnds guards against a stream that is closed while messages wait which nobody
+// receives: the goroutines that serve its connection must end, or this bubble panics.
+func TestClosedStreamEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var n memnet.Network
+		ln, err := n.Listen(serverAddr)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		s := Server{Streams: []StreamMethod{{Name: "count", Run: func(_ context.Context, st *Stream) error {
+			for i := 0; ; i++ {
+				if err := st.Send(i); err != nil {
+					return err
+				}
+			}
+		}}}}
+		go func() { _ = s.Serve(ctx, ln) }()
+		st, err := (&Pool{Dial: n.Dialer(clientAddr)}).Open(context.Background(), serverAddr, "count")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		var got int
+		quicktest.Assert(t, st.Receive(&got), quicktest.IsNil)
+		synctest.Wait()
+		st.Close()
+		cancel()
+		time.Sleep(time.Second)
+	})
+}
