poison: targets that fell silent under a request are told apart by their signs of life

Cause: the crash of a process that fell silent was known to lie between its last sign of life and its replacement, some seconds later. The windows of all targets that one request silenced within a restart overlapped and counted as one crash, so it was blocked after 6 to 14 targets.

Change: - The window ends when the first request that failed since was given up, or 250 ms after the last byte of an answer that had begun. A target that gave a sign of life after another one was silent ended later than that one. - Three silent targets that were replaced convict a request, and five a segment, if they ended at two instants at least. - An entry that saw a request crash a target reports at once that another one fell silent under it (crash.Unconfirmed). That is one of the two instants, never one of the three targets, and is forgotten after 15 s. - That a request was sent to the second target after the first one was silent is not taken as evidence: in an outage repeated requests go to one silent target after the other. - A 421 is no sign of life of the process that was addressed; the next one sends it. A connection that ends after the process fell silent, or at the replacement, does not show the time of the crash: the next process resets it.

--- a/internal/gate/blocklist.go
+++ b/internal/gate/blocklist.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -89,6 +90,14 @@
 	l.watch.Alive(time.Now(), processOf(t))
 }
 
+// recordResponse records that the head of a response was read. One that says that the request is for another
+// process is from the next process at the address.
+func (l *blocklist) recordResponse(t site.Target, status int) {
+	if status != http.StatusMisdirectedRequest {
+		l.recordAlive(t)
+	}
+}
+
 // recordLeaving records that the process of a target is about to shut down.
 func (l *blocklist) recordLeaving(t site.Target) {
 	l.mu.Lock()
@@ -100,9 +109,18 @@
 func (l *blocklist) recordFailedSend(t site.Target, f poison.FailedSend) {
 	l.mu.Lock()
 	c, ok := l.watch.Fail(time.Now(), processOf(t), f)
+	suspected := false
+	if !ok && l.detector.IsSuspect(f.Segments[len(f.Segments)-1]) {
+		// Until another process replaces the target, the requests that it has would spread to others.
+		c, suspected = l.watch.Silence(time.Now(), processOf(t), f)
+	}
 	l.mu.Unlock()
-	if ok {
+	switch {
+	case ok:
 		l.reportReplaced(c)
+	case suspected:
+		l.logCrash(c, "target process fell silent with a request that has crashed others")
+		l.report(c)
 	}
 }
 
@@ -122,11 +140,15 @@
 
 // reportReplaced logs and reports a crash that the next process of the target shows.
 func (l *blocklist) reportReplaced(c poison.Crash) {
-	l.server.Log.Warn().Str("target", c.Target).Int64("born", c.StartedMs).Int("requests", len(c.Suspects)).Strs("prefix", c.Suspects[0]).
-		Dur("age", c.Age).Dur("window", c.Window).Msg("target process was replaced after requests to it had failed")
+	l.logCrash(c, "target process was replaced after requests to it had failed")
 	l.report(c)
 }
 
+func (l *blocklist) logCrash(c poison.Crash, msg string) {
+	l.server.Log.Warn().Str("target", c.Target).Int64("born", c.StartedMs).Int("requests", len(c.Suspects)).Strs("prefix", c.Suspects[0]).
+		Dur("age", c.Age).Dur("window", c.Window).Msg(msg)
+}
+
 // evaluate judges the crashes that this instance has seen, unless a leader does so.
 func (l *blocklist) evaluate() {
 	if l.server.Link.IsLinkedToLeader() {
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -83,7 +83,8 @@
 func (x *exchange) recordIfCrashed(s send, err error) {
 	noticedAt := time.Now()
 	t := s.target
-	if !x.server.hasCrashed(t, err) {
+	// The process had ended already when another one replaced it.
+	if !x.server.hasCrashed(t, err) || x.server.blocklist.isReplaced(t) {
 		x.watchSend(s, err, noticedAt)
 		return
 	}
@@ -106,9 +107,11 @@
 	if s.written >= poison.SurvivalTime || !silent && !ended {
 		return
 	}
-	x.server.blocklist.recordFailedSend(s.target, poison.FailedSend{
-		Segments: x.segments(), SentAt: s.at, FailedAt: noticedAt, Silent: silent, Repeated: x.crashes > 0,
-	})
+	f := poison.FailedSend{Segments: x.segments(), SentAt: s.at, FailedAt: noticedAt, Silent: silent, Repeated: x.crashes > 0}
+	if given := s.lastEventAt.Add(minSilence); !s.lastEventAt.IsZero() && given.Before(noticedAt) {
+		f.SilentAt = given
+	}
+	x.server.blocklist.recordFailedSend(s.target, f)
 	if !silent {
 		// What is sent next is sent because this connection ended.
 		x.crashes++
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -200,7 +200,7 @@
 	defer func() { resp.Close(reuse) }()
 	s.sends++
 	s.relay = relayOf(resp)
-	s.server.blocklist.recordAlive(lead)
+	s.server.blocklist.recordResponse(lead, resp.StatusCode)
 	end.Pause = s.recordNotice(lead, resp, att.sentAt)
 	if o := s.classify(lead, resp); o != nil {
 		end.FailedTarget = s.faultyTarget(lead, resp)
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -246,7 +246,7 @@
 	defer func() { resp.Close(reuse) }()
 	x.sends++
 	x.relay = relayOf(resp)
-	s.blocklist.recordAlive(t)
+	s.blocklist.recordResponse(t, resp.StatusCode)
 	x.recordNotice(t, resp, sentAt)
 	if o := x.classify(t, resp); o != nil {
 		_, ok := o.(notRun)
--- a/internal/node/crash_test.go
+++ b/internal/node/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -11,6 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/frankban/quicktest"
+
 	"github.com/bambooproxy/bambooproxy/internal/gate"
 	"github.com/bambooproxy/bambooproxy/internal/red"
 )
@@ -135,6 +138,70 @@
 	red.Check(t, "sound", p.calls[1] >= 20 && p.served[1] >= p.calls[1]*9/10, "%d of %d sound requests served", p.served[1], p.calls[1])
 }
 
+// TestTargetsThatFallSilentTogether guards against a request that is blamed because its caller repeats it
+// while all targets are silent that ended at one instant: it goes from one to the other, and each is replaced.
+// Nothing may be refused once they are back.
+func TestTargetsThatFallSilentTogether(t *testing.T) {
+	for name, c := range map[string]struct {
+		path              string
+		engines, services int
+	}{"service": {lookupPath, 0, 3}, "engines": {chatPath, 6, 0}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playOutage(t, c.path, c.engines, c.services) })
+		})
+	}
+}
+
+// playOutage sends the same request again and again and others, while all targets end at second 5.
+func playOutage(t *testing.T, path string, engines, services int) {
+	const entries, outage, served = 6, 5 * time.Second, 9 * time.Second
+	ctx, cancel := context.WithCancel(context.Background())
+	var mu sync.Mutex
+	targets := make(map[*testTarget]bool)
+	p := &crashPlay{fleet: newFleet(ctx, t, entries, engines, services, func(_ *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+		writeHead(w, gate.ReplyInfo{RequestID: c.ID})
+		if services > 0 {
+			time.Sleep(eventPause)
+			return
+		}
+		writeStream(w, c, 30)
+	}, func(f *fleet) {
+		f.cold = func(e *testTarget) time.Duration {
+			mu.Lock()
+			defer mu.Unlock()
+			targets[e] = true
+			return 0
+		}
+	})}
+	defer p.close(cancel)
+
+	p.start = time.Now()
+	failed, calls := 0, 0
+	send := func(i int, body string) {
+		sent := time.Since(p.start)
+		_, whole := p.send(ctx, i%entries, path, body, gate.CallInfo{ID: fmt.Sprintf("%x", sent.Nanoseconds()+int64(i)), SharedSegments: []string{"5e1f"}})
+		mu.Lock()
+		defer mu.Unlock()
+		if sent > served {
+			if calls++; !whole {
+				failed++
+			}
+		}
+	}
+	p.sendUntil(20*time.Second, 100*time.Millisecond, func(i int) { send(i, fmt.Sprint("prompt", i)) })
+	time.Sleep(outage)
+	mu.Lock()
+	all := slices.Collect(maps.Keys(targets))
+	mu.Unlock()
+	for _, e := range all {
+		e.replace(ctx, true, restartTime)
+	}
+	p.sendUntil(20*time.Second, 150*time.Millisecond, func(i int) { send(i, "repeated from the outage on") })
+	p.callers.Wait()
+	quicktest.Check(t, len(p.crashTimes()), quicktest.Equals, engines+services)
+	quicktest.Check(t, failed, quicktest.Equals, 0, quicktest.Commentf("of %d requests sent once all targets are back", calls))
+}
+
 // crashPlay sends sound requests, and after a while also some that crash engines.
 type crashPlay struct {
 	*fleet
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -19,6 +19,10 @@
 	knownCrashLimit = 5
 	// requestCrashLimit is the number of crashes that block a request which no target has survived.
 	requestCrashLimit = 3
+	// silentCrashLimit is the number of targets that fell silent which blocks a segment of prompts, and
+	// minInstants that of the different times at which such targets must have ended at least.
+	silentCrashLimit = 5
+	minInstants      = 2
 	// maxRequestCrashes bounds the crashes under the same request that count against a segment of
 	// its prompt: they don't tell the segment from the rest of the request.
 	maxRequestCrashes = 2
@@ -118,6 +122,7 @@
 		if known.Target == c.Target && known.StartedMs == c.StartedMs {
 			known.requests = append(known.requests, requests...)
 			known.narrow(at, c.Window)
+			known.Unconfirmed = known.Unconfirmed && c.Unconfirmed
 			return
 		}
 	}
@@ -131,22 +136,26 @@
 // isExact reports whether the end of the process itself was noticed.
 func (c *crash) isExact() bool { return c.earliest.Equal(c.at) }
 
-// narrow takes over the times of another report of the same crash, as far as they tell more.
+// narrow takes over the times of another report of the same crash, as far as they tell more. A sign of life
+// refutes that the process had ended before, as an instance took it that got no answer. A connection that ends
+// after the process fell silent does not show when that ended: it may be the next process that resets it.
 func (c *crash) narrow(at time.Time, window time.Duration) {
+	earliest := at.Add(-window)
 	switch {
-	case c.isExact():
-	case window == 0:
-		c.at, c.earliest = at, at
+	case window == 0 || c.isExact():
+		if at.Before(c.at) {
+			c.at, c.earliest = at, earliest
+		}
+	case at.Before(c.earliest):
+	case earliest.After(c.at):
+		c.at, c.earliest = at, earliest
 	default:
 		if at.Before(c.at) {
 			c.at = at
 		}
-		if earliest := at.Add(-window); earliest.After(c.earliest) {
+		if earliest.After(c.earliest) {
 			c.earliest = earliest
 		}
-		if c.earliest.After(c.at) {
-			c.earliest = c.at
-		}
 	}
 }
 
@@ -168,7 +177,9 @@
 
 // forget drops the crashes and the ended blocks that are older than evidenceTime.
 func (d *Detector) forget(now time.Time) {
-	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool { return now.Sub(c.at) > evidenceTime })
+	d.crashes = slices.DeleteFunc(d.crashes, func(c *crash) bool {
+		return now.Sub(c.at) > evidenceTime || c.Unconfirmed && now.Sub(c.at) > replacementTime
+	})
 	d.blocks = slices.DeleteFunc(d.blocks, func(b *block) bool { return now.Sub(b.until) > evidenceTime })
 }
 
@@ -274,7 +285,7 @@
 		if now.Sub(c.at) > handoverTime {
 			continue
 		}
-		out := Crash{Target: c.Target, StartedMs: c.StartedMs, Age: now.Sub(c.at), Window: c.at.Sub(c.earliest)}
+		out := Crash{Target: c.Target, StartedMs: c.StartedMs, Age: now.Sub(c.at), Window: c.at.Sub(c.earliest), Unconfirmed: c.Unconfirmed}
 		for _, q := range c.requests {
 			out.Suspects, out.Sends = append(out.Suspects, q.segments), append(out.Sends, q.report(c.at))
 			for _, p := range q.segments {
@@ -311,14 +322,14 @@
 	}
 	slices.SortStableFunc(settled, func(a, b *crash) int { return a.at.Compare(b.at) })
 	for _, rule := range [...]rule{
-		{ofRequests: true, limit: requestCrashLimit},
+		{ofRequests: true, limit: requestCrashLimit, silentLimit: requestCrashLimit},
 		{ofRequests: true, known: true, limit: knownCrashLimit},
-		{limit: crashLimit},
+		{limit: crashLimit, silentLimit: silentCrashLimit},
 		{known: true, limit: knownCrashLimit},
 	} {
 		for {
 			s, ok := d.worstSuspect(now, settled, rule)
-			if !ok || s.crashes < rule.limit {
+			if !ok {
 				break
 			}
 			b := d.newBlock(now, settled, s)
@@ -336,8 +347,9 @@
 	// ofRequests is set if it is for the segments of whole requests, and known if it is for segments
 	// of which answers have survived.
 	ofRequests, known bool
-	// limit is the number of crashes.
-	limit int
+	// limit is the number of crashes, and silentLimit that of silent targets whose order is not known; 0
+	// means that these are not enough.
+	limit, silentLimit int
 }
 
 // appliesTo reports whether a crash is to be judged by the rule: one that has no explanation yet. A
@@ -346,7 +358,7 @@
 	if r.ofRequests {
 		return !c.explained
 	}
-	return !c.explainedByPrompt
+	return !c.explainedByPrompt && !c.Unconfirmed
 }
 
 // explain marks a crash that blocks explain, and renews those which had ended before it.
@@ -396,6 +408,14 @@
 	// among them.
 	crashes, requests int
 	first, last       time.Time
+	// unconfirmed counts those of the crashes that no replacement has confirmed yet, and exact those whose
+	// time is known.
+	unconfirmed, exact int
+	// silent is the number of processes that fell silent and were replaced, silentBy counts them by the
+	// request, and latest is the last of them.
+	silent   int
+	silentBy map[string]int
+	latest   *crash
 	// byRequest counts the crashes by the requests that had the segment.
 	byRequest map[string]int
 	// group is how often the last group of crashes counts, and chains holds its requests.
@@ -403,12 +423,12 @@
 	chains map[string]chain
 }
 
-// worstSuspect returns the segment that explains most of the crashes, which are sorted by time. Of
-// equal ones it is the one in the fewest requests: a segment of all requests is in those that
-// crash, too.
+// worstSuspect returns the segment that explains most of the crashes, which are sorted by time, among those
+// that are to be blamed by a rule. Of equal ones it is the one in the fewest requests: a segment of all
+// requests is in those that crash, too.
 func (d *Detector) worstSuspect(now time.Time, crashes []*crash, r rule) (worst suspect, ok bool) {
 	for _, s := range d.suspects(crashes, r) {
-		if r.known && now.Sub(s.first) < knownCrashTime || !r.ofRequests && s.requestCount() < minRequests {
+		if !s.isConvicted(r) || r.known && now.Sub(s.first) < knownCrashTime {
 			continue
 		}
 		// If no answer at all has survived since, the cause may be any. Only suspects are known to
@@ -438,7 +458,7 @@
 				}
 				s := bySegment[p]
 				if s == nil {
-					s = &suspect{segment: p, first: c.at, byRequest: make(map[string]int)}
+					s = &suspect{segment: p, first: c.at, byRequest: make(map[string]int), silentBy: make(map[string]int)}
 					bySegment[p] = s
 				}
 				s.add(c, q, r)
@@ -457,11 +477,12 @@
 
 // add counts a crash under a request that has the segment. Crashes within separation of the last one
 // that counted form a group, which counts as often as one request of it has crashed targets one after
-// the other: it was sent to the next one when the one before had ended, so these did not end together.
-// A crash of which only an interval is known counts if all of that is later than the last one: targets
-// that fall silent together are replaced one after the other.
+// the other, so that these did not end together. That is so if it was sent to the next target, whose end was
+// noticed, when the one before had ended, or if the next one gave a sign of life after that. A request that was
+// sent to a silent target tells nothing of when that fell silent.
 func (s *suspect) add(c *crash, q request, r rule) {
 	s.requests++
+	s.countProcess(c, q, r)
 	if s.crashes == 0 || c.earliest.Sub(s.last) >= separation {
 		s.group, s.chains = 0, make(map[string]chain)
 	}
@@ -469,7 +490,7 @@
 	former, known := s.chains[q.name]
 	switch {
 	case !known:
-	case q.name != "" && c.isExact() && c.at.After(former.last) && (q.repeated && former.exact || q.sentAt.After(former.last)):
+	case q.name != "" && q.endedLater(c, former):
 		length = former.length + 1
 	default:
 		return
@@ -481,16 +502,51 @@
 	s.byRequest[q.name]++
 	s.crashes++
 	s.group, s.last = length, c.at
+	if c.Unconfirmed {
+		s.unconfirmed++
+	}
+	if c.isExact() {
+		s.exact++
+	}
+}
+
+// endedLater reports whether a target that ended while it had the request ended later than another one
+// before.
+func (q *request) endedLater(c *crash, former chain) bool {
+	if c.isExact() {
+		return c.at.After(former.last) && (q.repeated && former.exact || q.sentAt.After(former.last))
+	}
+	return c.earliest.After(former.last)
+}
+
+// countProcess counts the processes that fell silent, as a segment of prompts at most maxRequestCrashes of
+// them under the same request.
+func (s *suspect) countProcess(c *crash, q request, r rule) {
+	if s.latest == c || c.isExact() || c.Unconfirmed || !r.ofRequests && q.name != "" && s.silentBy[q.name] >= maxRequestCrashes {
+		return
+	}
+	s.latest = c
+	s.silentBy[q.name]++
+	s.silent++
+}
+
+// isConvicted reports whether the crashes suffice for a rule. The order in which targets fell silent is known
+// for some of them only. So a number of silent targets is enough, too, if they ended at several instants. For a
+// whole request, the last of these may be the end of a target that nothing has replaced yet.
+func (s *suspect) isConvicted(r rule) bool {
+	hasRequests := func(crashes map[string]int) bool { return r.ofRequests || countRequests(crashes) >= minRequests }
+	return s.crashes-s.unconfirmed >= r.limit && hasRequests(s.byRequest) ||
+		r.silentLimit > 0 && s.silent >= r.silentLimit && s.crashes-s.exact >= minInstants && hasRequests(s.silentBy)
 }
 
-// requestCount returns the number of requests whose crashes count. Those without a name are all
+// countRequests returns the number of requests that crashes are counted by. Those without a name are all
 // different.
-func (s *suspect) requestCount() int {
-	unnamed, ok := s.byRequest[""]
+func countRequests(crashes map[string]int) int {
+	unnamed, ok := crashes[""]
 	if ok {
-		return len(s.byRequest) - 1 + unnamed
+		return len(crashes) - 1 + unnamed
 	}
-	return len(s.byRequest)
+	return len(crashes)
 }
 
 // chain is a number of targets that ended one after the other under the same request.
@@ -505,6 +561,9 @@
 	if s.crashes != o.crashes {
 		return s.crashes > o.crashes
 	}
+	if s.silent != o.silent {
+		return s.silent > o.silent
+	}
 	if s.requests != o.requests {
 		return s.requests < o.requests
 	}
--- a/internal/poison/event.go
+++ b/internal/poison/event.go
@@ -38,6 +38,8 @@
 	// Window is how long before Age the process may have ended at the earliest; 0 if the end itself
 	// was noticed.
 	Window time.Duration `cbor:"6,keyasint,omitempty"`
+	// Unconfirmed is set if the process only fell silent, and no other one has replaced it yet.
+	Unconfirmed bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Send tells how a request was sent to a target that crashed.
--- a/internal/poison/watch.go
+++ b/internal/poison/watch.go
@@ -13,6 +13,9 @@
 	// readDelay is how much later than the end of one connection bytes that came before it may be
 	// read from another connection of the same process.
 	readDelay = 100 * time.Millisecond
+	// silentTime is how long requests must have been without an answer when a connection ended so that the
+	// process may have ended long before: a host that is back after some seconds resets what it knows nothing of.
+	silentTime = 1500 * time.Millisecond
 	// maxFailedSends bounds the failed sends that are kept of one process.
 	maxFailedSends = 64
 )
@@ -48,8 +51,10 @@
 	Segments []string
 	// SentAt is when the request was sent, and FailedAt when the connection ended or was given up.
 	SentAt, FailedAt time.Time
-	// Silent is set if the connection was given up because nothing came on it.
-	Silent bool
+	// Silent is set if the connection was given up because nothing came on it. The process had then ended
+	// before SilentAt; zero means FailedAt.
+	Silent   bool
+	SilentAt time.Time
 	// Repeated is Send.Repeated.
 	Repeated bool
 }
@@ -163,6 +168,19 @@
 	return Crash{}, false
 }
 
+// Silence returns an unconfirmed crash for a send to a process that fell silent, unless that gave a sign
+// of life since.
+func (w *Watch) Silence(now time.Time, p Process, f FailedSend) (Crash, bool) {
+	known := w.current(p)
+	if known == nil || known.leaving || !f.Silent || known.aliveAt.After(f.SentAt.Add(readDelay)) {
+		return Crash{}, false
+	}
+	r := replaced{p, known.aliveAt, now}
+	c, ok := r.report(now, []FailedSend{f})
+	c.Unconfirmed = true
+	return c, ok
+}
+
 // HasCrashed reports whether a process has been replaced without having left.
 func (w *Watch) HasCrashed(p Process) bool {
 	return slices.ContainsFunc(w.crashed, func(r replaced) bool { return r.Target == p.Target && r.StartedMs == p.StartedMs })
@@ -186,21 +204,27 @@
 	}
 }
 
-// report returns the crash of the process with the sends that failed. It ended when the first
-// connection to it ended. If all only fell silent, that may have been at any time between its last sign
-// of life and its replacement.
+// report returns the crash of the process with the sends that failed. It ended when the first connection to
+// it ended, if it had not been silent before. Otherwise that was at some time after its last sign of life, and
+// before the first of the sends failed, or was given up, that failed since.
 func (r *replaced) report(now time.Time, failed []FailedSend) (Crash, bool) {
 	if len(failed) == 0 {
 		return Crash{}, false
 	}
-	at, exact := r.replacedAt, false
+	at, exact, silentFrom := r.replacedAt, false, r.replacedAt
 	for _, f := range failed {
-		if !f.Silent && f.FailedAt.Before(at) {
-			at, exact = f.FailedAt, true
+		if silentAt := f.silentAt(); silentAt.Before(at) && (!f.Silent || silentAt.After(r.aliveAt)) {
+			at, exact = silentAt, !f.Silent
 		}
+		if f.SentAt.Before(silentFrom) {
+			silentFrom = f.SentAt
+		}
+	}
+	if silentFrom.Before(r.aliveAt) {
+		silentFrom = r.aliveAt
 	}
 	c := Crash{Target: r.Target, StartedMs: r.StartedMs, Age: now.Sub(at)}
-	if !exact {
+	if !exact || at.Sub(silentFrom) >= silentTime {
 		c.Window = max(0, at.Sub(r.aliveAt))
 	}
 	for _, f := range failed {
@@ -209,3 +233,11 @@
 	}
 	return c, true
 }
+
+// silentAt returns when the process had ended at the latest if it gave no sign of life since.
+func (f *FailedSend) silentAt() time.Time {
+	if f.SilentAt.IsZero() {
+		return f.FailedAt
+	}
+	return f.SilentAt
+}
