hub, link, gate: look-ups follow the load of the entries

Cause: look-ups name the entries of the caller's data centre, however many callers move there.

Change: entries report requests in progress and the delay of their timers with each heartbeat. The leader decides once a second which part of the callers of a data centre over twice the mean of its region, or with late timers, goes to others (hub/balance.go, pure); answers name entries there in proportion (link/spread.go). Followers use the last decision for 5 s after the last message of a leader.

--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -101,12 +101,17 @@
 // SetEntries replaces the ready instances that are listed for callers.
 func (s *Server) SetEntries(entries []link.Entry) { s.entries.Store(&entries) }
 
+// SetSpreads does nothing: the ready instances that the leader sends are chosen by them already.
+func (*Server) SetSpreads([]link.Spread) {}
+
 // SetRelays replaces the instances of other data centres that may relay for this one.
 func (s *Server) SetRelays(relays []link.Entry) { s.relays.Store(&relays) }
 
 // Entries returns the ready instances for callers of a data centre. It selects them from the
 // lists last received from control: those for the data centre of this instance, and the relays,
 // of which there is one in each region. Instances of lists that are out of date may have ended.
+// For the data centre of this instance the leader has chosen already; its list may name instances
+// of others, see link.Spread.
 func (s *Server) Entries(dataCentre string) []link.Entry {
 	if s.Link.SinceLeader() > link.MaxEntriesAge {
 		if !s.IsReady() {
@@ -118,7 +123,10 @@
 	if list == nil {
 		return nil
 	}
-	known := *list
+	if dataCentre == s.DataCentre && len(*list) > 0 {
+		return *list
+	}
+	known := link.EntriesFor(*list, s.DataCentre, s.Regions)
 	if relays := s.relays.Load(); relays != nil && len(s.Regions) > 0 {
 		known = link.SortEntries(slices.Concat(known, *relays))
 	}
@@ -160,6 +168,7 @@
 	}
 	if s.IsReady() {
 		m.Entries = []link.Entry{s.entry()}
+		m.Load = s.load()
 	}
 }
 
--- a/internal/gate/region_test.go
+++ b/internal/gate/region_test.go
@@ -226,3 +226,19 @@
 		}
 	})
 }
+
+// TestEntriesOfSpread guards against an entry that strips the instances of other data centres which the
+// leader has added for callers of its own, or that names only these few to callers there.
+func TestEntriesOfSpread(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, nil)
+		list := []link.Entry{{Name: "a", DataCentre: "dc"}, {Name: "b", DataCentre: "dc"}, {Name: "c", DataCentre: "dc2"}, {Name: "d", DataCentre: "dc2"}}
+		s.gate.SetEntries(list)
+		// The link counts the time since the last message of a leader from its start.
+		ended, cancel := context.WithCancel(t.Context())
+		cancel()
+		quicktest.Assert(t, s.gate.Link.Run(ended), quicktest.IsNil)
+		quicktest.Check(t, s.gate.Entries("dc"), quicktest.DeepEquals, list)
+		quicktest.Check(t, s.gate.Entries("dc2"), quicktest.DeepEquals, list[:2])
+	})
+}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -94,8 +94,10 @@
 	drainStart atomic.Int64
 	startedAt  time.Time
 
-	// inFlight is the number of requests in progress.
+	// inFlight is the number of requests in progress, and delay that of the timers; both are reported
+	// to the leader.
 	inFlight atomic.Int64
+	delay    timerDelay
 }
 
 // Setup initialises the server. It must be called before Run and ServeHTTP.
@@ -123,6 +125,7 @@
 	lastSweep := time.Now()
 	timing.Every(ctx, pauseCheckInterval, func() {
 		s.pauses.note()
+		s.delay.note(time.Now(), pauseCheckInterval)
 		if time.Since(lastSweep) >= idleSweepInterval {
 			lastSweep = time.Now()
 			s.TargetClient.CloseExpired()
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -72,6 +72,9 @@
 	// that ended.
 	entryCount, lists, updates, linksLost int
 	activeGrants                          []place.ActiveGrant
+	// received is the last list of ready instances, and load what it reports.
+	received []link.Entry
+	load     *link.Load
 	// blocks holds the blocked segments, and reportedBlocks what it tells a new leader of them.
 	relays         []link.Entry
 	blocks         map[string]bool
@@ -158,6 +161,8 @@
 }
 func (*entryNode) SetEntryCount(int) {}
 
+func (*entryNode) SetSpreads([]link.Spread) {}
+
 func (e *entryNode) SetRelays(relays []link.Entry) { e.withLock(func() { e.relays = relays }) }
 
 func (e *entryNode) ApplyBlocks(blocks []poison.Block) {
@@ -199,14 +204,14 @@
 func (e *entryNode) SetEntries(list []link.Entry) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.entryCount = len(list)
+	e.entryCount, e.received = len(list), list
 	e.lists++
 }
 
 func (e *entryNode) FillHeartbeat(m *link.FollowerMessage) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	m.HasEntries = true
+	m.HasEntries, m.Load = true, e.load
 	if e.ready {
 		m.Entries = []link.Entry{{Name: e.name, DataCentre: "dc-" + e.name[:1], Address: e.name}}
 	}
--- a/internal/hub/directory.go
+++ b/internal/hub/directory.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"reflect"
 	"slices"
 	"strings"
 	"sync"
@@ -20,6 +21,22 @@
 	mu         sync.Mutex
 	entries    []link.Entry
 	receivedAt time.Time
+	// spreads are the data centres from which look-ups send callers to others, as decided by the
+	// leader, and spreadsAt is when it last said so.
+	spreads   []link.Spread
+	spreadsAt time.Time
+}
+
+func (d *directory) setSpreads(list []link.Spread) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.spreads, d.spreadsAt = list, time.Now()
+}
+
+func (d *directory) getSpreads() ([]link.Spread, time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.spreads, d.spreadsAt
 }
 
 func (d *directory) set(list []link.Entry) {
@@ -60,7 +77,7 @@
 }
 
 // Entries returns the ready instances that callers in a data centre should use; see
-// link.EntriesFor. Without a leader for a while it knows those only that are linked here.
+// link.SpreadEntries. Without a leader for a while it knows those only that are linked here.
 func (s *Server) Entries(dataCentre string) []link.Entry {
 	all := s.linkedEntries()
 	leads := s.isLeader()
@@ -70,7 +87,17 @@
 		}
 		all = received
 	}
-	return link.EntriesFor(all, dataCentre, s.Regions)
+	return link.SpreadEntries(all, dataCentre, s.Regions, s.spreads(), s.Name)
+}
+
+// spreads returns the data centres from which look-ups send callers to others. A decision of a leader
+// that is gone holds for loadMaxAge.
+func (s *Server) spreads() []link.Spread {
+	list, at := s.directory.getSpreads()
+	if time.Since(at) > loadMaxAge && s.client.SinceLeader() > loadMaxAge {
+		return nil
+	}
+	return list
 }
 
 // changeEntriesLocked notes that the ready instances may have changed, and schedules a
@@ -98,6 +125,7 @@
 	if !s.leading {
 		return
 	}
+	spreads, _ := s.directory.getSpreads()
 	byDataCentre := make(map[string][]link.Entry)
 	for sess := range s.sessions {
 		list := all
@@ -106,7 +134,13 @@
 				byDataCentre[dc] = link.EntriesFor(all, dc, s.Regions)
 			}
 			list = byDataCentre[dc]
+			if slices.ContainsFunc(spreads, func(s link.Spread) bool { return s.DataCentre == dc }) {
+				list = link.SpreadEntries(all, dc, s.Regions, spreads, sess.hello.Name)
+			}
 			s.sendRelays(sess, all)
+		} else if !reflect.DeepEqual(spreads, sess.sentSpreads) {
+			sess.sentSpreads = spreads
+			sess.Enqueue(func(m *link.ControlMessage) { m.Spreads, m.HasSpreads = spreads, true })
 		}
 		s.sendEntries(sess, list, len(all))
 	}
--- a/internal/hub/follower.go
+++ b/internal/hub/follower.go
@@ -54,6 +54,9 @@
 // SetEntryCount does nothing: control instances don't use the number of instances.
 func (*follower) SetEntryCount(int) {}
 
+// SetSpreads stores the data centres from which look-ups send callers to others.
+func (f *follower) SetSpreads(spreads []link.Spread) { f.s.directory.setSpreads(spreads) }
+
 // SetRelays does nothing: control instances send no requests to targets.
 func (*follower) SetRelays([]link.Entry) {}
 
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -170,6 +170,7 @@
 	g.Go(func() error { return s.client.Run(ctx) })
 	g.Go(func() error { return s.sweep(ctx) })
 	g.Go(func() error { return s.watchEvacuations(ctx) })
+	g.Go(func() error { return s.watchDemand(ctx) })
 	return g.Wait()
 }
 
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -16,6 +16,10 @@
 	hello link.Hello
 	// entries are the ready instances that the other instance reported.
 	entries []link.Entry
+	// load is how busy the other instance is; nil if it has not said so.
+	load *link.Load
+	// sentSpreads are the spreads last sent to it.
+	sentSpreads []link.Spread
 	// sentRevision is the registry revision that the other instance had, or was last sent.
 	sentRevision uint64
 	// sentEntries are the ready instances last sent to it.
@@ -205,6 +209,11 @@
 		s.changeEntriesLocked()
 		s.mu.Unlock()
 	}
+	if msg.Load != nil {
+		s.mu.Lock()
+		sess.load = msg.Load
+		s.mu.Unlock()
+	}
 	for _, id := range msg.Heartbeats {
 		s.recordHeartbeat(id)
 	}
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -72,6 +72,8 @@
 	// of all ready instances.
 	SetEntries(entries []Entry)
 	SetEntryCount(n int)
+	// SetSpreads receives the data centres from which look-ups send callers to others.
+	SetSpreads(spreads []Spread)
 	// SetRelays receives the instances of other data centres that may relay for this follower.
 	SetRelays(relays []Entry)
 	// HandleLinkLost is called when a link has ended.
@@ -487,6 +489,9 @@
 		c.entries = list
 		c.Follower.SetEntries(list)
 	}
+	if m.HasSpreads {
+		c.Follower.SetSpreads(m.Spreads)
+	}
 	if m.HasRelays {
 		c.Follower.SetRelays(m.Relays)
 	}
--- a/internal/link/client_test.go
+++ b/internal/link/client_test.go
@@ -34,6 +34,7 @@
 func (nobody) FillHandover(*FollowerMessage)     {}
 func (nobody) SetEntries([]Entry)                {}
 func (nobody) SetRelays([]Entry)                 {}
+func (nobody) SetSpreads([]Spread)               {}
 func (nobody) SetEntryCount(int)                 {}
 func (nobody) HandleLinkLost()                   {}
 func (nobody) HandleConfirmed()                  {}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -154,6 +154,8 @@
 	// Cold reports how much longer targets are cold: what heartbeats or responses have told the
 	// sender; when a link opens, all that it knows to be cold.
 	Cold []place.Cold `cbor:"15,keyasint,omitempty"`
+	// Load is how busy the sender is, with each heartbeat of an instance that serves callers.
+	Load *Load `cbor:"20,keyasint,omitempty"`
 }
 
 // Departure names a process of a target that is about to shut down.
@@ -213,12 +215,19 @@
 	// Evacuations are the data centres whose targets get no requests: the whole list, when a link
 	// opens and on a change. A receiver keeps the one with the highest counter.
 	Evacuations *reg.Evacuations `cbor:"16,keyasint,omitempty"`
+	// Spreads are the data centres from which look-ups send callers to others: the whole list, for
+	// control instances. HasSpreads distinguishes an empty list from a message without one.
+	Spreads    []Spread `cbor:"20,keyasint,omitempty"`
+	HasSpreads bool     `cbor:"21,keyasint,omitempty"`
 	// FormerEntries is the list that these changes begin at. It is not sent.
 	FormerEntries []Entry `cbor:"-"`
 }
 
-// Check unpacks the update.
+// Check unpacks the update and checks the spreads.
 func (m *ControlMessage) Check() error {
+	if slices.ContainsFunc(m.Spreads, func(s Spread) bool { return s.Share() >= 1 }) {
+		return errSpread
+	}
 	if m.Update == nil {
 		return nil
 	}
