gate: requests to full plain services wait for their turn, by rank and organisation

Cause: a request that all services refuse is refused, whoever sent it: under a burst, ranks and organisations count nothing, and refused requests are sent again until the retry budget is used up.

Change: once all services of a pool have refused, an entry spaces out what it sends there (admission.go, pure, run by services.go). The rate follows refusals and slow answers. Requests wait by rank, organisation and due time, and are refused at once, with the time to try again, when those ahead use up their time.

--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -35,29 +35,27 @@
 	remoteCost = 0.5
 )
 
+// attempts is the state of a request to a plain service between its sends.
+type attempts struct {
+	// hasTurn is set while the request may be sent; see awaitTurn.
+	hasTurn bool
+	// reason and retry are what the caller is told if no further target is tried.
+	reason string
+	retry  time.Duration
+}
+
 // servePlain sends a request to a plain service.
 func (x *exchange) servePlain(ctx context.Context) {
 	// fallback is an error response that is passed on if no other target succeeds.
 	var fallback *response
 	defer func() { fallback.release() }()
-	reason, retry := "no target is available", shortRetryAfter
-	for x.timeLeft() > minAttemptTime && ctx.Err() == nil {
-		x.server.pauses.await(ctx)
-		if left, blocked := x.server.blocklist.find(x); blocked {
-			reason, retry = blockedReason, left
-			break
-		}
-		t, ok := x.pickTarget()
+	a := attempts{reason: "no target is available", retry: shortRetryAfter}
+	for {
+		t, ok := x.nextTarget(ctx, &a)
 		if !ok {
-			var reopened bool
-			if reopened, retry = x.awaitPool(ctx, retry); reopened {
-				continue
-			}
-			break
-		}
-		if x.sends > 0 && !x.acquireRetry() {
 			break
 		}
+		a.hasTurn = false
 		resp, o := x.send(ctx, t)
 		switch o := o.(type) {
 		case delivered:
@@ -67,12 +65,12 @@
 		case serverError:
 			fallback.release()
 			fallback = resp
-			reason = "targets answered with an error"
+			a.reason = "targets answered with an error"
 			x.mayHaveRun = true
 		case notRun:
-			reason, retry = o.reason, longRetryAfter
+			a.reason, a.retry = o.reason, longRetryAfter
 		case mayHaveRun:
-			reason = o.reason
+			a.reason = o.reason
 			x.mayHaveRun = true
 		}
 		x.failedTargets = append(x.failedTargets, t.ID)
@@ -84,7 +82,37 @@
 		x.writeResponse(fallback)
 		return
 	}
-	x.respondFailure(ctx, reason, retry)
+	x.respondFailure(ctx, a.reason, a.retry)
+}
+
+// nextTarget returns the target to send the request to, once it has its turn. It returns false if there is
+// none, or no time or budget for it.
+func (x *exchange) nextTarget(ctx context.Context, a *attempts) (site.Target, bool) {
+	for x.timeLeft() > minAttemptTime && ctx.Err() == nil {
+		x.server.pauses.await(ctx)
+		if left, blocked := x.server.blocklist.find(x); blocked {
+			a.reason, a.retry = blockedReason, left
+			break
+		}
+		if x.sends > 0 && !x.mayRetry() {
+			break
+		}
+		if !a.hasTurn {
+			var after time.Duration
+			if after, a.hasTurn = x.awaitTurn(ctx); !a.hasTurn {
+				a.reason, a.retry = fullReason, after
+				break
+			}
+		}
+		if t, ok := x.pickTarget(); ok {
+			return t, x.sends == 0 || x.acquireRetry()
+		}
+		var reopened bool
+		if reopened, a.retry = x.awaitPool(ctx, a.retry); !reopened {
+			break
+		}
+	}
+	return site.Target{}, false
 }
 
 // awaitPool waits for a target that accepts requests again if that is soon enough for the answer
@@ -99,6 +127,15 @@
 	return reopens <= maxWait && timing.Sleep(ctx, reopens), reopens
 }
 
+// mayRetry reports whether the request could be sent to one more target now.
+func (x *exchange) mayRetry() bool {
+	if x.sends < max(1, x.route.Attempts) && !x.server.Budget.allowsRetry(x.pool.Name, int(x.server.instanceCount.Load())) {
+		metrics.GetOrRegisterCounter("gate.repeats_refused", x.server.Metrics).Inc(1)
+		return false
+	}
+	return x.sends < max(1, x.route.Attempts)
+}
+
 // acquireRetry reports whether the request may be sent to one more target, and counts
 // that as a retry.
 func (x *exchange) acquireRetry() bool {
@@ -250,6 +287,9 @@
 	x.recordNotice(t, resp, sentAt)
 	if o := x.classify(t, resp); o != nil {
 		_, ok := o.(notRun)
+		if ok && resp.StatusCode != http.StatusMisdirectedRequest {
+			x.recordFull()
+		}
 		reuse = ok && drainBody(resp)
 		return nil, o
 	}
@@ -276,6 +316,7 @@
 		return buffered, serverError{}
 	}
 	s.health.recordSuccess(t.ID)
+	x.recordAnswered(time.Since(sentAt))
 	return buffered, delivered{}
 }
 
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -72,6 +72,8 @@
 	views  viewStore
 	placer placer
 	health health
+	// services decides about requests to plain services that are full.
+	services services
 	// blocklist holds the requests that must not be sent to targets.
 	blocklist blocklist
 	// buffers holds the responses of plain services until they are complete.
