--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -72,6 +72,8 @@
 	views  viewStore
 	placer placer
 	health health
+	// services decides about requests to plain services that are full.
+	services services
 	// blocklist holds the requests that must not be sent to targets.
 	blocklist blocklist
 	// buffers holds the responses of plain services until they are complete.
@@ -94,8 +96,10 @@
 	drainStart atomic.Int64
 	startedAt  time.Time
 
-	// inFlight is the number of requests in progress.
+	// inFlight is the number of requests in progress, and delay that of the timers; both are reported
+	// to the leader.
 	inFlight atomic.Int64
+	delay    timerDelay
 }
 
 // Setup initialises the server. It must be called before Run and ServeHTTP.
@@ -123,6 +127,7 @@
 	lastSweep := time.Now()
 	timing.Every(ctx, pauseCheckInterval, func() {
 		s.pauses.note()
+		s.delay.note(time.Now(), pauseCheckInterval)
 		if time.Since(lastSweep) >= idleSweepInterval {
 			lastSweep = time.Now()
 			s.TargetClient.CloseExpired()
