hub: heartbeats wait for a link to the leader before they are refused

While there is no leader, a follower refused heartbeats at once. Each target of a fleet then called all control instances in turn: five requests and as many connections where there was one. A heartbeat now waits up to 0.6 s for the link, within the second that targets wait, and is refused after that as before.

The time for which a target is cold is also taken as of the arrival of its announcement, not of its commit: late commits extended it at all entries.

--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -15,6 +15,11 @@
 const (
 	// callTimeout bounds a call of the public methods; their callers wait one second.
 	callTimeout = 900 * time.Millisecond
+	// heartbeatWait is how long a heartbeat waits for a link to the leader, and linkPollInterval how often
+	// it looks for one. If a whole fleet were refused at once, each target would call all control
+	// instances in turn, with a connection to each.
+	heartbeatWait    = 600 * time.Millisecond
+	linkPollInterval = 100 * time.Millisecond
 	// attemptTimeout bounds one attempt to reach the leader within a call.
 	attemptTimeout = 400 * time.Millisecond
 	// retryInterval is the pause between attempts.
@@ -139,16 +144,19 @@
 	}
 	if known, ok := s.registry.Target(t.ID); ok && isRefresh(known, t) {
 		s.recordCold(t)
-		if !s.isLeader() && !s.client.IsLinkedToLeader() {
+		if !s.awaitLeader(ctx) {
 			// The heartbeat could not be forwarded, so the leader would remove the target.
 			return verd.New(verd.NotRun, verd.Unavailable, "heartbeat of target %q not accepted: no link to the leader", t.ID)
 		}
 		s.recordHeartbeat(t.ID)
 		return nil
 	}
+	received := time.Now()
 	r, err := s.propose(ctx, reg.Command{Announce: &t})
 	if err == nil {
 		s.recordHeartbeat(t.ID)
+		// Without the time of the commit, each late one would extend the time at all entries.
+		t.Cold = max(0, t.Cold-time.Since(received))
 		s.recordCold(t)
 	}
 	s.Log.Info().Str("target", t.ID).Str("pool", t.Pool).Str("address", t.Address).Str("state", t.State.String()).
@@ -156,6 +164,18 @@
 	return err
 }
 
+// awaitLeader waits until heartbeats reach the leader, at most heartbeatWait. It reports whether they do.
+func (s *Server) awaitLeader(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, heartbeatWait)
+	defer cancel()
+	for !s.isLeader() && !s.client.IsLinkedToLeader() {
+		if !timing.Sleep(ctx, linkPollInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // HeartbeatAddr returns the address of this instance for a target in its data centre, and ""
 // for others. Once a target has found a control instance nearby, its heartbeats cause no
 // traffic between data centres.
