gate: entries log the notices of a batch of cold targets in one line

After a power loss of a site, 83 entries logged 19,512 lines of cold targets within 60 s, one for each target and entry. Each update and each message of notices is now one line, cold targets changed, with the number of targets, how many of them are cold, and the first eight by name.

TestColdReports counts the new line, in place of the old one, as often as before.

--- a/internal/gate/cold.go
+++ b/internal/gate/cold.go
@@ -30,11 +30,13 @@
 	if v == nil {
 		return
 	}
+	var changes coldChanges
 	for _, c := range list {
 		if t, ok := v.targets[c.Target]; ok && t.StartedMs == c.StartedMs {
-			s.applyCold(v, t, c.For)
+			s.applyCold(v, t, c.For, &changes)
 		}
 	}
+	s.logCold(&changes)
 }
 
 // markCold takes all targets of a data centre for cold for the time that their pools declare for
@@ -44,27 +46,62 @@
 	if v == nil || v.index == nil {
 		return
 	}
+	var changes coldChanges
 	for _, t := range v.targets {
 		if p, ok := v.index.Pool(t.Pool); ok && t.DataCentre == dataCentre && p.ColdTime > s.health.coldLeft(t) {
-			s.applyCold(v, t, p.ColdTime)
+			s.applyCold(v, t, p.ColdTime, &changes)
 		}
 	}
+	s.logCold(&changes)
 }
 
-// applyCold notes how much longer a target is cold.
-func (s *Server) applyCold(v *view, t site.Target, left time.Duration) {
+// applyCold notes how much longer a target is cold, and adds a change to changes.
+func (s *Server) applyCold(v *view, t site.Target, left time.Duration, changes *coldChanges) {
 	rate := v.coldRate(t)
 	changed := s.health.applyCold(t, left, rate, s.coldShares())
 	s.placer.setCold(place.Cold{Target: t.ID, StartedMs: t.StartedMs, For: left})
 	if changed {
-		s.logCold(t, left, rate)
+		changes.add(t, left, rate)
 	}
 }
 
-func (s *Server) logCold(t site.Target, left time.Duration, rate float64) {
-	metrics.GetOrRegisterCounter("gate.cold_changes", s.Metrics).Inc(1)
-	s.Log.Info().Str("target", t.ID).Str("address", t.Address).Int64("born", t.StartedMs).Dur("cold", left).Float64("rate", rate).
-		Msg("target is cold or no longer")
+// maxLoggedTargets bounds the targets that a log line of cold targets names: after a restart it is about
+// all targets of a site.
+const maxLoggedTargets = 8
+
+// coldChanges collects changes of which targets are cold, for one log line.
+type coldChanges struct {
+	// count is the number of changes, and cold that of the targets that are cold by them.
+	count, cold int
+	// ids names the first targets.
+	ids []string
+	// longest is the longest time for which one of them is cold, and rate the lowest rate of their pools.
+	longest time.Duration
+	rate    float64
+}
+
+func (c *coldChanges) add(t site.Target, left time.Duration, rate float64) {
+	if c.count == 0 || rate < c.rate {
+		c.rate = rate
+	}
+	c.count++
+	if left > 0 {
+		c.cold++
+	}
+	c.longest = max(c.longest, left)
+	if len(c.ids) < maxLoggedTargets {
+		c.ids = append(c.ids, t.ID)
+	}
+}
+
+// logCold logs a batch of changes, if there are any.
+func (s *Server) logCold(c *coldChanges) {
+	if c.count == 0 {
+		return
+	}
+	metrics.GetOrRegisterCounter("gate.cold_changes", s.Metrics).Inc(int64(c.count))
+	s.Log.Info().Int("targets", c.count).Int("cold", c.cold).Strs("ids", c.ids).Dur("longest", c.longest).Float64("rate", c.rate).
+		Msg("cold targets changed")
 }
 
 // recordCold records that a target has said in a response how much longer it is cold, and reports it
@@ -74,7 +111,9 @@
 	if left <= 0 || v == nil || v.coldRate(t) == 0 || left-s.health.coldLeft(t) < coldNoise {
 		return
 	}
-	s.applyCold(v, t, left)
+	var changes coldChanges
+	s.applyCold(v, t, left, &changes)
+	s.logCold(&changes)
 	s.Link.Send(func(m *link.FollowerMessage) {
 		m.Cold = append(m.Cold, place.Cold{Target: t.ID, StartedMs: t.StartedMs, For: left})
 	})
@@ -91,6 +130,7 @@
 	if d.Revision <= v.revision {
 		return
 	}
+	var changes coldChanges
 	for _, t := range d.Targets {
 		left := t.ColdLeft(time.Now())
 		if left > s.health.coldLeft(t) && t.State != site.Gone {
@@ -98,10 +138,11 @@
 			changed := s.health.applyCold(t, left, rate, s.coldShares())
 			if changed && v.revision > 0 {
 				// The first update has all targets, of which the leader reports those that are warm.
-				s.logCold(t, left, rate)
+				changes.add(t, left, rate)
 			}
 		}
 	}
+	s.logCold(&changes)
 }
 
 // coldRate returns how many requests a second a target tolerates from all instances together while it
--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -126,7 +126,7 @@
 		s.gate.ApplyCold([]place.Cold{report})
 		quicktest.Assert(t, known(), quicktest.HasLen, 0)
 		quicktest.Assert(t, s.call(idempotentPath, "body").status, quicktest.Equals, 200)
-		quicktest.Assert(t, strings.Count(s.logs.String(), "target is cold or no longer"), quicktest.Equals, 2)
+		quicktest.Assert(t, strings.Count(s.logs.String(), "cold targets changed"), quicktest.Equals, 2)
 
 		s.gate.markCold("elsewhere")
 		quicktest.Assert(t, known(), quicktest.HasLen, 0)
@@ -184,3 +184,21 @@
 		})
 	}
 }
+
+// TestColdNoticesAreLoggedTogether guards against a line for each target: after a power loss of a site, its
+// entries logged 19,512 lines within a minute.
+func TestColdNoticesAreLoggedTogether(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newColdTestbed(t, idempotentPath, scriptFor(idempotentPath), scriptFor(idempotentPath), scriptFor(idempotentPath))
+		before := len(s.logs.String())
+		var list []place.Cold
+		for _, target := range s.targets {
+			list = append(list, place.Cold{Target: target.ID, StartedMs: target.StartedMs, For: 10 * time.Second})
+		}
+		s.gate.ApplyCold(list)
+		s.gate.ApplyCold(list)
+		logs := s.logs.String()[before:]
+		quicktest.Check(t, strings.Count(logs, "cold targets changed"), quicktest.Equals, 1, quicktest.Commentf("%s", logs))
+		quicktest.Check(t, logs, quicktest.Contains, `"targets":3,"cold":3,`)
+	})
+}
