hub: changes of cold targets and of the fleet are passed on together

With 300 entries and 3,000 targets, control instances took 512 to 757 new connections a second. The test shows the cause: targets whose heartbeats are not answered within 1 s call the next instance over a new connection, and control instances were overloaded by work that grows with targets times entries:

- Each change of a cold target was a message to each linked instance.
Late heartbeats extend the time, so an overloaded instance sent more of them.
Changes are now sent together, the first at once, others after 0.5 ms for each linked instance.
A follower without a leader repeats only what is news.
- The full list for a new link held all targets that had ever been announced as cold.
It now leaves out those that are warm by their announcement, too.
- The leader passed all targets to its schedulers with each heartbeat that followed a change of the registry.
It now does so at most once in the interval of registry updates; messages with requests still do at once.
- Followers went through all cold targets of the leader with each message.
They now do so once a second.
- Registry updates to 300 entries were 60 ms apart at least, and are 150 ms apart now (84 entries: 20 and 42 ms).

--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -41,6 +41,9 @@
 	former map[string]bool
 	// loadReader is given to control instances that start from now on.
 	loadReader LoadReader
+	// processors holds the processors of the control instances, by peer address. Those that have none are
+	// never busy.
+	processors map[string]*processor
 }
 
 // controlNode is a control instance with its disk, which outlives the process.
@@ -225,6 +228,11 @@
 func newClusterOf(t *testing.T, controls, entries, seeds int) *cluster {
 	t.Helper()
 	cl := &cluster{t: t, controls: make(map[string]*controlNode), entries: make(map[string]*entryNode)}
+	cl.start(controls, entries, seeds)
+	return cl
+}
+
+func (cl *cluster) start(controls, entries, seeds int) {
 	for i := range seeds {
 		cl.seeds = append(cl.seeds, fmt.Sprintf("10.0.0.%d:7", i+1))
 	}
@@ -234,7 +242,6 @@
 	for i := range entries {
 		cl.startEntry(fmt.Sprintf("%c%d", 'a'+i%3, i), fmt.Sprintf("10.0.1.%d:7", i+1))
 	}
-	return cl
 }
 
 // startControl starts a control instance on a disk. With bootstrap, it may bootstrap the
@@ -249,7 +256,11 @@
 	}}
 	pool.Dial = func(ctx context.Context, to string) (net.Conn, error) {
 		c.dials.Add(1)
-		return dial(ctx, to)
+		conn, err := dial(ctx, to)
+		if p := cl.processors[addr]; p != nil && err == nil {
+			return &processorConn{Conn: conn, processor: p, perRead: costPerMessage}, nil
+		}
+		return conn, err
 	}
 	cl.controls[addr] = c
 	local.Methods, local.Streams = c.Setup()
@@ -259,6 +270,9 @@
 	}
 	ln, err := cl.net.Listen(addr)
 	quicktest.Assert(cl.t, err, quicktest.IsNil)
+	if p := cl.processors[addr]; p != nil {
+		ln = &processorListener{Listener: ln, processor: p, perRead: costPerMessage}
+	}
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stop = cancel
 	served := make(chan struct{})
--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -101,7 +102,18 @@
 	defer s.mu.Unlock()
 	for _, c := range list {
 		s.leaderCold[c.Target] = &heardCold{Cold: c, at: now}
+		if c.For == 0 {
+			delete(s.leaderCold, c.Target)
+		}
 	}
+}
+
+// dropLeaderCold drops the targets that the leader has taken for cold and that are no longer. It is not
+// done with each message, as a large fleet has thousands of cold targets.
+func (s *Server) dropLeaderCold() {
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	maps.DeleteFunc(s.leaderCold, func(_ string, h *heardCold) bool { return h.current(now).For == 0 })
 }
 
@@ -113,21 +125,84 @@
 		s.scheduler.applyCold(list)
 		return
 	}
+	now := time.Now()
 	s.mu.Lock()
 	var cold []place.Cold
 	for _, c := range list {
-		if h := s.heardCold[c.Target]; h != nil && h.StartedMs == c.StartedMs && h.Sequence >= c.Sequence && c.Sequence > 0 {
+		h := s.heardCold[c.Target]
+		if h != nil && h.StartedMs == c.StartedMs && h.Sequence >= c.Sequence && c.Sequence > 0 {
 			continue
 		}
-		s.heardCold[c.Target] = &heardCold{Cold: c, at: time.Now()}
-		if c.For > 0 {
+		if c.For > 0 && (h == nil || h.StartedMs != c.StartedMs || isColdNews(c.For-h.current(now).For)) {
 			cold = append(cold, c)
 		}
+		s.heardCold[c.Target] = &heardCold{Cold: c, at: now}
 	}
 	s.mu.Unlock()
-	if len(cold) > 0 {
-		s.sendAll(func(m *link.ControlMessage) { m.Cold = append(m.Cold, cold...) })
+	s.coldQueue.add(s, cold)
+}
+
+// isColdNews reports whether a change of the time for which a target is cold is passed on.
+func isColdNews(change time.Duration) bool { return change > coldLonger || change <= -coldShorter }
+
+// coldQueue holds the notices of cold targets to be sent to all linked instances. A whole fleet that
+// starts, or whose heartbeats are late, changes thousands of them within a second; a message for each to
+// each of hundreds of instances would take more than the processor time of a control instance.
+type coldQueue struct {
+	mu      sync.Mutex
+	pending map[string]heardCold
+	timer   *time.Timer
+	sentAt  time.Time
+}
+
+// add adds notices, which replace earlier ones of the same target. They are sent at once, unless others
+// were within Server.pushInterval.
+func (q *coldQueue) add(s *Server, list []place.Cold) {
+	if len(list) == 0 {
+		return
+	}
+	interval := s.pushInterval()
+	now := time.Now()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if q.pending == nil {
+		q.pending = make(map[string]heardCold)
 	}
+	for _, c := range list {
+		q.pending[c.Target] = heardCold{Cold: c, at: now}
+	}
+	if q.timer == nil {
+		q.timer = time.AfterFunc(max(0, interval-now.Sub(q.sentAt)), func() { q.send(s) })
+	}
+}
+
+// send sends the pending notices with the time that is left now.
+func (q *coldQueue) send(s *Server) {
+	now := time.Now()
+	q.mu.Lock()
+	list := make([]place.Cold, 0, len(q.pending))
+	for _, h := range q.pending {
+		list = append(list, h.current(now))
+	}
+	q.pending, q.timer, q.sentAt = nil, nil, now
+	q.mu.Unlock()
+	s.sendAll(func(m *link.ControlMessage) { addCold(m, list) })
+}
+
+// clear drops the pending notices.
+func (q *coldQueue) clear() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.pending = nil
+}
+
+// addCold adds notices to a message. Messages to several instances share the list.
+func addCold(m *link.ControlMessage, list []place.Cold) {
+	if m.Cold == nil {
+		m.Cold = list[:len(list):len(list)]
+		return
+	}
+	m.Cold = append(m.Cold, list...)
 }
 
 // takeColdReports returns the reports to forward to another control instance, and drops those that are of
@@ -309,7 +384,7 @@
 		s.server.Log.Info().Str("target", c.Target).Int64("born", c.StartedMs).Dur("cold", c.For).Str("cause", cause).
 			Msg("target is cold or no longer")
 	}
-	s.server.sendAll(func(m *link.ControlMessage) { m.Cold = append(m.Cold, changed...) })
+	s.server.coldQueue.add(s.server, changed)
 }
 
 // syncCold drops the state of processes that are gone, and passes that of the others to the cores, which
@@ -328,7 +403,7 @@
 	}
 }
 
-// coldNotices returns a notice of each target that is cold, or was when it was announced. The caller
+// coldNotices returns a notice of each target that is cold, or may be by its announcement. The caller
 // holds mu.
 func (s *scheduler) coldNotices(now time.Time) []place.Cold {
 	var out []place.Cold
@@ -336,7 +411,9 @@
 	for _, t := range s.server.registry.ColdTargets() {
 		if s.server.coldPool(t.Pool).ColdRate > 0 {
 			announced[t.ID] = true
-			out = append(out, s.notice(now, t, s.coldOf(now, t)))
+			if n := s.notice(now, t, s.coldOf(now, t)); n.For > 0 || t.ColdLeft(now) > 0 {
+				out = append(out, n)
+			}
 		}
 	}
 	for id, st := range s.cold {
--- a/internal/hub/leadership.go
+++ b/internal/hub/leadership.go
@@ -58,6 +58,7 @@
 		return
 	}
 	revision, _ := s.registry.Revision()
+	s.coldQueue.clear()
 	s.counter("hub.leadership_changes").Inc(1)
 	s.Log.Info().Bool("leads", leading).Uint64("revision", revision).Msg("leadership changed")
 	if leading {
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -44,6 +44,10 @@
 	timer *time.Timer
 	// fleetRevision is the registry revision last passed to the cores.
 	fleetRevision uint64
+	// syncedAt is when syncFleetsSoon last passed the targets on, and syncTimer runs the next time; nil
+	// if none is due.
+	syncedAt  time.Time
+	syncTimer *time.Timer
 	// evacuated are the evacuated data centres last passed to the cores.
 	evacuated reg.Evacuations
 	// returned are the data centres whose evacuation has ended and whose engines are to be
@@ -117,6 +121,27 @@
 	}
 }
 
+// syncFleetsSoon is syncFleets at most once in Server.pushInterval. A fleet of thousands that announces
+// itself changes the registry with almost every heartbeat, and the time to pass all targets on grows with
+// their number. The caller holds mu.
+func (s *scheduler) syncFleetsSoon() {
+	interval := s.server.pushInterval()
+	switch wait := interval - time.Since(s.syncedAt); {
+	case wait <= 0:
+		s.syncedAt = time.Now()
+		s.syncFleets()
+	case s.syncTimer == nil:
+		s.syncTimer = time.AfterFunc(wait, func() {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			if s.syncTimer = nil; s.active {
+				s.syncedAt = time.Now()
+				s.syncFleets()
+			}
+		})
+	}
+}
+
 // handle processes the placement requests and the reports in a message.
 func (s *scheduler) handle(sess *session, msg *link.FollowerMessage) {
 	if len(msg.Requests)+len(msg.Cancelled)+len(msg.Started)+len(msg.Ended)+len(msg.ActiveGrants)+len(msg.Limits)+len(msg.Cold) == 0 {
@@ -254,7 +279,7 @@
 	if !s.active {
 		return
 	}
-	s.syncFleets()
+	s.syncFleetsSoon()
 	s.lastSeen[id] = time.Now()
 	for _, c := range s.cores {
 		c.Step(time.Now(), place.Heartbeat{Target: id})
@@ -299,6 +324,7 @@
 	timing.Every(ctx, sweepInterval, func() {
 		s.scheduler.logPools()
 		s.noteAnnounced()
+		s.dropLeaderCold()
 		s.countCold()
 		for _, t := range s.scheduler.silentTargets() {
 			_, err := s.propose(ctx, reg.Command{Deregister: &reg.Deregister{ID: t.ID, StartedMs: t.StartedMs, TimedOut: true}})
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -88,6 +88,7 @@
 	// As a follower, heardCold holds the latest report of how much longer each target is cold that this
 	// instance received, and leaderCold the targets that the leader takes for cold.
 	heardCold, leaderCold map[string]*heardCold
+	coldQueue             coldQueue
 	// announced is when this instance first had the announcements of cold targets.
 	announced map[announcedCold]time.Time
 	// pendingDrains are the departures of targets that are being committed.
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -61,7 +61,8 @@
 	}
 	if blocks, limits, cold := s.blocker.current(), s.scheduler.currentLimits(), s.scheduler.currentCold(); len(blocks)+len(limits)+len(cold) > 0 {
 		sess.Enqueue(func(m *link.ControlMessage) {
-			m.Blocks, m.Limits, m.Cold = append(m.Blocks, blocks...), append(m.Limits, limits...), append(m.Cold, cold...)
+			m.Blocks, m.Limits = append(m.Blocks, blocks...), append(m.Limits, limits...)
+			addCold(m, cold)
 		})
 	}
 	s.handle(sess, &first)
@@ -145,7 +146,7 @@
 // pushIntervalPerLink with each linked instance, which bounds the messages of a leader.
 const (
 	minPushInterval     = 20 * time.Millisecond
-	pushIntervalPerLink = 200 * time.Microsecond
+	pushIntervalPerLink = 500 * time.Microsecond
 )
 
 // pushInterval returns the time between two registry updates to an instance.
