--- /dev/null
+++ b/internal/link/session_test.go
@@ -0,0 +1,47 @@
+package link
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/memnet"
+	"github.com/bambooproxy/bambooproxy/internal/wire"
+)
+
+// TestLinkToInstanceThatDoesNotRead guards against an outbox that grows without end, and a goroutine for
+// each such link: a link must end ReceiveTimeout after the other instance has stopped, although a message
+// to it can't be sent.
+func TestLinkToInstanceThatDoesNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var network memnet.Network
+		ln, err := network.Listen("10.0.0.2:7")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		stopped := wire.StreamMethod{Name: Method, Run: func(ctx context.Context, _ *wire.Stream) error { <-ctx.Done(); return nil }}
+		served := make(chan error, 1)
+		go func() { served <- (&wire.Server{Streams: []wire.StreamMethod{stopped}}).Serve(ctx, ln) }()
+		st, err := (&wire.Pool{Dial: network.Dialer("10.0.0.1:7")}).Open(ctx, "10.0.0.2:7", Method)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		s := NewSession[ControlMessage, FollowerMessage](st)
+		began := time.Now()
+		ended := make(chan error, 1)
+		go func() { ended <- s.Run(ctx) }()
+		sent := 0
+		for len(ended) == 0 && time.Since(began) < 2*ReceiveTimeout {
+			s.Enqueue(func(m *FollowerMessage) { m.Heartbeats = append(m.Heartbeats, strings.Repeat("x", 64<<10)) })
+			sent++
+			time.Sleep(ReceiveTimeout / 100)
+		}
+		// More was queued than a connection of memnet holds, so that a send was blocked.
+		quicktest.Check(t, sent > 20, quicktest.IsTrue)
+		quicktest.Check(t, <-ended, quicktest.ErrorIs, ErrPeerTimeout)
+		quicktest.Check(t, time.Since(began) <= ReceiveTimeout+ReceiveTimeout/100, quicktest.IsTrue)
+		cancel()
+		quicktest.Check(t, <-served, quicktest.IsNil)
+	})
+}
