soak: a run with two builds replaces all processes by the other build, and back

--other PATH names the program of the other build. Processes are stopped and started with it one after the other while faults are injected, and then with the first build again. A process that a fault restarts keeps its present build. Without the flag, the draws and the run are as before.

--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -138,19 +138,43 @@
 				return
 			}
 			defer p.faultMu.Unlock()
-			end := s.disturbances.Begin(p.ProcessHost() + " stops")
-			defer end()
-			if p.Role == Control {
-				defer s.disturb(p)()
-			}
-			p.Stop()
-			s.restart(p)
+			s.stopAndRestart(p)
 		})
 		time.Sleep(f.Interval)
 	}
 	wg.Wait()
 }
 
+// stopAndRestart is planned work on one process. The caller holds its faultMu.
+func (s *Site) stopAndRestart(p *Process) {
+	defer s.disturbances.Begin(p.ProcessHost() + " stops")()
+	if p.Role == Control {
+		defer s.disturb(p)()
+	}
+	p.Stop()
+	s.restart(p)
+}
+
+// replaceBuilds replaces the processes one after the other by those of the other build, and then back, as
+// an upgrade and a rollback do. Faults go on meanwhile, and restart a process with its present build.
+func (s *Site) replaceBuilds(ctx context.Context) {
+	if s.Other == "" {
+		return
+	}
+	for _, program := range []string{s.Other, s.Program} {
+		for _, p := range s.processes() {
+			if ctx.Err() != nil {
+				return
+			}
+			p.faultMu.Lock()
+			p.Program = program
+			s.logf("%s gets the build %s", p.Name(), program)
+			s.stopAndRestart(p)
+			p.faultMu.Unlock()
+		}
+	}
+}
+
 func (s *Site) partition(f Partition) {
 	processes := []*Process{f.From}
 	d := Direction{From: f.From.ProcessHost()}
--- a/internal/soak/main.go
+++ b/internal/soak/main.go
@@ -22,6 +22,9 @@
 type Options struct {
 	// Program is the path of the program under test.
 	Program string
+	// Other is the path of another build of it. If it is set, all processes are replaced by it one after
+	// the other, and then back, while faults are injected.
+	Other string
 	// Dir holds the settings, logs and data of the processes.
 	Dir    string
 	Seed   uint64
@@ -57,6 +60,7 @@
 		Usage: "break a site of real processes, and check what it promises",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "program", Value: "bin/bamboo", Destination: &o.Program, Usage: "path of the program"},
+			&cli.StringFlag{Name: "other", Destination: &o.Other, Usage: "path of another build, which takes the place of the program for a while"},
 			&cli.StringFlag{Name: "folder", Value: filepath.Join(os.TempDir(), "bamboo-soak"), Destination: &o.Dir, Usage: "for settings, logs and data"},
 			&cli.Uint64Flag{Name: "seed", Value: 1, Destination: &o.Seed, Usage: "the first seed; 0 draws one"},
 			&cli.IntFlag{Name: "seeds", Value: 1, Destination: &seeds, Usage: "how many seeds in a row"},
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -96,10 +97,19 @@
 	} else {
 		s.Callers, s.Ready = p.ProxyAddr(callersPort), p.ProxyAddr(readyPort)
 	}
-	b, err := json.MarshalIndent(s, "", "  ")
+	b, err := json.Marshal(s)
 	if err != nil {
 		return err
 	}
+	// Settings that are not set are left out, as the other build may not know them.
+	var set map[string]any
+	if err := json.Unmarshal(b, &set); err != nil {
+		return err
+	}
+	maps.DeleteFunc(set, func(_ string, v any) bool { return v == nil || v == false })
+	if b, err = json.MarshalIndent(set, "", "  "); err != nil {
+		return err
+	}
 	return os.WriteFile(p.settingsPath(), b, 0o600)
 }
 
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -220,8 +220,11 @@
 	limitCtx, endLimits := context.WithCancel(ctx)
 	var limits sync.WaitGroup
 	limits.Go(func() { s.varyLimits(limitCtx, rand.New(rand.NewPCG(s.Seed, 1))) })
+	var replacement sync.WaitGroup
+	replacement.Go(func() { s.replaceBuilds(ctx) })
 	rng := newRand(s.Seed)
 	s.InjectFaults(ctx, rng, s.DrawFaults(rng, s.Length, s.PlannedOnly))
+	replacement.Wait()
 	endLimits()
 	limits.Wait()
 }
