place: standalone cores know the load of the pool and spread by what is left

Cause: without a scheduler, entries placed by their own grants alone. Of 83 entries each saw a 83rd part of the load, so short prompts went to engines that were full or prefilled long prompts of others.

Change: a core reports the load of its pool (PoolLoad: answers and queued prompt time, 6 bytes an engine), and LoadOfGrants packs grants that entries made alone. Standalone cores take the first as the load of others, less their own grants, and add the second. Answers of others fade with 1 s, their prompts as time passes; a load older than 5 s is not used. Short prompts are spread in proportion to the free slots and the slack of each engine, long ones go where the fewest answers are, and the pauses of the answers of others count as a loss.

--- a/internal/place/burst_test.go
+++ b/internal/place/burst_test.go
@@ -207,7 +207,7 @@
 	d := b.deployment()
 	var p placer = &Core{Fair: true}
 	if b.found > 0 {
-		p = newFailover(b.lost, b.found)
+		p = &informedFailover{failover: newFailover(b.lost, b.found)}
 	}
 	s := newSimOf(seed, d.engines, d.model, p)
 	s.organisations, s.comeBack = d.organisations, true
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -39,6 +39,10 @@
 	admission admission
 	// refusals counts refusals, to spread the retries of refused callers.
 	refusals int
+	// loadHeard is the time of the newest report of the pool's load; see PoolLoad.
+	loadHeard time.Time
+	// leastPause is the shortest MaxPause of the requests of a standalone core.
+	leastPause time.Duration
 }
 
 // Step handles one event and returns the decisions that follow from it.
@@ -64,6 +68,8 @@
 		c.recordHeartbeat(now, e.Target)
 	case LoadReport:
 		c.recordLoad(now, e)
+	case PoolLoad:
+		c.applyLoad(now, e)
 	case Limit:
 		c.setLimit(now, e)
 	case Cold:
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -54,6 +54,8 @@
 	helperParts int
 
 	prediction
+	// others is the load by requests of other instances that a standalone core was told of.
+	others otherLoad
 
 	// cachedPause is the result of shortestPause while pauseCached is set.
 	cachedPause time.Duration
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -138,6 +138,7 @@
 func (Fleet) event()      {}
 func (Heartbeat) event()  {}
 func (LoadReport) event() {}
+func (PoolLoad) event()   {}
 func (Limit) event()      {}
 func (Cold) event()       {}
 func (Tick) event()       {}
--- a/internal/place/fleet.go
+++ b/internal/place/fleet.go
@@ -27,7 +27,7 @@
 		case e.StartedMs != t.StartedMs:
 			// A new process under the same ID has none of the old one's work.
 			e.lastSlowdown, e.failures, e.lastHeartbeat, e.prediction = 1, 0, now, prediction{}
-			e.unaccounted, e.unaccountedAnswers, e.pausedUntil = 0, 0, nil
+			e.unaccounted, e.unaccountedAnswers, e.pausedUntil, e.others = 0, 0, nil, otherLoad{}
 			e.limiter.Clear()
 			c.announceCold(now, e, t)
 		}
--- a/internal/place/plan.go
+++ b/internal/place/plan.go
@@ -102,7 +102,7 @@
 		cand.score = cand.othersLoss + c.lateLoss(now, j, cand.ttft) + j.delayLoss(cand.ttft)
 		switch {
 		case c.Standalone:
-			cand.score += jitterCost * hashFraction(j.request.ID, e.ID) * j.value
+			c.rateStandalone(now, j, &cand, tokens, partTime)
 		case parts == 1:
 			cand.score += cand.decodeCost
 		}
--- a/internal/place/weights.go
+++ b/internal/place/weights.go
@@ -72,9 +72,6 @@
 	// of its value; it falls to zero on a full engine. Packing answers leaves engines for
 	// long prompts.
 	packingCost = 0.04
-	// jitterCost spreads the choices of standalone cores, as a fraction of the value: they
-	// do not know of each other and must not all choose the same engine.
-	jitterCost = 0.3
 	// typicalParts is the number of engines that a long prompt can count on.
 	typicalParts = 6
 	// minTimeLeft is the time left to the caller below which a request is refused.
