quorum: restarted replicas whose terms differ by one agree on the term

Cause: after a restart of all, a voter answers a probe only in the term that follows its own. If one voter was a term ahead, as after an election that the loss of power ended, it ignored the probes of the others, as their next term was its own, and they ignored its probes. All waited for the election timeout. That a voter is a replaced member costs nothing by itself.

Change: a voter that is asked in its own term answers with it, so that the sender enters the term and asks again a heartbeat later. Answers that count towards an election are given as before.

--- a/internal/quorum/restart.go
+++ b/internal/quorum/restart.go
@@ -28,9 +28,18 @@
 // onRestartProbe answers a replica that has restarted and could lead. Of replicas with equal logs
 // only the one with the highest ID gets answers from all, so that the votes are not split.
 func (c *Core) onRestartProbe(m Message, b VoteRequest) {
+	if !c.restart.pending || c.role != follower {
+		return
+	}
+	if m.Term == c.term {
+		// The sender is one term behind, as after an election that this replica or its last process
+		// held. Unless it enters this term, neither of them can answer the other.
+		c.sendAfterSync(m.From, VoteReply{PreVote: true})
+		return
+	}
 	// Replicas in the same term can't lead in it later, as they hold no election in it. Only then does
 	// an answer stay true until the election in the next term.
-	if !c.restart.pending || c.role != follower || m.Term != c.term+1 {
+	if m.Term != c.term+1 {
 		return
 	}
 	isAhead := b.LastTerm > c.log.lastTerm() || b.LastTerm == c.log.lastTerm() && b.LastIndex > c.log.lastIndex()
--- a/internal/quorum/restart_test.go
+++ b/internal/quorum/restart_test.go
@@ -95,3 +95,47 @@
 	t.Logf("the word of a majority elected a second leader for %d of 50 seeds", noticed)
 	quicktest.Check(t, noticed > 0, quicktest.IsTrue)
 }
+
+// replaceAndRestart replaces a replica that lost its disk, restarts all once that is done, and returns
+// the time from the last start to a leader. With ahead, one of them had entered the next term.
+func replaceAndRestart(t *testing.T, seed uint64, ahead bool) time.Duration {
+	s := newSimulation(seed, 5, noFault)
+	s.reliable = true
+	runUntil := func(done func() bool) {
+		for end := s.now + 30*time.Second; !done(); {
+			quicktest.Assert(t, s.step(), quicktest.IsNil)
+			quicktest.Assert(t, s.now < end, quicktest.IsTrue, quicktest.Commentf("seed %d", seed))
+		}
+	}
+	runUntil(s.membershipRestored)
+	lost := s.nodes[int(seed)%len(s.nodes)]
+	s.loseDisk(lost)
+	runUntil(func() bool { return lost.core != nil && s.membershipRestored() })
+	settled := s.now + 2*time.Second
+	runUntil(func() bool { return s.now >= settled })
+	s.inFlight = nil
+	start := s.now + 100*time.Millisecond
+	for _, n := range s.nodes {
+		n.core, n.resumeAt = nil, start
+	}
+	if ahead {
+		// It held an election that the loss of power ended.
+		n := s.nodes[int(seed/5)%len(s.nodes)]
+		n.disk.HardState.Term, n.disk.HardState.VotedFor = n.disk.HardState.Term+1, n.id
+	}
+	quicktest.Assert(t, runToLeader(t, s, 10*time.Second), quicktest.IsNotNil)
+	return s.now - start
+}
+
+// TestRestartOfAllAfterReplacement guards against the same wait where the terms of replicas differ by
+// one, or one of them is new: it lost its disk, and was added again under another ID.
+func TestRestartOfAllAfterReplacement(t *testing.T) {
+	for name, ahead := range map[string]bool{"replaced": false, "replaced, one a term ahead": true} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(50) {
+				took := replaceAndRestart(t, seed, ahead)
+				quicktest.Check(t, took < time.Second/2, quicktest.IsTrue, quicktest.Commentf("seed %d: leader %s after the start", seed, took))
+			}
+		})
+	}
+}
