--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -136,7 +136,7 @@
 	Cancelled []string        `cbor:"6,keyasint,omitempty"`
 	// Started and Ended report on granted requests. ActiveGrants are grants that the leader
 	// doesn't know: when a link opens, all that are in use; later, those of requests that the
-	// sender placed locally.
+	// sender placed locally. A control instance that doesn't lead gets the latter only.
 	Started      []place.FirstEvent  `cbor:"7,keyasint,omitempty"`
 	Ended        []place.End         `cbor:"8,keyasint,omitempty"`
 	ActiveGrants []place.ActiveGrant `cbor:"9,keyasint,omitempty"`
@@ -215,6 +215,9 @@
 	// Evacuations are the data centres whose targets get no requests: the whole list, when a link
 	// opens and on a change. A receiver keeps the one with the highest counter.
 	Evacuations *reg.Evacuations `cbor:"16,keyasint,omitempty"`
+	// Loads are the loads of the pools' engines: all of it from time to time, and the grants of other
+	// instances while there is no scheduler.
+	Loads []place.PoolLoad `cbor:"17,keyasint,omitempty"`
 	// Spreads are the data centres from which look-ups send callers to others: the whole list, for
 	// control instances. HasSpreads distinguishes an empty list from a message without one.
 	Spreads    []Spread `cbor:"20,keyasint,omitempty"`
@@ -223,11 +226,16 @@
 	FormerEntries []Entry `cbor:"-"`
 }
 
-// Check unpacks the update and checks the spreads.
+// Check unpacks the update, and rejects spreads without a meaning and loads that are cut off.
 func (m *ControlMessage) Check() error {
 	if slices.ContainsFunc(m.Spreads, func(s Spread) bool { return s.Share() >= 1 }) {
 		return errSpread
 	}
+	for i := range m.Loads {
+		if err := m.Loads[i].Check(); err != nil {
+			return err
+		}
+	}
 	if m.Update == nil {
 		return nil
 	}
