place: the loss of others allows for the error of a pass's start

Cause: the predicted end of a pass is known to some 20 ms only: first events and ends of answers correct it. A part of the pass in progress may be in the next one, together with a new part, and a part granted when a pass has just begun may still join it. The predicted loss was 0 in both cases.

Change: a pass that a new part joins is found for the predicted start and for one that is passShift earlier or later, and the loss of others is the mean. A part that misses the next pass counts in the one after it.

--- a/internal/place/loss.go
+++ b/internal/place/loss.go
@@ -38,23 +38,41 @@
 // part.
 func (c *Core) predictTTFT(now time.Time, e *engine, tokens float64, partTime time.Duration) time.Duration {
 	c.advance(now, e)
-	length, passes := c.nextPass(e, tokens, partTime)
-	return networkDelay + e.passRemaining(now) + scale(time.Duration(passes)*length, e.slowdown(now))
+	pass := c.joinPass(now, e, 0)
+	length, passes := c.passWith(e, pass.tokens+tokens, pass.prefill+partTime)
+	return networkDelay + pass.wait + scale(time.Duration(passes)*length, e.slowdown(now))
 }
 
 // othersLoss returns the value that the other requests of an engine lose if it prefills a
-// further part.
+// further part. It is the mean over the errors that the predicted end of a pass may have: with
+// them, the part is prefilled together with parts of another pass than predicted.
 func (c *Core) othersLoss(now time.Time, e *engine, tokens float64, partTime time.Duration) float64 {
 	c.advance(now, e)
-	oldPass, _ := c.nextPass(e, 0, 0)
-	newPass, _ := c.nextPass(e, tokens, partTime)
+	if len(e.jobs) == 0 {
+		return 0
+	}
+	loss := c.passLoss(now, e, c.joinPass(now, e, 0), tokens, partTime)
+	if len(e.queued)+len(e.inPass) == 0 {
+		// All passes are the same.
+		return loss
+	}
+	sum := (1 - 2*shiftWeight) * loss
+	for _, shift := range [...]time.Duration{-passShift, passShift} {
+		sum += shiftWeight * c.passLoss(now, e, c.joinPass(now, e, shift), tokens, partTime)
+	}
+	return sum
+}
+
+// passLoss returns the value that the other requests of an engine lose if a pass prefills a
+// further part.
+func (c *Core) passLoss(now time.Time, e *engine, pass joinedPass, tokens float64, partTime time.Duration) float64 {
+	oldPass, _ := c.passWith(e, pass.tokens, pass.prefill)
+	newPass, _ := c.passWith(e, pass.tokens+tokens, pass.prefill+partTime)
 	oldPass, newPass = scale(oldPass, e.slowdown(now)), scale(newPass, e.slowdown(now))
 	sum := 0.0
 	if newPass >= scale(e.shortestPause(), riskStart) {
 		for _, o := range e.jobs {
-			// An answer whose prompt is prefilled, or will be by the pass in progress, is
-			// decoded in the next pass.
-			if o.lead == e && (o.started || !e.hasQueued(o)) {
+			if o.lead == e && e.isDecoded(o, pass) {
 				sum += o.pauseLoss(newPass) - o.pauseLoss(oldPass)
 			}
 		}
@@ -69,6 +87,12 @@
 	return sum
 }
 
+// isDecoded reports whether a pass decodes the answer of a job: if its prompt is prefilled, or will
+// be by the pass before.
+func (e *engine) isDecoded(j *job, pass joinedPass) bool {
+	return j.started || j.prefilled || !pass.current && !e.hasQueued(j)
+}
+
 // pauseLoss returns the value that an answer loses by a pause during decoding: by missing its
 // target, and by its caller giving up.
 func (j *job) pauseLoss(pause time.Duration) float64 {
--- a/internal/place/prediction.go
+++ b/internal/place/prediction.go
@@ -30,6 +30,8 @@
 	perToken float64
 	// arrives is when the part is at the engine: only passes that begin later prefill it.
 	arrives time.Time
+	// inPass is how many tokens of it the pass in progress prefills.
+	inPass float64
 	// split is set if other engines prefill parts of the same prompt.
 	split bool
 	// finish is when the pass that finishes the part is predicted to end.
@@ -116,11 +118,13 @@
 	capacity := float64(steps * c.model.Chunk)
 	kept := e.queued[:0]
 	for _, p := range e.queued {
+		p.inPass = 0
 		if capacity <= 0 || p.arrives.After(at) {
 			kept = append(kept, p)
 			continue
 		}
 		n := min(capacity, p.tokens)
+		p.inPass = n
 		capacity -= n
 		length += time.Duration(n * p.perToken)
 		e.queuedTime -= time.Duration(n * p.perToken)
@@ -205,17 +209,70 @@
 	return e.queuedTime + e.passRemaining(now)
 }
 
-// nextPass returns the length of the next pass if a further part is queued, and the number
-// of passes until that part is prefilled.
-func (c *Core) nextPass(e *engine, tokens float64, partTime time.Duration) (length time.Duration, passes int) {
+// joinedPass is the pass in which an engine begins to prefill a new part.
+type joinedPass struct {
+	// current is set if it is the pass in progress, which starts later than predicted.
+	current bool
+	// start is when the pass in progress starts. Parts that arrive later are not in it.
+	start time.Time
+	// wait is the time until the pass begins.
+	wait time.Duration
+	// tokens and prefill are the sums over the parts that it prefills besides the new one.
+	tokens  float64
+	prefill time.Duration
+}
+
+// joinPass returns the pass that a part granted now joins if the pass in progress starts and
+// ends later than predicted by a shift, which may be negative.
+func (c *Core) joinPass(now time.Time, e *engine, shift time.Duration) joinedPass {
+	pass := joinedPass{tokens: e.queuedTokens, prefill: e.queuedTime}
+	if e.passEnd.IsZero() {
+		pass.wait = transitTime - networkDelay
+		return pass
+	}
+	arrives, end := now.Add(transitTime), e.passEnd.Add(shift)
+	pass.start = e.passStart.Add(shift)
+	pass.wait = max(0, end.Sub(now))
+	if arrives.After(end) {
+		// The next pass begins without the part.
+		missed := float64(0)
+		for _, p := range e.queued {
+			if p.arrives.After(end) {
+				missed += p.tokens
+			}
+		}
+		joined := min(pass.tokens-missed, c.model.passTokens())
+		length, _ := c.passWith(e, joined, scale(pass.prefill, joined/max(1, pass.tokens)))
+		pass.wait += scale(length, e.slowdown(now))
+		pass.prefill = scale(pass.prefill, 1-joined/max(1, pass.tokens))
+		pass.tokens -= joined
+		return pass
+	}
+	pass.current = arrives.Before(pass.start)
+	for _, list := range [...][]*promptPart{e.inPass, e.queued} {
+		for _, p := range list {
+			if pass.current || p.arrives.After(pass.start) {
+				pass.tokens += p.inPass
+				pass.prefill += time.Duration(p.inPass * p.perToken)
+			}
+		}
+	}
+	if pass.current {
+		pass.wait = pass.start.Sub(now)
+	}
+	return pass
+}
+
+// passWith returns the length of a pass that prefills parts of that many tokens and prefill time,
+// at an engine that is not slow, and the number of such passes until all of them are prefilled.
+func (c *Core) passWith(e *engine, tokens float64, prefill time.Duration) (length time.Duration, passes int) {
 	if e.answers == 0 {
-		return c.model.stepTime(0, 0) + e.queuedTime + partTime, 1
+		return c.model.stepTime(0, 0) + prefill, 1
 	}
 	base := c.model.passTime(e.answers, e.contextTokens)
-	totalTokens, totalTime := e.queuedTokens+tokens, e.queuedTime+partTime
 	capacity := c.model.passTokens()
-	if totalTokens <= capacity {
-		return base + totalTime, 1
+	if tokens <= capacity {
+		return base + prefill, 1
 	}
-	return base + scale(totalTime, capacity/totalTokens), int(totalTokens/capacity) + 1
+	return base + scale(prefill, capacity/tokens), int(tokens/capacity) + 1
 }
--- a/internal/place/prediction_test.go
+++ b/internal/place/prediction_test.go
@@ -56,3 +56,18 @@
 	c.advance(end.Add(ms), e)
 	quicktest.Assert(t, e.hasQueued(c.jobs["x"]), quicktest.IsFalse)
 }
+
+// TestPassMayStartLater: an engine whose pass is predicted to have begun a moment ago may begin it
+// only now, with the next part. A loss of zero there let parts of several requests come together in
+// one pass. Later in the pass the risk is over.
+func TestPassMayStartLater(t *testing.T) {
+	c, e := decodingCore(time.Unix(0, 0))
+	addAt(c, e.passStart.Add(ms), e, "x")
+	c.advance(e.passEnd, e)
+	start := e.passStart
+	quicktest.Assert(t, e.hasQueued(c.jobs["x"]), quicktest.IsFalse)
+	tokens, d := prefillOf(c)
+	soon := c.othersLoss(start.Add(ms), e, tokens, d)
+	late := c.othersLoss(start.Add(2*passShift), e, tokens, d)
+	quicktest.Assert(t, soon > late+shiftWeight*latePenalty/2, quicktest.IsTrue, quicktest.Commentf("%v, later %v", soon, late))
+}
--- a/internal/place/weights.go
+++ b/internal/place/weights.go
@@ -18,6 +18,10 @@
 	// the end of a pass there is known: two messages each. A pass that ends within it has begun
 	// when the part is there.
 	transitTime = 8 * time.Millisecond
+	// passShift is a typical error of the predicted start of a pass, of either sign, and
+	// shiftWeight the probability of each.
+	passShift   = 20 * time.Millisecond
+	shiftWeight = 0.25
 	// longTarget is the least target for the first event with which a prompt counts as
 	// long: it may wait for engines that decode no short answers.
 	longTarget = time.Second
