place: an overdue first event raises the slowdown before it comes

Cause: an engine that became slow was found when a late first event came, which takes as long as the engine is slow: most of a second at 7.7 times. Until then it got further requests.

Change: at each arrival and tick, every 10 ms at most, first events that are overdue by more than slowdownNoise raise the slowdown of their engine to what they would show if they came now; one alone to maxSingleSlowdown at most. Requests that were granted before one whose first event has come, and those whose caller has given up, don't count. Measured ratios are taken by the slowdown at the grant, as the estimate may have risen since.

--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -37,6 +37,8 @@
 	values   valueEstimator
 	// admission counts the requests if the core sees all of them.
 	admission admission
+	// lastOverdueCheck is the time of the last look for overdue first events.
+	lastOverdueCheck time.Time
 	// refusals counts refusals, to spread the retries of refused callers.
 	refusals int
 }
@@ -49,6 +51,7 @@
 	}
 	switch e := e.(type) {
 	case Arrive:
+		c.checkOverdue(now)
 		return c.arrive(now, e.Request)
 	case Withdraw:
 		c.withdraw(now, e.ID)
@@ -69,6 +72,7 @@
 	case Cold:
 		c.setCold(now, e)
 	case Tick:
+		c.checkOverdue(now)
 		c.tick(now)
 		return c.schedule(now)
 	}
@@ -200,7 +204,7 @@
 	// An answer shows that the engine is alive, even if its heartbeats get lost.
 	j.lead.lastHeartbeat = now
 	if len(j.helpers) == 0 {
-		j.lead.observeSlowdown(now, j.firstEventAt.Sub(j.granted), e.Elapsed)
+		j.lead.observeSlowdown(now, j, e.Elapsed)
 	}
 	c.markPrefilled(now, j)
 	c.syncPassEnd(now, j.lead)
@@ -241,7 +245,7 @@
 // reserve books the resources of a grant on its engines.
 func (c *Core) reserve(now time.Time, j *job, p plan) {
 	j.lead, j.helpers, j.memory, j.partTime = p.lead, p.helpers, p.memory, p.partTime
-	j.granted, j.firstEventAt = now, now.Add(p.ttft)
+	j.granted, j.firstEventAt, j.slowdown = now, now.Add(p.ttft), p.lead.slowdown(now)
 	p.lead.reserved += j.leadTokens()
 	p.lead.answers++
 	p.lead.contextTokens += j.leadContext()
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -31,6 +31,12 @@
 	slowdownNoise = 100 * time.Millisecond
 	// maxSlowdown bounds the estimated slowdown.
 	maxSlowdown = 12
+	// maxSingleSlowdown bounds the slowdown that one overdue first event shows: the request or
+	// its event may be lost.
+	maxSingleSlowdown = 4
+	// overdueInterval is the shortest time between two looks for overdue first events. It is
+	// short beside slowdownNoise.
+	overdueInterval = 10 * time.Millisecond
 )
 
 // engine is one target of the pool with the work granted to it. The embedded prediction
@@ -63,6 +69,8 @@
 	// speed.
 	lastSlowdown   float64
 	lastSlowdownAt time.Time
+	// lastStarted is when the last request was granted of those it led whose first event came.
+	lastStarted time.Time
 
 	// Backoff ejects it after failures.
 	Backoff
@@ -146,21 +154,60 @@
 	e.Fail(now, first, maxEjection)
 }
 
-// observeSlowdown updates the slowdown from a predicted and a measured time to the first
-// event.
-func (e *engine) observeSlowdown(now time.Time, predicted, measured time.Duration) {
+// observeSlowdown updates the slowdown from a measured time to the first event of an answer.
+func (e *engine) observeSlowdown(now time.Time, j *job, measured time.Duration) {
+	if j.granted.After(e.lastStarted) {
+		e.lastStarted = j.granted
+	}
+	predicted := j.firstEventAt.Sub(j.granted)
 	if predicted <= 0 || measured <= 0 || now.Before(e.uncertainUntil) {
 		return
 	}
-	current := e.slowdown(now)
-	ratio := current * float64(measured) / float64(predicted)
+	ratio := j.slowdown * float64(measured) / float64(predicted)
 	if measured-predicted < slowdownNoise {
 		ratio = min(ratio, 1)
 	}
-	e.lastSlowdown = min(maxSlowdown, max(1, current*(1-slowdownWeight)+ratio*slowdownWeight))
+	e.lastSlowdown = min(maxSlowdown, max(1, e.slowdown(now)*(1-slowdownWeight)+ratio*slowdownWeight))
 	e.lastSlowdownAt = now
 }
 
+// checkOverdue raises the slowdown of engines whose first events are overdue, to what these show
+// if they came now.
+func (c *Core) checkOverdue(now time.Time) {
+	if now.Sub(c.lastOverdueCheck) < overdueInterval {
+		return
+	}
+	c.lastOverdueCheck = now
+	for _, e := range c.engines {
+		if now.Before(e.uncertainUntil) {
+			continue
+		}
+		if s := e.overdueSlowdown(now); s > e.slowdown(now) {
+			e.lastSlowdown, e.lastSlowdownAt = s, now
+		}
+	}
+}
+
+// overdueSlowdown returns the slowdown that overdue first events show; 0 without any. A request
+// that was granted before another one whose first event has come is lost rather than slow, and so is one whose caller has given up.
+func (e *engine) overdueSlowdown(now time.Time) float64 {
+	most, overdue := 0.0, 0
+	for _, j := range e.jobs {
+		if j.lead != e || j.started || len(j.helpers) > 0 || now.Sub(j.firstEventAt) < slowdownNoise || j.granted.Before(e.lastStarted) {
+			continue
+		}
+		predicted, measured := j.firstEventAt.Sub(j.granted), now.Sub(j.granted)
+		if predicted > 0 && measured < j.request.PauseTimeout {
+			overdue++
+			most = max(most, j.slowdown*float64(measured)/float64(predicted))
+		}
+	}
+	if overdue == 1 {
+		return min(most, maxSingleSlowdown)
+	}
+	return min(most, maxSlowdown)
+}
+
 // slowdown returns the estimated slowdown, at least 1. An observed slowdown fades, so that
 // an engine that was slow gets work again.
 func (e *engine) slowdown(now time.Time) float64 {
--- a/internal/place/job.go
+++ b/internal/place/job.go
@@ -28,6 +28,8 @@
 	// firstEventAt is when the first event is predicted, due when the caller wants it.
 	firstEventAt, due time.Time
 	started           bool
+	// slowdown is the estimated slowdown of the lead at the grant.
+	slowdown float64
 	// pendingParts counts the parts that are not yet prefilled according to the predictions.
 	// prefilled is set when all are, ended when the request needs no engine any more.
 	pendingParts     int
--- a/internal/place/prediction_test.go
+++ b/internal/place/prediction_test.go
@@ -71,3 +71,49 @@
 	late := c.othersLoss(start.Add(2*passShift), e, tokens, d)
 	quicktest.Assert(t, soon > late+shiftWeight*latePenalty/2, quicktest.IsTrue, quicktest.Commentf("%v, later %v", soon, late))
 }
+
+// TestOverdueFirstEventSlowsEngine: an engine that has become slow must count as slow before its
+// late first event comes, or it goes on getting requests for most of a second. One overdue request
+// alone, which may be lost, must not rule the engine out, nor may it count beside a later answer
+// that was on time.
+func TestOverdueFirstEventSlowsEngine(t *testing.T) {
+	now := time.Unix(0, 0)
+	c, e := decodingCore(now)
+	c.Step(now, Arrive{shortRequest("x")})
+	predicted := c.jobs["x"].firstEventAt
+	c.Step(predicted.Add(slowdownNoise-ms), Tick{})
+	quicktest.Assert(t, e.slowdown(now), quicktest.Equals, 1.0)
+	now = predicted.Add(slowdownNoise + 50*ms)
+	c.Step(now, Tick{})
+	quicktest.Assert(t, e.slowdown(now) > slowThreshold, quicktest.IsTrue)
+	now = predicted.Add(1500 * ms)
+	c.Step(now, Tick{})
+	quicktest.Assert(t, e.slowdown(now) <= maxSingleSlowdown, quicktest.IsTrue)
+
+	addAt(c, now, e, "y")
+	now = c.jobs["y"].firstEventAt
+	c.Step(now, FirstEvent{ID: "y", Elapsed: now.Sub(c.jobs["y"].granted) / maxSingleSlowdown})
+	before := e.slowdown(now)
+	now = now.Add(overdueInterval)
+	c.Step(now, Tick{})
+	quicktest.Assert(t, before < slowThreshold+1, quicktest.IsTrue, quicktest.Commentf("%v", before))
+	quicktest.Assert(t, e.slowdown(now) <= before, quicktest.IsTrue)
+}
+
+// TestOverdueRequestsShowRatio: two overdue requests show how slow the engine is, and the estimate
+// fades when they have ended.
+func TestOverdueRequestsShowRatio(t *testing.T) {
+	now := time.Unix(0, 0)
+	c, e := decodingCore(now)
+	addAt(c, now, e, "x")
+	addAt(c, now, e, "y")
+	now = now.Add(1500 * ms)
+	c.Step(now, Tick{})
+	shown := e.slowdown(now)
+	quicktest.Assert(t, shown > maxSingleSlowdown && shown <= maxSlowdown, quicktest.IsTrue, quicktest.Commentf("%v", shown))
+	c.Step(now, End{ID: "x"})
+	c.Step(now, End{ID: "y"})
+	now = now.Add(slowdownDecay)
+	c.Step(now, Tick{})
+	quicktest.Assert(t, e.slowdown(now) < 1+(shown-1)/2, quicktest.IsTrue)
+}
