--- a/internal/place/replay_test.go
+++ b/internal/place/replay_test.go
@@ -161,26 +161,28 @@
 	}
 }
 
+// score plays the pattern with a new placer for each seed, and returns the scores by class and in
+// total.
+func (p *pattern) score(newPlacer func() placer) (map[string]score, score) {
+	return playSeeds(p.from, p.to, func(seed uint64) *sim {
+		fleet := p.fleet
+		if fleet == nil {
+			fleet = func(seed uint64, pl placer) *sim { return newSim(seed, 16, pl) }
+		}
+		s := fleet(seed, newPlacer())
+		p.play(s)
+		s.run(p.to + 15*second)
+		return s
+	})
+}
+
 // TestReplay plays each load pattern against the placement and two baselines.
 func TestReplay(t *testing.T) {
 	for _, p := range patterns() {
 		t.Run(p.name, func(t *testing.T) {
-			play := func(newPlacer func() placer) (map[string]score, score) {
-				return playSeeds(p.from, p.to, func(seed uint64) *sim {
-					var s *sim
-					if p.fleet != nil {
-						s = p.fleet(seed, newPlacer())
-					} else {
-						s = newSim(seed, 16, newPlacer())
-					}
-					p.play(s)
-					s.run(p.to + 15*second)
-					return s
-				})
-			}
-			byClass, sum := play(func() placer { return &Core{} })
-			_, random := play(func() placer { return newBaseline(false) })
-			_, least := play(func() placer { return newBaseline(true) })
+			byClass, sum := p.score(func() placer { return &Core{} })
+			_, random := p.score(func() placer { return newBaseline(false) })
+			_, least := p.score(func() placer { return newBaseline(true) })
 			t.Logf("earned: own %.3f, random %.3f, least work %.3f", sum.earnedShare(), random.earnedShare(), least.earnedShare())
 			for _, kind := range slices.Sorted(maps.Keys(byClass)) {
 				t.Logf("%s: %v", kind, byClass[kind])
