--- a/internal/place/standalone_test.go
+++ b/internal/place/standalone_test.go
@@ -113,7 +113,7 @@
 			var late [2]float64
 			for i, informed := range []bool{false, true} {
 				total := make(map[string]score)
-				for seed := range uint64(max(minGapSeeds, *burstSeeds)) {
+				for seed := range uint64(max(minGapSeeds, *replaySeeds)) {
 					for kind, sc := range g.run(seed+1, informed) {
 						total[kind] = total[kind].plus(sc)
 					}
