--- a/internal/gate/admission_test.go
+++ b/internal/gate/admission_test.go
@@ -352,7 +352,7 @@
 		quicktest.Check(t, ok, quicktest.IsTrue, quicktest.Commentf("%s: %s", name, what))
 	}
 	all := after["all"]
-	check(all.part(all.onTime) >= before["all"].part(before["all"].onTime)-2, "on time in all")
+	check(all.part(all.onTime) >= before["all"].part(before["all"].onTime)-1, "on time in all")
 	check(all.part(all.repeated) <= 20, "repeated")
 	for k, n := range after {
 		check(n.part(n.onTime+n.late) >= all.part(all.onTime+all.late)/4, k+" is served")
--- a/internal/place/fleet_test.go
+++ b/internal/place/fleet_test.go
@@ -146,7 +146,7 @@
 				onTime := float64(c.inTime) / float64(c.requests)
 				// Pauses that no grant took into account must stay rare, or answers are late without
 				// a reason in any decision.
-				red.Check(t, "unforeseen", float64(c.unforeseen) <= 0.01*float64(c.requests), "%v, wanted 1 in 100 unforeseen", c)
+				red.Check(t, "unforeseen", float64(c.unforeseen) <= 0.005*float64(c.requests), "%v, wanted 5 in 1,000 unforeseen", c)
 				red.Check(t, "short", onTime >= p.short, "%.3f on time, wanted %.2f", onTime, p.short)
 				earned := byClass["long"].earnedShare()
 				red.Check(t, "long", earned >= p.long, "earned %.3f, wanted %.2f", earned, p.long)
--- a/internal/place/standalone_test.go
+++ b/internal/place/standalone_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/frankban/quicktest"
 
+	"github.com/bambooproxy/bambooproxy/internal/red"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
@@ -106,7 +107,7 @@
 
 // TestGapReplay guards against entries that place by their own grants alone, and so choose engines
 // that are full or prefill long prompts: of the requests without a scheduler, those that are late
-// must be fewer than 6 in 10 of those without the reports of the load, and 99 in 100 are served.
+// must be half of those without the reports of the load at most, and 99 in 100 are served.
 func TestGapReplay(t *testing.T) {
 	for _, g := range gaps() {
 		t.Run(g.name, func(t *testing.T) {
@@ -126,7 +127,7 @@
 				late[i] = float64(total["sum"].late)
 				quicktest.Check(t, 100*total["sum"].refused <= total["sum"].requests, quicktest.IsTrue)
 			}
-			quicktest.Check(t, late[1] <= 0.6*late[0], quicktest.IsTrue, quicktest.Commentf("late: %v without and with reports of the load", late))
+			red.Check(t, "late", late[1] <= 0.5*late[0], "late: %v without and with reports of the load, wanted half as many", late)
 		})
 	}
 }
