--- a/Makefile
+++ b/Makefile
@@ -25,13 +25,13 @@
 tidy:
 	$(GO) mod tidy -diff
 
-# The trials and internal/poison run without the race detector because each is a single goroutine
+# The trials, internal/poison and internal/place run without the race detector: each is one goroutine
 # on virtual time, and the fleet of 3,000 targets because the detector takes minutes for it. A check
 # listed in KNOWN-RED.txt may fail; the list is printed first.
 unit:
 	@grep -v '^#' KNOWN-RED.txt || true
-	$(GO) list $(PKGS) | grep -v -e internal/trial -e internal/poison | xargs -P 4 -n 1 scripts/race.sh
-	$(GO) test -count=1 ./internal/trial ./internal/poison
+	$(GO) list $(PKGS) | grep -v -e internal/trial -e internal/poison -e internal/place | xargs -P 4 -n 1 scripts/race.sh
+	$(GO) test -count=1 ./internal/trial ./internal/poison ./internal/place
 	$(GO) test -count=1 -run TestFleetOfTargetsKeepsConnections ./internal/hub
 
 # The soak injects faults into real processes. make test runs two short seeds without
