gate: the log tells which answers an entry broke off, and why nothing continued them

The lines tell the silence of the engine, but not why no second engine was tried: the attempts, the retry budget or the scheduler. No metric counts answers that an entry broke off, beside those whose callers left. Change: request ended has truncated and no_retry, and is a warning then; the metric gate_truncated counts them. A request that may not be repeated no longer takes from the retry budget when it ends. Measured: TestTruncationIsExplained.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -72,7 +72,7 @@
 			reason, retry = blockedReason, left
 			break
 		}
-		if x.sends > 0 && (!x.acquireRetry() || x.mayHaveRun && !x.route.MayRetry()) {
+		if x.sends > 0 && (x.mayHaveRun && !x.route.MayRetry() || !x.acquireRetry()) {
 			break
 		}
 		s.pauseCount = x.server.pauses.pauseCount()
@@ -84,6 +84,9 @@
 			if errors.As(err, &r) {
 				reason, retry = r.Reason, r.RetryAfter
 			}
+			if x.sends > 0 {
+				x.noRetry = err.Error()
+			}
 			break
 		}
 		x.queueTime += g.Waited
@@ -94,7 +97,7 @@
 		reason = failure
 	}
 	if s.headSent {
-		x.reason = reason
+		x.reason, x.truncated = reason, x.r.Context().Err() == nil
 		x.abortConnection()
 	}
 	x.respondFailure(ctx, reason, retry)
--- a/internal/gate/engine_test.go
+++ b/internal/gate/engine_test.go
@@ -12,8 +12,10 @@
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/rcrowley/go-metrics"
 	"pgregory.net/rapid"
 
+	"github.com/bambooproxy/bambooproxy/internal/meter"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
@@ -93,6 +95,36 @@
 	})
 }
 
+// TestTruncationIsExplained: the log must tell which answers this instance broke off, and why no other
+// engine continued them; those of callers who left are not among them.
+func TestTruncationIsExplained(t *testing.T) {
+	for _, c := range []struct {
+		second script
+		slack  float64
+		why    string
+	}{
+		{streamEvents(9, 6), 50, noAttempts}, {respond(503, "", notRunHeader), 50, noAttempts}, {streamEvents(9, 0), 0, noBudget},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newTestbed(t, nil, []script{closeConn, closeConn})
+			s.gate.Budget.Ratio, s.gate.Budget.Slack = 0, c.slack
+			for _, f := range s.targets {
+				f.script = func(f *fakeTarget, conn net.Conn, q *http.Request) bool {
+					if s.requestCount() > 1 {
+						return c.second(f, conn, q)
+					}
+					return streamEvents(9, 4)(f, conn, q)
+				}
+			}
+			quicktest.Assert(t, s.call(resumableStreamPath, "prompt").truncated, quicktest.IsTrue)
+			synctest.Wait()
+			quicktest.Check(t, s.logs.String(), quicktest.Contains, `"truncated":true,"no_retry":"`+c.why+`"`)
+			n := metrics.GetOrRegisterCounter(meter.Label("gate.truncated", "kind", "engine"), s.gate.Metrics).Count()
+			quicktest.Check(t, n, quicktest.Equals, int64(1))
+		})
+	}
+}
+
 // newEngineTestbed returns a testbed with one engine.
 func newEngineTestbed(t *testing.T, sc script) *testbed {
 	t.Helper()
@@ -195,6 +227,7 @@
 		synctest.Wait()
 		quicktest.Assert(t, s.logs.String(), quicktest.Contains, `"reason":"the caller disconnected"`)
 		quicktest.Assert(t, s.logs.String(), quicktest.Not(quicktest.Contains), "ended early")
+		quicktest.Assert(t, s.logs.String(), quicktest.Not(quicktest.Contains), "truncated")
 		quicktest.Assert(t, s.requestCount(), quicktest.Equals, 1)
 	})
 }
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -57,6 +57,11 @@
 	relay string
 	// answeredBy is whose response the caller got: byTarget or byEntry; "" if none.
 	answeredBy string
+	// truncated is set if this instance broke off the response to a caller who was still there.
+	truncated bool
+	// noRetry is why the request was not sent to another target: noAttempts, noBudget or the reason of
+	// the scheduler; "" if it was not asked for.
+	noRetry string
 	// grantID is the ID of the last request for placement.
 	grantID string
 	// firstEvent is the time to the first event, and predicted the value that the scheduler
@@ -78,6 +83,12 @@
 	byEntry  = "entry"
 )
 
+// Values of exchange.noRetry.
+const (
+	noAttempts = "the attempts of the route are used up"
+	noBudget   = "the retry budget is used up"
+)
+
 // prepare validates the request and finds its route and pool. It returns false if it has
 // already responded.
 func (x *exchange) prepare() bool {
@@ -308,7 +319,7 @@
 	x.start = time.Time{}
 	s := x.server
 	e := s.Log.Info()
-	if x.status >= http.StatusInternalServerError || x.status == 0 {
+	if x.status >= http.StatusInternalServerError || x.status == 0 || x.truncated {
 		e = s.Log.Warn()
 	}
 	e.Str("id", x.call.ID)
@@ -324,6 +335,12 @@
 	if x.isBound() {
 		e.Strs("regions", x.regions.allowed)
 	}
+	if x.truncated {
+		e.Bool("truncated", true)
+	}
+	if x.noRetry != "" {
+		e.Str("no_retry", x.noRetry)
+	}
 	if len(x.call.SharedSegments) > 0 {
 		e.Strs("prefix", x.call.SharedSegments)
 	}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -23,6 +23,9 @@
 	if x.isRefused() {
 		metrics.GetOrRegisterCounter(meter.Label("gate.refusals", "reason", x.reason), s.Metrics).Inc(1)
 	}
+	if x.truncated {
+		metrics.GetOrRegisterCounter(meter.Label("gate.truncated", "kind", kind), s.Metrics).Inc(1)
+	}
 	if x.firstEvent > 0 {
 		meter.Times("gate.first_event", s.Metrics).Update(int64(x.firstEvent))
 		meter.Times("gate.wait", s.Metrics).Update(int64(x.queueTime))
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -128,21 +128,21 @@
 }
 
 // mayRetry reports whether the request could be sent to one more target now.
-func (x *exchange) mayRetry() bool {
-	if x.sends < max(1, x.route.Attempts) && !x.server.Budget.allowsRetry(x.pool.Name, int(x.server.instanceCount.Load())) {
-		metrics.GetOrRegisterCounter("gate.repeats_refused", x.server.Metrics).Inc(1)
-		return false
-	}
-	return x.sends < max(1, x.route.Attempts)
-}
+func (x *exchange) mayRetry() bool { return x.checkRetry(x.server.Budget.allowsRetry) }
 
 // acquireRetry reports whether the request may be sent to one more target, and counts
 // that as a retry.
-func (x *exchange) acquireRetry() bool {
+func (x *exchange) acquireRetry() bool { return x.checkRetry(x.server.Budget.acquireRetry) }
+
+// checkRetry reports whether the attempts of the route and the budget, which it asks with allows, have
+// room for one more send. Otherwise it records why not.
+func (x *exchange) checkRetry(allows func(pool string, instances int) bool) bool {
 	if x.sends >= max(1, x.route.Attempts) {
+		x.noRetry = noAttempts
 		return false
 	}
-	if !x.server.Budget.acquireRetry(x.pool.Name, int(x.server.instanceCount.Load())) {
+	if !allows(x.pool.Name, int(x.server.instanceCount.Load())) {
+		x.noRetry = noBudget
 		metrics.GetOrRegisterCounter("gate.repeats_refused", x.server.Metrics).Inc(1)
 		return false
 	}
