gate: tests of answers whose silent engines go on, listed as failing

What callers see: an engine is silent for 1.9 s in the middle of an answer and goes on; the caller would have waited. The entry has closed the connection to it before, and breaks the answer off.

--- /dev/null
+++ b/internal/gate/silent_test.go
@@ -0,0 +1,109 @@
+package gate
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/red"
+)
+
+// silentAfter streams four events, and is silent for pause after the event with that ID; 0 stands for the
+// head of the response.
+func silentAfter(id int, pause time.Duration) script {
+	return func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+		// The header is missing in a first request.
+		from, _ := strconv.Atoi(q.Header.Get("Last"))
+		if id == 0 {
+			time.Sleep(pause)
+		}
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sBy: %s\r\nTransfer-Encoding: chunked\r\n\r\n", q.Header.Get("Id"), sealHeader, f.ID)
+		for i := from + 1; i <= 4; i++ {
+			ev := eventText(i, i)
+			fmt.Fprintf(c, "%x\r\n%s\r\n", len(ev), ev)
+			if i == id {
+				time.Sleep(pause)
+			}
+		}
+		_, err := io.WriteString(c, "0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// firstThen returns engines of which the first one that gets a request follows first, and the others
+// then.
+func firstThen(s *testbed, first, then script) {
+	for _, f := range s.targets {
+		f.script = func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+			if s.requestCount() > 1 {
+				return then(f, c, q)
+			}
+			return first(f, c, q)
+		}
+	}
+}
+
+// TestSilenceEndsNoAnswer: an engine that is silent and goes on while its caller still waits must complete
+// its answer if no other engine takes over.
+func TestSilenceEndsNoAnswer(t *testing.T) {
+	// The caller gives up after two seconds without an event.
+	const pause = 1900 * time.Millisecond
+	others := map[string]script{
+		"refuses": respond(503, "full", notRunHeader), "closes": closeConn, "fails": respond(500, "error", sealHeader),
+		"rejects": respond(404, "not here", sealHeader), "is silent": silentAfter(0, pause), "never responds": neverRespond,
+		"breaks off": func(_ *fakeTarget, c net.Conn, q *http.Request) bool {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n5\r\nid: 2", q.Header.Get("Id"), sealHeader)
+			return false
+		},
+	}
+	var broken []string
+	for name, other := range others {
+		for _, after := range []int{0, 1, 3} {
+			t.Run(fmt.Sprintf("%s/after %d", name, after), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newTestbed(t, nil, []script{closeConn, closeConn})
+					firstThen(s, silentAfter(after, pause), other)
+					res := s.call(resumableStreamPath, "prompt", "Left", "3000")
+					if res.status != 200 || res.truncated || res.body != eventText(1, 4) {
+						broken = append(broken, t.Name())
+					}
+					time.Sleep(2 * pause)
+				})
+			})
+		}
+	}
+	red.Check(t, "complete", len(broken) == 0, "%d answers not completed: %v", len(broken), broken)
+}
+
+// TestSilentAnswersShareBudget: when more answers of an entry fall silent at once than its retry budget
+// allows to repeat, the others must be completed by their own engines.
+func TestSilentAnswersShareBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const calls = 6
+		s := newTestbed(t, nil, []script{closeConn, closeConn, closeConn})
+		for _, f := range s.targets {
+			f.script = silentAfter(1, 1900*time.Millisecond)
+		}
+		s.gate.Budget.Ratio, s.gate.Budget.Slack = 0, 3
+		results := make(chan callResult, calls)
+		for i := range calls {
+			go func() { results <- s.call(resumableStreamPath, "prompt", "Left", "5000", "Id", fmt.Sprint("a", i)) }()
+		}
+		complete := 0
+		for range calls {
+			if res := <-results; !res.truncated && res.body == eventText(1, 4) {
+				complete++
+			}
+		}
+		red.Check(t, "complete", complete == calls, "%d of %d answers are complete", complete, calls)
+		quicktest.Check(t, s.requestCount() > calls, quicktest.IsTrue)
+		time.Sleep(2 * time.Second)
+	})
+}
