gate: the time limit of a request is no failure of its engine

What callers saw: nothing at once. An engine whose answer was not complete at the time limit was counted as failed, so that the entry and the scheduler avoided it for a while. Cause: the read of the next event had the time limit as its deadline, beside the context that ends then, too. Whichever came first decided whether the caller's time was over or the engine had failed. Change: the read has no deadline of its own once the answer has begun; the context ends it.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -225,7 +225,7 @@
 		s.next = newTakeover(ctx, s, lead, cancel)
 		defer s.next.firstEnds()
 	}
-	q.HeadTimeout = time.Until(s.firstEventDeadline())
+	q.HeadTimeout = s.firstEventLimit()
 	resp, err := s.server.TargetClient.Do(sendCtx, lead.Address, q)
 	if err != nil {
 		if s.next.firstEnds() {
@@ -396,7 +396,9 @@
 // there is one.
 func (s *stream) relayEvents(ctx context.Context, lead site.Target, resp *hop.Response, att *streamAttempt) (reason string, err error) {
 	events := hop.NewEventReader(resp.Body)
-	resp.SetReadDeadline(s.firstEventDeadline())
+	if limit := s.firstEventLimit(); limit > 0 {
+		resp.SetReadDeadline(time.Now().Add(limit))
+	}
 	idleBytes := 0
 	for {
 		ev, err := events.Next()
@@ -422,7 +424,7 @@
 		if isNew {
 			idleBytes = 0
 			// From here on the caller decides how long to wait.
-			resp.SetReadDeadline(s.deadline)
+			resp.SetReadDeadline(time.Time{})
 			s.next.await(time.Duration(stallShare * float64(s.eventTimeout())))
 			continue
 		}
@@ -514,14 +516,14 @@
 	s.eventCount++
 }
 
-// firstEventDeadline returns when the wait for the first event of an engine ends. If the caller
-// has a part of the answer already and no other engine may be tried, the stream is kept until the
-// request's deadline, and the caller decides how long to wait.
-func (s *stream) firstEventDeadline() time.Time {
+// firstEventLimit is how long the wait for the first event of an engine may last; 0 means until the time
+// limit of the request. If the caller has a part of the answer already and no other engine may be tried,
+// the caller decides how long to wait.
+func (s *stream) firstEventLimit() time.Duration {
 	if s.headSent && s.next == nil {
-		return s.deadline
+		return 0
 	}
-	return time.Now().Add(s.eventTimeout())
+	return s.eventTimeout()
 }
 
 // writeHead sends the status and headers of the response to the caller.
--- a/internal/gate/silent_test.go
+++ b/internal/gate/silent_test.go
@@ -165,3 +165,19 @@
 		quicktest.Check(t, c.Count(), quicktest.Equals, int64(1))
 	})
 }
+
+// TestTimeLimitIsNoFaultOfEngine: the end of a request's time limit in the middle of an answer must not
+// count as a failure of its engine.
+func TestTimeLimitIsNoFaultOfEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, []script{silentAfter(2, 1500*time.Millisecond)})
+		res := s.call(resumableStreamPath, "prompt", "Left", "1000")
+		quicktest.Check(t, res.truncated, quicktest.IsTrue)
+		synctest.Wait()
+		_, ejected := s.gate.health.state(s.targets[0].ID)
+		quicktest.Check(t, ejected, quicktest.IsFalse)
+		quicktest.Check(t, s.logs.String(), quicktest.Contains, `"reason":"the time limit was reached"`)
+		quicktest.Check(t, s.logs.String(), quicktest.Not(quicktest.Contains), "send failed")
+		time.Sleep(time.Second)
+	})
+}
