gate: a request is left to its silent service until another one has answered

What callers saw: 502 on a request that may be repeated, although the service that had it, silent for a second, would have answered within the time limit. After twice the target latency the entry closed the connection to the service, and only then asked for another turn, the retry budget and another service. Change: the send to the silent service goes on while another one is tried (gate.hedge); the first whole answer counts, and the other connection is closed. The silent service is ejected as early as before. A request whose first engine or service refuses it after all, with no other send, is answered as not run again.

--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -44,11 +44,32 @@
 	retry  time.Duration
 }
 
+// plainResult is the result of a request to a plain service.
+type plainResult struct {
+	// response is the response for the caller; nil if there is none. It is the error of a target unless
+	// delivered is set.
+	response  *response
+	delivered bool
+	// reason and retry are what the caller is told without a response.
+	reason string
+	retry  time.Duration
+}
+
 // servePlain sends a request to a plain service.
 func (x *exchange) servePlain(ctx context.Context) {
+	r := x.runPlain(ctx)
+	defer r.response.release()
+	if r.response != nil && x.r.Context().Err() == nil {
+		x.writeResponse(r.response)
+		return
+	}
+	x.respondFailure(ctx, r.reason, r.retry)
+}
+
+// runPlain sends a request to one target after the other until one has answered without an error.
+func (x *exchange) runPlain(ctx context.Context) plainResult {
 	// fallback is an error response that is passed on if no other target succeeds.
 	var fallback *response
-	defer func() { fallback.release() }()
 	a := attempts{reason: "no target is available", retry: shortRetryAfter}
 	for {
 		t, ok := x.nextTarget(ctx, &a)
@@ -56,12 +77,11 @@
 			break
 		}
 		a.hasTurn = false
-		resp, o := x.send(ctx, t)
+		resp, o := x.sendHedged(ctx, t)
 		switch o := o.(type) {
 		case delivered:
-			x.writeResponse(resp)
-			resp.release()
-			return
+			fallback.release()
+			return plainResult{response: resp, delivered: true}
 		case serverError:
 			fallback.release()
 			fallback = resp
@@ -78,11 +98,7 @@
 			break
 		}
 	}
-	if fallback != nil && x.r.Context().Err() == nil {
-		x.writeResponse(fallback)
-		return
-	}
-	x.respondFailure(ctx, a.reason, a.retry)
+	return plainResult{response: fallback, reason: a.reason, retry: a.retry}
 }
 
 // nextTarget returns the target to send the request to, once it has its turn. It returns false if there is
@@ -263,19 +279,26 @@
 	}
 }
 
-// send sends the request to one target and buffers the response.
-func (x *exchange) send(ctx context.Context, t site.Target) (*response, outcome) {
+// sendHedged sends the request to one target, and to others while that one is silent if it may go there.
+func (x *exchange) sendHedged(ctx context.Context, t site.Target) (*response, outcome) {
+	if !x.canRetryElsewhere(t) {
+		return x.send(ctx, t, nil)
+	}
+	h, sendCtx := x.newHedge(ctx, t)
+	resp, o := x.send(sendCtx, t, h)
+	return h.finish(x, resp, o)
+}
+
+// send sends the request to one target and buffers the response. The hedge h may be nil.
+func (x *exchange) send(ctx context.Context, t site.Target, h *hedge) (*response, outcome) {
 	s := x.server
 	defer s.health.track(t.ID)()
 	x.target = t.ID
 	q := x.buildRequest(t, SendInfo{Urgency: -1})
-	if x.canRetryElsewhere(t) {
-		// If the response is lost, half of the remaining time is left for another target.
-		q.HeadTimeout = min(max(latencyFactor*x.route.Aim, minHeadTimeout), x.timeLeft()/2)
-	}
 	sentAt := time.Now()
 	resp, err := s.TargetClient.Do(ctx, t.Address, q)
 	if err != nil {
+		err = sendError(ctx, err, sentAt)
 		x.recordIfCrashed(send{target: t, at: sentAt}, err)
 		return nil, x.classifySendError(t, err)
 	}
@@ -293,13 +316,12 @@
 		reuse = ok && drainBody(resp)
 		return nil, o
 	}
-	if q.HeadTimeout > 0 {
-		// The body may stall as well as the head.
-		resp.SetReadDeadline(time.Now().Add(x.timeLeft() / 2))
-	}
+	// The body may stall as well as the head.
+	h.await(x.timeLeft() / 2)
 	body, err := s.readBody(t, resp)
 	if err != nil {
-		if ctx.Err() == nil && !errors.Is(err, errBuffersFull) {
+		err = sendError(ctx, err, sentAt)
+		if (ctx.Err() == nil || isSilence(err)) && !errors.Is(err, errBuffersFull) {
 			s.health.recordFailure(t.ID)
 			x.recordIfCrashed(send{target: t, at: sentAt}, err)
 		} else if ctx.Err() != nil {
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -74,7 +74,7 @@
 func newTakeover(ctx context.Context, first *stream, lead site.Target, endFirst context.CancelFunc) *takeover {
 	x := *first.exchange
 	x.sends++
-	x.mayHaveRun = true
+	x.mayHaveRun = false
 	x.failedTargets = append(slices.Clone(x.failedTargets), lead.ID)
 	t := &takeover{ctx: ctx, endFirst: endFirst, first: first, engine: lead.ID, sends: x.sends, firstDone: make(chan struct{})}
 	t.second = &stream{exchange: &x, refusals: first.refusals, standby: t}
@@ -257,7 +257,7 @@
 			failed = append(failed, id)
 		}
 	}
-	mayHaveRun, crashes := f.mayHaveRun || s.sends > t.sends && s.mayHaveRun, max(f.crashes, s.crashes)
+	mayHaveRun, crashes := f.mayHaveRun || s.mayHaveRun, max(f.crashes, s.crashes)
 	if t.claimed {
 		*f.exchange = *s.exchange
 		f.headSent, f.lastID, f.hasLastID, f.callerLost = s.headSent, s.lastID, s.hasLastID, s.callerLost
