gate, hub: the scheduler learns of a silent engine when another one is tried

Cause: since an engine keeps its request while it is silent, the scheduler hears of its failure only once another engine has continued the answer, or never if none can, and grants it to others meanwhile. Change: the entry reports the silence when it looks for another engine; the scheduler, and the local core, eject the engine as for a refused request, and keep its grants. Measured: TestSilentEngineIsAvoided.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -222,7 +222,7 @@
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if s.canRetryElsewhere(lead) {
-		s.next = newTakeover(ctx, s, lead, cancel)
+		s.next = newTakeover(ctx, s, lead, g.ID, cancel)
 		defer s.next.firstEnds()
 	}
 	q.HeadTimeout = s.firstEventLimit()
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -280,6 +280,19 @@
 	p.server.Link.Send(func(m *link.FollowerMessage) { m.Started = append(m.Started, e) })
 }
 
+// reportSilence reports that the lead of a grant is silent.
+func (p *placer) reportSilence(id string) {
+	e := place.Silence{ID: id}
+	p.mu.Lock()
+	if g := p.active[id]; g != nil {
+		if c := p.localCore(g.Request.Pool); c != nil {
+			c.Step(time.Now(), e)
+		}
+	}
+	p.mu.Unlock()
+	p.server.Link.Send(func(m *link.FollowerMessage) { m.Silences = append(m.Silences, e) })
+}
+
 // release returns the engines of a grant.
 func (p *placer) release(e place.End) {
 	p.mu.Lock()
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -24,8 +24,8 @@
 	// second.sends before the first of them.
 	first, second *stream
 	sends         int
-	// engine is the ID of the first engine.
-	engine string
+	// engine is the ID of the first engine, and grantID that of the grant for it.
+	engine, grantID string
 	// firstDone is closed when the first attempt relays nothing more.
 	firstDone chan struct{}
 
@@ -71,12 +71,12 @@
 
 // newTakeover returns the takeover for a stream whose request is about to be sent to the engine lead. If
 // the stream is itself the second one of a takeover, no round starts before it continues the answer.
-func newTakeover(ctx context.Context, first *stream, lead site.Target, endFirst context.CancelFunc) *takeover {
+func newTakeover(ctx context.Context, first *stream, lead site.Target, grantID string, endFirst context.CancelFunc) *takeover {
 	x := *first.exchange
 	x.sends++
 	x.mayHaveRun = false
 	x.failedTargets = append(slices.Clone(x.failedTargets), lead.ID)
-	t := &takeover{ctx: ctx, endFirst: endFirst, first: first, engine: lead.ID, sends: x.sends, firstDone: make(chan struct{})}
+	t := &takeover{ctx: ctx, endFirst: endFirst, first: first, engine: lead.ID, grantID: grantID, sends: x.sends, firstDone: make(chan struct{})}
 	t.second = &stream{exchange: &x, refusals: first.refusals, standby: t}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -128,6 +128,7 @@
 		return
 	}
 	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.engine).Dur("silence", silence).Msg("engine is silent, trying another one")
+	s.server.placer.reportSilence(t.grantID)
 	r.complete, r.reason, _ = s.run(ctx)
 	t.recordOutcome(r)
 }
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -144,7 +144,7 @@
 
 // handle processes the placement requests and the reports in a message.
 func (s *scheduler) handle(sess *session, msg *link.FollowerMessage) {
-	if len(msg.Requests)+len(msg.Cancelled)+len(msg.Started)+len(msg.Ended)+len(msg.ActiveGrants)+len(msg.Limits)+len(msg.Cold) == 0 {
+	if len(msg.Requests)+len(msg.Cancelled)+len(msg.Started)+len(msg.Silences)+len(msg.Ended)+len(msg.ActiveGrants)+len(msg.Limits)+len(msg.Cold) == 0 {
 		return
 	}
 	s.mu.Lock()
@@ -164,6 +164,9 @@
 	for _, e := range msg.Started {
 		s.stepRequest(e.ID, e)
 	}
+	for _, e := range msg.Silences {
+		s.stepRequest(e.ID, e)
+	}
 	for _, e := range msg.Ended {
 		s.stepRequest(e.ID, e)
 		s.forget(e.ID)
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -154,6 +154,8 @@
 	// Cold reports how much longer targets are cold: what heartbeats or responses have told the
 	// sender; when a link opens, all that it knows to be cold.
 	Cold []place.Cold `cbor:"15,keyasint,omitempty"`
+	// Silences report granted requests whose engines are silent.
+	Silences []place.Silence `cbor:"21,keyasint,omitempty"`
 	// Load is how busy the sender is, with each heartbeat of an instance that serves callers.
 	Load *Load `cbor:"20,keyasint,omitempty"`
 }
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -61,6 +61,8 @@
 		c.withdraw(now, e.ID)
 	case FirstEvent:
 		c.recordFirstEvent(now, e)
+	case Silence:
+		c.recordSilence(now, e)
 	case End:
 		c.end(now, e)
 	case Adopt:
@@ -230,6 +232,13 @@
 	j.lead.invalidatePause()
 }
 
+// recordSilence ejects the lead of a grant, so that other requests are placed elsewhere meanwhile.
+func (c *Core) recordSilence(now time.Time, e Silence) {
+	if j := c.jobs[e.ID]; j != nil && j.lead != nil {
+		j.lead.eject(now, false)
+	}
+}
+
 // end handles the end of a request and ejects the target that failed it, if any.
 func (c *Core) end(now time.Time, e End) {
 	j := c.jobs[e.ID]
--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -112,6 +112,20 @@
 	}
 }
 
+// TestSilentEngineIsAvoided: while an engine is silent, other requests must be placed elsewhere, although
+// its answers are still waited for.
+func TestSilentEngineIsAvoided(t *testing.T) {
+	now := time.Unix(0, 0)
+	c := busyCore(now)
+	e := c.byID["e"]
+	answers := e.answers
+	c.Step(now, Silence{ID: "a"})
+	quicktest.Assert(t, c.available(now, e), quicktest.IsFalse)
+	quicktest.Assert(t, e.answers, quicktest.Equals, answers)
+	c.Step(now, Silence{ID: "unknown"})
+	quicktest.Assert(t, c.available(now.Add(minEjection), e), quicktest.IsTrue)
+}
+
 // TestRequestWithoutTokenCounts places a request that does not state its length.
 func TestRequestWithoutTokenCounts(t *testing.T) {
 	now := time.Unix(0, 0)
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -68,6 +68,12 @@
 	Elapsed time.Duration
 }
 
+// Silence reports that the lead of a grant sends no event, so that another engine is tried. The grant
+// stays in use, as the lead may go on.
+type Silence struct {
+	ID string `cbor:"1,keyasint"`
+}
+
 // End reports that a request no longer needs its engines.
 type End struct {
 	ID string
@@ -133,6 +139,7 @@
 func (Arrive) event()     {}
 func (Withdraw) event()   {}
 func (FirstEvent) event() {}
+func (Silence) event()    {}
 func (End) event()        {}
 func (Adopt) event()      {}
 func (Fleet) event()      {}
