gate: a refusal counts only if it names the request

What callers would see: 503 "did not run, try again" for a request that the target was running, and a second run of it at another target. A faulty target writes a refusal once more; the copy comes where the response to the next request on the connection is expected. With its request's ID it was dropped. Without an ID it was accepted: as a refusal with the not-run header or 421, and else as a failed attempt (502). The responses to orders never have an ID, so a copy of one did the same to a resumable stream on that connection. A request that may run once went to a second target after a refusal without an ID on its own, new connection. Requests without an ID matched each other's responses.

Cause: Request.Matches accepted a response without an ID on any connection, and classify did not look whether a refusal names the request.

Change: Matches is told whether the connection is a reused one. There a response without an ID is dropped, like one with another ID, and the answer is awaited. A refusal counts only if it carries the request's ID, on a new connection too: targets echo it. One without it means that the request may have run. Requests without an ID get a connection of their own.

--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -372,10 +372,11 @@
 	id := x.call.ID
 	return &hop.Request{
 		Method: x.r.Method, URI: x.r.RequestURI, Host: x.r.Host, Header: codec.TargetHeader(x.r.Header, s), Body: x.body,
-		NewConn: !x.route.MayRetry(), MaxIdle: maxIdleConns(x.pool.Connections, x.server.limitShares()),
-		Matches: func(h http.Header) bool {
+		// The responses to requests without an ID can't be told apart.
+		NewConn: !x.route.MayRetry() || id == "", MaxIdle: maxIdleConns(x.pool.Connections, x.server.limitShares()),
+		Matches: func(h http.Header, reused bool) bool {
 			c := codec.DecodeReply(h).RequestID
-			return c == "" || c == id
+			return c == id || c == "" && !reused
 		},
 	}
 }
@@ -439,13 +440,13 @@
 	reply := x.server.HeaderCodec.DecodeReply(resp.Header)
 	code := resp.StatusCode
 	switch {
-	case reply.NotRun || code == http.StatusMisdirectedRequest:
+	case (reply.NotRun || code == http.StatusMisdirectedRequest) && reply.RequestID == x.call.ID:
 		x.server.health.recordFailure(t.ID)
 		x.logFailedAttempt(t, "refused: "+http.StatusText(code), nil)
 		return notRun{"targets refused the request"}
-	case impliesNotRun(code):
+	case reply.NotRun || impliesNotRun(code):
 		// Callers conclude from this status that the request did not run. The target did
-		// not state that, so the status is not passed on.
+		// not state that of this request, so the status is not passed on.
 		x.logFailedAttempt(t, "may have run despite status: "+http.StatusText(code), nil)
 		return mayHaveRun{"a target answered with a busy status"}
 	case !reply.Sealed, resp.Header.Get("Content-Encoding") != "", reply.RequestID != x.call.ID:
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -48,8 +48,8 @@
 	// a failure on it, it is unknown whether the request ran.
 	NewConn bool
 	// Matches reports whether a response with these headers belongs to the request; nil
-	// accepts every response.
-	Matches func(h http.Header) bool
+	// accepts every response. On a reused connection it may belong to an earlier request.
+	Matches func(h http.Header, reused bool) bool
 	// HeadTimeout bounds the wait for the response headers; 0 means that only the context
 	// does.
 	HeadTimeout time.Duration
@@ -149,6 +149,8 @@
 	expiresAt time.Time
 	// maxIdle is Request.MaxIdle of the last request.
 	maxIdle int
+	// reused is set once a request before the current one was answered on the connection.
+	reused bool
 }
 
 // errHeadTooLong reports that a response head exceeds maxHeadBytes.
@@ -198,7 +200,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		if r.Matches == nil || r.Matches(resp.Header) {
+		if r.Matches == nil || r.Matches(resp.Header, c.reused) {
 			return resp, nil
 		}
 		if err := discardResponse(resp); err != nil {
@@ -231,7 +233,7 @@
 		return
 	}
 	r.SetReadDeadline(time.Time{})
-	r.conn.expiresAt = time.Now().Add(keepAliveTimeout(r.Header))
+	r.conn.expiresAt, r.conn.reused = time.Now().Add(keepAliveTimeout(r.Header)), true
 	r.client.idle.put(r.conn)
 }
 
--- a/internal/hop/client_test.go
+++ b/internal/hop/client_test.go
@@ -70,7 +70,7 @@
 	h.Set(idHeader, id)
 	return &Request{
 		Method: http.MethodPost, URI: "/x?y", Host: "h", Header: h, Body: []byte("question"),
-		Matches: func(h http.Header) bool { return h.Get(idHeader) == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get(idHeader) == id },
 	}
 }
 
