httpx: a failure on a reused connection must name the request

What callers would see: an engine runs a request, and another engine is sent it too; or the caller is told that it did not run. Requests to engines reuse connections, and net/http takes what comes next on one for the response. A copy of an earlier refusal there had the verdict not-run, whichever request it was for.

Change: engines carry Bamboo-Request in their responses, as they do in each chunk. A failure that names another request, or none on a reused connection, is garbled and may have run. The entry then asks for the stream on a new connection, as after other broken responses: an engine that runs the request answers it there, and one that doesn't know it gets it once more. A refusal without an ID on a new connection counts as before.

Foreign chunks are dropped by their ID already.

--- a/internal/fake/engine.go
+++ b/internal/fake/engine.go
@@ -64,6 +64,9 @@
 	if e.failRequest(r) {
 		return
 	}
+	if id := r.Header.Get(httpx.HeaderID); id != "" {
+		w.Header().Set(httpx.HeaderID, id)
+	}
 	streamID := strings.TrimPrefix(r.URL.Path, httpx.PathStreams)
 	isStream := streamID != r.URL.Path
 	switch {
--- a/internal/httpx/engine.go
+++ b/internal/httpx/engine.go
@@ -99,7 +99,7 @@
 	if g.Fresh {
 		rt = e.Fresh
 	}
-	return openStream(newExchange(ctx, g.UseBy), rt, req)
+	return openStream(newExchange(ctx, g.UseBy), rt, req, g.ID)
 }
 
 // setGenerateHeaders sets the headers of a new request.
@@ -129,12 +129,12 @@
 	if err != nil {
 		return nil, verd.Wrap(err, verd.MayHaveRun, verd.Internal, "build request to engine at %s", addr)
 	}
-	return openStream(newExchange(ctx, time.Time{}), e.Fresh, req)
+	return openStream(newExchange(ctx, time.Time{}), e.Fresh, req, id)
 }
 
-// openStream sends a request and returns the stream of its answer. It closes x on
+// openStream sends the request with this ID and returns the stream of its answer. It closes x on
 // failure.
-func openStream(x *exchange, rt http.RoundTripper, req *http.Request) (engine.Stream, error) {
+func openStream(x *exchange, rt http.RoundTripper, req *http.Request, id string) (engine.Stream, error) {
 	resp, err := x.send(rt, req)
 	if err != nil {
 		x.close()
@@ -143,8 +143,12 @@
 	if resp.StatusCode != http.StatusOK {
 		defer x.close()
 		defer resp.Body.Close()
+		if !x.isAnswer(resp, id) {
+			return nil, verd.Wrap(&engine.Garbled{Message: "response does not name the request"}, verd.MayHaveRun, verd.Target, "response of target")
+		}
 		return nil, responseError(resp)
 	}
+	// Each chunk of an answer names its request.
 	return newStream(x, resp), nil
 }
 
--- a/internal/httpx/exchange.go
+++ b/internal/httpx/exchange.go
@@ -31,6 +31,8 @@
 	cancel context.CancelFunc
 	// connected is set once a connection was established: bytes may have been sent.
 	connected atomic.Bool
+	// reused is set if that connection has carried other requests.
+	reused atomic.Bool
 	// timedOut is set once the watchdog has cancelled the exchange.
 	timedOut atomic.Bool
 	// connectOnly limits the watchdog to the time until a connection is established.
@@ -49,7 +51,8 @@
 	if !useBy.IsZero() {
 		connectTimeout = min(connectTimeout, time.Until(useBy))
 	}
-	x.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) {
+	x.ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		x.reused.Store(i.Reused)
 		x.connected.Store(true)
 		x.noteActivity()
 	}})
@@ -127,6 +130,13 @@
 	}
 }
 
+// isAnswer reports whether a response belongs to the request with this ID. A response without an
+// ID may belong to an earlier request on a reused connection.
+func (x *exchange) isAnswer(resp *http.Response, id string) bool {
+	named := resp.Header.Get(HeaderID)
+	return named == id || named == "" && !x.reused.Load()
+}
+
 // watchedBody is a request body that restarts the watchdog whenever it is read from.
 type watchedBody struct {
 	io.ReadCloser
