hop: test that tunnelled connections are not kept

A late copy of a response can't reach another request through a tunnel, since its connection carries one request. TestSingleUseConnection passes, and fails when Response.Close keeps such connections. hop passes with -race.

--- a/internal/hop/client_test.go
+++ b/internal/hop/client_test.go
@@ -124,6 +124,38 @@
 	})
 }
 
+// singleUseConn is a connection that must not be kept, such as a tunnel.
+type singleUseConn struct{ net.Conn }
+
+func (singleUseConn) SingleUse() {}
+
+// TestSingleUseConnection has the target write each response twice, on connections that must not be
+// kept: no request may come to see the second copy, be it without an ID.
+func TestSingleUseConnection(t *testing.T) {
+	testWithTarget(t, func(c net.Conn, r *bufio.Reader) {
+		for q, ok := readRequest(r); ok; q, ok = readRequest(r) {
+			text := response("", "answer "+q.Header.Get(idHeader))
+			io.WriteString(c, text)
+			io.WriteString(c, text)
+		}
+	}, func(t *testing.T, c *Client, tgt *scriptedTarget) {
+		dial := c.Dial
+		c.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			conn, err := dial(ctx, addr)
+			return singleUseConn{conn}, err
+		}
+		quicktest.Assert(t, c.IsRefused(t.Context(), targetAddr), quicktest.IsFalse)
+		for _, id := range []string{"1", "2"} {
+			q := newRequest(id)
+			q.Matches = nil
+			got, err := roundTrip(t.Context(), c, q)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Assert(t, got, quicktest.Equals, "answer "+id)
+		}
+		quicktest.Assert(t, tgt.connections, quicktest.Equals, 3)
+	})
+}
+
 // TestDuplicateResponsesAreSkipped has the target send each response twice. The second
 // copy arrives where the response to the next request is expected, and must not be taken
 // for it.
