gate: connections to a replaced process are closed

What callers saw: after an outage of all engines, 503 on requests that an engine would have served. Cause: an entry keeps idle connections by address. When another process takes over the address of one that fell silent, some lead to the former one. A test's former process answers 421 on them; a real one would say nothing, and cost its first requests a time-out. A connection that had answered 421 was kept, and was the first to be used again, so one entry sent each request to that engine there, until its retry budget was used up. Traced in TestTargetsThatFallSilentTogether/engines: 13 failed requests, all at one entry, after 20 times 421 on one address that had been replaced before. Ruled out: blocks of requests (no line), placement (the scheduler granted the new process). Change: an update that brings a new process at an address, or the end of one, closes the idle connections to it, and so does 421. Measured: TestReplacedTargetGetsNewConnection and TestMisdirectedRequestEndsConnection fail before.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -242,7 +242,7 @@
 	if o := s.classify(lead, resp); o != nil {
 		end.FailedTarget = s.faultyTarget(lead, resp)
 		_, refused := o.(notRun)
-		reuse = refused && drainBody(resp)
+		reuse = refused && keepsConnection(resp)
 		return s.handleFailedAttempt(lead, o)
 	}
 	if resp.StatusCode != http.StatusOK {
--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -24,6 +24,7 @@
 // ApplyUpdate applies an update of the registry.
 func (s *Server) ApplyUpdate(d *reg.Delta) {
 	s.applyAnnouncedCold(d)
+	former := s.views.load()
 	v, err := s.views.apply(d)
 	if err != nil {
 		s.Log.Error().Err(err).Uint64("revision", d.Revision).Msg("registry update could not be decoded")
@@ -37,12 +38,26 @@
 		e.Int64("version", v.index.Tables.Version).Int("routes", len(v.index.Tables.Routes))
 	}
 	e.Msg("registry update applied")
+	s.closeFormerConnections(former, d.Targets)
 	s.blocklist.updateTargets(d.Targets)
 	s.health.dropNotices(v)
 	s.health.setColdRates(v, s.coldShares())
 	s.placer.updateCores(v)
 }
 
+// closeFormerConnections closes the idle connections to the addresses of processes that have ended or are
+// new: they may lead to a former process, which no longer responds or refuses all requests.
+func (s *Server) closeFormerConnections(former *view, changed []site.Target) {
+	for _, t := range changed {
+		if former != nil && t.State != site.Gone {
+			if known, ok := former.targets[t.ID]; ok && known.StartedMs == t.StartedMs && known.Address == t.Address {
+				continue
+			}
+		}
+		s.TargetClient.CloseIdle(t.Address)
+	}
+}
+
 // trySend sends v unless the channel is full: the link must not block on a reader.
 func trySend[T any](c chan<- T, v T) {
 	select {
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -155,6 +155,54 @@
 	}
 }
 
+// TestReplacedTargetGetsNewConnection: when another process has replaced that of a target, requests must not be
+// sent on connections to the former one.
+func TestReplacedTargetGetsNewConnection(t *testing.T) {
+	for _, path := range []string{idempotentPath, resumableStreamPath} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newTestbed(t, []script{respond(200, "done", sealHeader)}, []script{streamEvents(2, 0)})
+			f := s.targets[0]
+			if path == resumableStreamPath {
+				f = s.targets[1]
+			}
+			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 200)
+			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 200)
+			quicktest.Assert(t, f.accepted, quicktest.Equals, 1)
+			// A change that is none of the process keeps its connections.
+			f.Slots++
+			s.publish(2)
+			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 200)
+			quicktest.Assert(t, f.accepted, quicktest.Equals, 1)
+			f.StartedMs++
+			s.publish(3)
+			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 200)
+			quicktest.Assert(t, f.accepted, quicktest.Equals, 2)
+			f.ID += "-next"
+			s.publish(4)
+			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 200)
+			quicktest.Assert(t, f.accepted, quicktest.Equals, 3)
+		})
+	}
+}
+
+// TestMisdirectedRequestEndsConnection: a connection that leads to another process than the one wanted must not get
+// the next request, too.
+func TestMisdirectedRequestEndsConnection(t *testing.T) {
+	for _, path := range []string{idempotentPath, resumableStreamPath} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newTestbed(t, []script{respond(421, "")}, []script{respond(421, "")})
+			f := s.targets[0]
+			if path == resumableStreamPath {
+				f = s.targets[1]
+			}
+			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 503)
+			time.Sleep(time.Second)
+			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 503)
+			quicktest.Assert(t, f.accepted, quicktest.Equals, 2)
+		})
+	}
+}
+
 // TestNoticeBindsOneProcess: what a process asked must not bind the next one under its ID, and
 // is forgotten once the view has that one.
 func TestNoticeBindsOneProcess(t *testing.T) {
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -313,7 +313,7 @@
 		if ok && resp.StatusCode != http.StatusMisdirectedRequest {
 			x.recordFull()
 		}
-		reuse = ok && drainBody(resp)
+		reuse = ok && keepsConnection(resp)
 		return nil, o
 	}
 	// The body may stall as well as the head.
@@ -342,6 +342,12 @@
 	return buffered, delivered{}
 }
 
+// keepsConnection reports whether the connection of a refusal can be reused. One that leads to another process
+// than the one wanted is of no use.
+func keepsConnection(resp *hop.Response) bool {
+	return resp.StatusCode != http.StatusMisdirectedRequest && drainBody(resp)
+}
+
 // drainBody discards what is left of a refusal, so that the connection can be reused. It
 // returns false if the body is too long, too slow or broken.
 func drainBody(resp *hop.Response) bool {
