place: passes that take no time don't occupy the scheduler for ever

Tables whose engine declares a negative time, a step of a nanosecond or numbers whose product overflows were accepted: Check asked only that some of them are positive. The predicted end of a pass then never came after the present, so Core.advance went from pass to pass without end. The leader's scheduler holds its lock meanwhile, and every instance that places requests by itself runs the same code: requests to that pool get no answer anywhere until the process is killed, and the same tables wait for it after the restart.

Ruled out: JSON numbers that no int or float64 holds are refused by the decoder.

Tables.Check refuses such an engine (a step of 10 us or more, a pass of a full engine of a minute or less, no negative times, counts up to 10^9), so that the operator gets a 400. A pass is predicted to take 10 us to 24 h, so that tables which are committed already are survived too. Sound models are decided as before.

TestEngineOutOfRange: 11 of 12 cases failed before, none after. TestPassesOfUncheckedEngine: 2 of 4 cases (a negative time, a step of 1 ns) ran into the time limit of 8 s before, none after. The tests of internal/place pass (74 s).

--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -41,6 +42,40 @@
 	}
 }
 
+// TestPassesOfUncheckedEngine guards against schedulers that never end a step: tables that a build without
+// bounds has committed may declare passes that take no time, or whose time overflows.
+func TestPassesOfUncheckedEngine(t *testing.T) {
+	for name, change := range map[string]func(*site.Engine){
+		"overflow":      func(e *site.Engine) { e.Stride = math.MaxInt },
+		"negative time": func(e *site.Engine) { e.PerAnswer = -time.Hour },
+		"no time":       func(e *site.Engine) { e.Step, e.PerAnswer, e.PerContext, e.Stride = 1, 0, 0, 1 },
+		"all large": func(e *site.Engine) {
+			e.Step, e.PerAnswer, e.PerContext, e.Pairs, e.Stride, e.Chunk = math.MaxInt64, math.MaxInt64, math.MaxInt64, math.MaxInt64, math.MaxInt, math.MaxInt
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			now := time.Unix(0, 0)
+			model := publishedEngine()
+			change(&model)
+			c := &Core{}
+			c.Step(now, Fleet{Engine: model, Targets: []site.Target{{ID: "e", Pool: "p", State: site.Ready, Slots: 16}}})
+			e := c.byID["e"]
+			for i := range 16 {
+				req := shortRequest(string(rune('a' + i)))
+				req.Resumed = i > 0 // It is granted whatever the predictions.
+				c.Step(now, Arrive{req})
+				now = now.Add(50 * time.Millisecond)
+				c.Step(now, FirstEvent{ID: req.ID, Elapsed: 50 * time.Millisecond})
+				c.Step(now, Tick{})
+				if !e.passEnd.IsZero() && !e.passEnd.After(e.passStart) {
+					t.Fatalf("a pass takes %s", e.passEnd.Sub(e.passStart))
+				}
+			}
+			quicktest.Assert(t, e.answers > 0, quicktest.IsTrue)
+		})
+	}
+}
+
 // TestResumedRequestIsNotRefused sends a request that continues a partly delivered answer
 // while all engines are full. It must not be refused because of the price of engine time, or
 // answers would break off even under little load.
--- a/internal/place/prediction.go
+++ b/internal/place/prediction.go
@@ -3,6 +3,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // prediction simulates the passes of an engine by the declared model. A pass is Stride decode
@@ -140,9 +142,15 @@
 	if len(e.queued) == 0 {
 		e.queuedTime, e.queuedTokens = 0, 0
 	}
+	// Tables of a build that checks less may declare passes that take no time: no end of one would come
+	// after the present.
+	length = min(max(length, site.MinStep), maxPass)
 	e.passStart, e.passEnd = at, at.Add(scale(length, e.slowdown(at)))
 }
 
+// maxPass bounds the predicted time of a pass with prefill.
+const maxPass = 24 * time.Hour
+
 // firstArrival returns when an engine that decodes nothing can start its next pass, at the earliest
 // at the given time.
 func (e *engine) firstArrival(at time.Time) time.Time {
--- a/internal/site/tables.go
+++ b/internal/site/tables.go
@@ -114,6 +114,19 @@
 	Hop time.Duration `cbor:"10,keyasint"`
 }
 
+const (
+	// MinStep is the shortest time of a step that an operator may declare. Predictions go through all
+	// passes of an engine.
+	MinStep = 10 * time.Microsecond
+	// maxPass is the longest time of a pass without prefill, so that predictions don't overflow.
+	maxPass = time.Minute
+	// maxEngineCount bounds the counts and the rate of an engine, and maxEngineTime the other times.
+	// minRate is the lowest prefill rate in tokens per second.
+	maxEngineCount = 1_000_000_000
+	maxEngineTime  = time.Second
+	minRate        = 1
+)
+
 // Organisation is a customer of the fleet.
 type Organisation struct {
 	Name string   `cbor:"1,keyasint"`
@@ -210,6 +223,17 @@
 	if e.Slots <= 0 || e.Memory <= 0 || e.Step <= 0 || e.Rate <= 0 || e.Chunk <= 0 || e.Stride <= 0 {
 		return &table.FieldError{Field: field + ".engine", Message: "slots, memory, step, rate, chunk and stride must be positive"}
 	}
+	if min(e.PerAnswer, e.PerContext, e.Pairs, e.Hop) < 0 {
+		return &table.FieldError{Field: field + ".engine", Message: "a time is negative"}
+	}
+	if max(e.Slots, e.Memory, e.Chunk, e.Stride) > maxEngineCount || max(e.Pairs, e.Hop) > maxEngineTime || e.Rate < minRate || e.Rate > maxEngineCount {
+		return &table.FieldError{Field: field + ".engine", Message: "a number is out of range"}
+	}
+	// Floats, as integers would overflow.
+	full := float64(e.Step) + float64(e.PerAnswer)*float64(e.Slots) + float64(e.PerContext)*float64(e.Memory)/1000
+	if e.Step < MinStep || full*float64(e.Stride) > float64(maxPass) {
+		return &table.FieldError{Field: field + ".engine", Message: fmt.Sprintf("a step takes less than %s, or a pass of a full engine more than %s", MinStep, maxPass)}
+	}
 	return nil
 }
 
--- a/internal/site/tables_test.go
+++ b/internal/site/tables_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -50,6 +51,38 @@
 	}
 }
 
+// TestEngineOutOfRange guards against schedulers that never end a step: with declared numbers that overflow,
+// or a pass that takes no time, the predicted end of a pass never comes after the present.
+func TestEngineOutOfRange(t *testing.T) {
+	valid := site.Engine{Slots: 16, Memory: 405_000, Step: time.Millisecond, Rate: 154_000, Pairs: 162 * time.Microsecond, Chunk: 2048, Stride: 34}
+	for name, invalidate := range map[string]func(*site.Engine){
+		"valid":                  nil,
+		"pass that overflows":    func(e *site.Engine) { e.Stride = math.MaxInt },
+		"context that overflows": func(e *site.Engine) { e.PerContext = math.MaxInt64 },
+		"answers that overflow":  func(e *site.Engine) { e.PerAnswer, e.Slots = time.Hour, 1<<30 },
+		"negative time":          func(e *site.Engine) { e.PerAnswer = -time.Hour },
+		"negative pairs":         func(e *site.Engine) { e.Pairs = -1 },
+		"step of no time":        func(e *site.Engine) { e.Step = 1 },
+		"chunks that overflow":   func(e *site.Engine) { e.Chunk = math.MaxInt },
+		"huge memory":            func(e *site.Engine) { e.Memory = math.MaxInt },
+		"huge rate":              func(e *site.Engine) { e.Rate = math.MaxFloat64 },
+		"rate near 0":            func(e *site.Engine) { e.Rate = math.SmallestNonzeroFloat64 },
+		"huge pairs":             func(e *site.Engine) { e.Pairs = math.MaxInt64 },
+	} {
+		t.Run(name, func(t *testing.T) {
+			tables, e := validTables(), valid
+			tables.Pools[0].Engine = &e
+			if invalidate == nil {
+				quicktest.Assert(t, tables.Check(), quicktest.IsNil)
+				return
+			}
+			invalidate(&e)
+			var field *table.FieldError
+			quicktest.Assert(t, errors.As(tables.Check(), &field), quicktest.IsTrue)
+		})
+	}
+}
+
 func TestIndexLongestPrefix(t *testing.T) {
 	tables := validTables()
 	x := site.NewIndex(&tables)
