--- a/internal/place/value.go
+++ b/internal/place/value.go
@@ -31,7 +31,7 @@
 	if !c.Fair {
 		return 1
 	}
-	return math.Ldexp(1, -min(max(0, r.Rank)+max(0, r.RouteRank), maxRank))
+	return math.Ldexp(1, -min(min(max(0, r.Rank), maxRank)+min(max(0, r.RouteRank), maxRank), maxRank))
 }
 
 // valueEstimator estimates the value of answers, in tokens. The mean answer of a class is
--- a/internal/site/tables.go
+++ b/internal/site/tables.go
@@ -184,6 +184,9 @@
 	return t.checkKeys()
 }
 
+// maxWeight bounds the weights of a route, so that their sum can't overflow.
+const maxWeight = 1_000_000_000
+
 func (r *Route) check(field string, pools map[string]bool) error {
 	if r.Host == "" {
 		return &table.FieldError{Field: field + ".host", Message: "missing"}
@@ -197,6 +200,9 @@
 	if r.Limit <= 0 {
 		return &table.FieldError{Field: field + ".limit", Message: fmt.Sprintf("%s is not positive", r.Limit)}
 	}
+	if min(r.Aim, r.Pause) < 0 {
+		return &table.FieldError{Field: field, Message: "a time is negative"}
+	}
 	if slices.Contains(r.Regions, "") {
 		return &table.FieldError{Field: field + ".regions", Message: "empty name of a region"}
 	}
@@ -208,6 +214,9 @@
 		if s.Weight < 0 {
 			return &table.FieldError{Field: field + ".split", Message: fmt.Sprintf("negative weight %d of pool %q", s.Weight, s.Pool)}
 		}
+		if s.Weight > maxWeight {
+			return &table.FieldError{Field: field + ".split", Message: fmt.Sprintf("weight %d of pool %q is over %d", s.Weight, s.Pool, maxWeight)}
+		}
 		total += s.Weight
 	}
 	if total <= 0 {
--- a/internal/site/tables_test.go
+++ b/internal/site/tables_test.go
@@ -30,10 +30,17 @@
 	valid := validTables()
 	quicktest.Assert(t, valid.Check(), quicktest.IsNil)
 	for name, invalidate := range map[string]func(*site.Tables){
-		"unknown pool":               func(t *site.Tables) { t.Routes[0].Split[0].Pool = "x" },
-		"duplicate host and prefix":  func(t *site.Tables) { t.Routes[1].Prefix = "/a/" },
-		"no weight":                  func(t *site.Tables) { t.Routes[1].Split[0].Weight = 0 },
-		"negative weight":            func(t *site.Tables) { t.Routes[0].Split[1].Weight = -1 },
+		"unknown pool":              func(t *site.Tables) { t.Routes[0].Split[0].Pool = "x" },
+		"duplicate host and prefix": func(t *site.Tables) { t.Routes[1].Prefix = "/a/" },
+		"no weight":                 func(t *site.Tables) { t.Routes[1].Split[0].Weight = 0 },
+		"negative weight":           func(t *site.Tables) { t.Routes[0].Split[1].Weight = -1 },
+		"weights that overflow": func(t *site.Tables) {
+			for range 2 {
+				t.Routes[0].Split = append(t.Routes[0].Split, site.PoolWeight{Pool: "orders", Weight: math.MaxInt})
+			}
+		},
+		"negative aim":               func(t *site.Tables) { t.Routes[0].Aim = -1 },
+		"negative pause":             func(t *site.Tables) { t.Routes[0].Pause = -1 },
 		"no time limit":              func(t *site.Tables) { t.Routes[0].Limit = 0 },
 		"no kind":                    func(t *site.Tables) { t.Routes[0].Kind = 0 },
 		"no host":                    func(t *site.Tables) { t.Routes[0].Host = "" },
