site: announcements of targets that can't be used are refused

An announcement could name a port of 0, of 99999, a service name or none, a place or a pool of up to 64 KB, any number of slots, and in its path an ID with line breaks, blanks, slashes, bytes that are no UTF-8, or of any length. It was committed, sent to all instances, and chosen for requests, which then failed to connect; a huge number of slots overflows the sums of the scheduler. An ID that is no UTF-8 got a 503, with each heartbeat again.

Ruled out (TestDecodeTargetInvalid, refused before and after): bodies, known and unknown fields nested 20,000 deep, 1e400, NaN, integers that overflow, fractions, a null. IPv6 addresses are accepted as before.

Target.Check refuses what can't be an ID (as for evacuated data centres, which now share the check), a port outside 1 to 65535, an IPv6 zone, names over 128 bytes and more than 10^9 slots with a 400; deregistrations check the ID, too.

--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -242,7 +242,11 @@
 // startedMs identifies the process that left by its start time in Unix milliseconds; 0 means
 // the current one.
 func (s *Server) Deregister(ctx context.Context, id string, startedMs int64) error {
-	r, err := s.propose(ctx, reg.Command{Deregister: &reg.Deregister{ID: id, StartedMs: startedMs}})
+	d := &reg.Deregister{ID: id, StartedMs: startedMs}
+	if err := d.Check(); err != nil {
+		return verd.Wrap(err, verd.NotRun, verd.BadRequest, "invalid deregistration")
+	}
+	r, err := s.propose(ctx, reg.Command{Deregister: d})
 	s.Log.Info().Str("target", id).Bool("changed", r.Changed).Err(err).Msg("deregistration of target handled")
 	return err
 }
--- a/internal/reg/evacuation.go
+++ b/internal/reg/evacuation.go
@@ -2,19 +2,13 @@
 
 import (
 	"slices"
-	"unicode"
-	"unicode/utf8"
 
-	"github.com/bambooproxy/bambooproxy/pkg/table"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
-const (
-	// maxDataCentreBytes bounds the name of an evacuated data centre.
-	maxDataCentreBytes = 128
-	// MaxEvacuations bounds the evacuated data centres: a whole list goes to each instance, and
-	// the names need not be known.
-	MaxEvacuations = 256
-)
+// MaxEvacuations bounds the evacuated data centres: a whole list goes to each instance, and
+// the names need not be known.
+const MaxEvacuations = 256
 
 // Evacuations are the data centres whose targets get no requests. The zero value has none.
 type Evacuations struct {
@@ -51,18 +45,7 @@
 
 // Check rejects a data centre that can't be a name. The name need not be known: targets may
 // announce themselves there later.
-func (e *Evacuate) Check() error {
-	isForeign := func(r rune) bool { return r == '/' || unicode.IsSpace(r) || !unicode.IsGraphic(r) }
-	switch dc := e.DataCentre; {
-	case dc == "":
-		return &table.FieldError{Field: "data centre", Message: "missing"}
-	case len(dc) > maxDataCentreBytes:
-		return &table.FieldError{Field: "data centre", Message: "the name is too long"}
-	case !utf8.ValidString(dc) || slices.ContainsFunc([]rune(dc), isForeign):
-		return &table.FieldError{Field: "data centre", Message: "the name has a slash, a space or a character that is not printable"}
-	}
-	return nil
-}
+func (e *Evacuate) Check() error { return site.CheckName("data centre", e.DataCentre) }
 
 // evacuate changes the evacuated data centres and returns whether that changed them. The revision
 // stays: replicas of builds that don't know the command ignore it, and must keep the same one.
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -63,6 +63,9 @@
 	TimedOut bool `cbor:"3,keyasint,omitempty"`
 }
 
+// Check rejects an ID that no target can have.
+func (d *Deregister) Check() error { return site.CheckName("id", d.ID) }
+
 // Result is the outcome of a command.
 type Result struct {
 	// Changed reports whether the command changed the state.
--- a/internal/site/target.go
+++ b/internal/site/target.go
@@ -2,8 +2,11 @@
 
 import (
 	"fmt"
-	"net"
+	"net/netip"
+	"strings"
 	"time"
+	"unicode"
+	"unicode/utf8"
 
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 )
@@ -77,20 +80,48 @@
 
 // Check validates the target. It returns the first invalid field as a *table.FieldError.
 func (t *Target) Check() error {
-	if t.ID == "" {
-		return &table.FieldError{Field: "id", Message: "missing"}
+	if err := CheckName("id", t.ID); err != nil {
+		return err
 	}
 	if t.Pool == "" {
 		return &table.FieldError{Field: "pool", Message: "missing"}
 	}
-	if host, _, err := net.SplitHostPort(t.Address); err != nil || net.ParseIP(host) == nil {
+	if len(t.DataCentre) > maxNameBytes {
+		return &table.FieldError{Field: "data centre", Message: "the name is too long"}
+	}
+	if len(t.Pool) > maxNameBytes {
+		return &table.FieldError{Field: "pool", Message: "the name is too long"}
+	}
+	if !utf8.ValidString(t.Pool + t.DataCentre) {
+		return &table.FieldError{Field: "pool", Message: "not valid UTF-8"}
+	}
+	if a, err := netip.ParseAddrPort(t.Address); err != nil || a.Port() == 0 || a.Addr().Zone() != "" {
 		return &table.FieldError{Field: "address", Message: fmt.Sprintf("%q is not an IP and port", t.Address)}
 	}
 	if t.State != Ready && t.State != Draining {
 		return &table.FieldError{Field: "state", Message: fmt.Sprintf("%s is neither ready nor draining", t.State)}
 	}
-	if t.Slots <= 0 {
-		return &table.FieldError{Field: "slots", Message: fmt.Sprintf("%d is not positive", t.Slots)}
+	if t.Slots <= 0 || t.Slots > maxEngineCount {
+		return &table.FieldError{Field: "slots", Message: fmt.Sprintf("%d is not between 1 and %d", t.Slots, maxEngineCount)}
+	}
+	return nil
+}
+
+// maxNameBytes bounds the names that targets and operators give.
+const maxNameBytes = 128
+
+// CheckName rejects what can't be a name in a path, a header and a log line: an empty or long string, and
+// one with a slash, a space or a character that is not printable. Its errors are of type *table.FieldError
+// and have the field.
+func CheckName(field, name string) error {
+	isForeign := func(r rune) bool { return r == '/' || unicode.IsSpace(r) || !unicode.IsGraphic(r) }
+	switch {
+	case name == "":
+		return &table.FieldError{Field: field, Message: "missing"}
+	case len(name) > maxNameBytes:
+		return &table.FieldError{Field: field, Message: "the name is too long"}
+	case !utf8.ValidString(name) || strings.ContainsFunc(name, isForeign):
+		return &table.FieldError{Field: field, Message: "the name has a slash, a space or a character that is not printable"}
 	}
 	return nil
 }
