reg: commands that replicas can't decode stay out of the log

The encoder accepts strings that are not valid UTF-8 and lists of any length, and the decoder of the replicas refuses them, and lists of more than 131,072 items, such as the keys of an organisation. Such a command was committed, skipped by all replicas, and answered with 503, so that its sender repeated it: each time the log grew by an entry. So it did, with each report of an instance, for a target that is leaving and whose last heartbeat had the highest number: the next one wraps round to 0, and can't be newer.

EncodeCommand decodes what it has encoded, and the sender of what can't be decoded gets a 400. The change of a target with the highest number isn't proposed.

--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/meter"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
@@ -191,8 +194,8 @@
 // they see the change.
 func (s *Server) drainLeaving(reporter string, d link.Departure) {
 	t, ok := s.registry.Target(d.ID)
-	if !ok || t.State != site.Ready || t.StartedMs != d.StartedMs {
-		return
+	if !ok || t.State != site.Ready || t.StartedMs != d.StartedMs || t.Sequence == math.MaxUint64 {
+		return // No number is higher than the last one, and no change would be newer.
 	}
 	s.mu.Lock()
 	pending := s.pendingDrains[d]
@@ -256,7 +259,11 @@
 func (s *Server) propose(ctx context.Context, c reg.Command) (reg.Result, error) {
 	b, err := s.registry.EncodeCommand(c)
 	if err != nil {
-		return reg.Result{}, verd.Wrap(err, verd.NotRun, verd.Internal, "encode registry command")
+		reason := verd.Internal
+		if errors.Is(err, reg.ErrUndecodable) {
+			reason = verd.BadRequest
+		}
+		return reg.Result{}, verd.Wrap(err, verd.NotRun, reason, "encode registry command")
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/reg/machine.go
+++ b/internal/reg/machine.go
@@ -66,9 +66,21 @@
 	packed bool
 }
 
-// EncodeCommand packs a command for the log.
+// ErrUndecodable is returned for a command that replicas can't decode, although it can be encoded: it has
+// a string that is not valid UTF-8, or a longer list than they accept.
+var ErrUndecodable = errors.New("replicas could not decode the command")
+
+// EncodeCommand packs a command for the log. It returns an error that is ErrUndecodable for one that
+// replicas would skip.
 func (m *Machine) EncodeCommand(c Command) ([]byte, error) {
-	return m.packer.pack(c)
+	b, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode CBOR")
+	}
+	if err := cbor.Unmarshal(b, &Command{}); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decode CBOR"), ErrUndecodable)
+	}
+	return m.packer.compress(b)
 }
 
 // packer packs data. It keeps its encoder, whose buffers exceed most of what is packed by far.
@@ -83,9 +95,15 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode CBOR")
 	}
+	return p.compress(b)
+}
+
+// compress compresses b with zstd.
+func (p *packer) compress(b []byte) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.encoder == nil {
+		var err error
 		p.encoder, err = zstd.NewWriter(nil, zstd.WithEncoderConcurrency(1), zstd.WithEncoderLevel(zstd.SpeedFastest), zstd.WithWindowSize(zstd.MinWindowSize<<7))
 		if err != nil {
 			return nil, errors.Wrap(err, "open zstd writer")
--- a/internal/reg/machine_test.go
+++ b/internal/reg/machine_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
 	"github.com/frankban/quicktest"
 	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
@@ -85,6 +87,54 @@
 	quicktest.Check(t, few.PackedTargets, quicktest.HasLen, 0)
 }
 
+// TestEncodedCommandsAreDecodable guards against commands that can be encoded, but that all replicas skip: the
+// log would keep them, and who sent them would get an internal error for ever.
+func TestEncodedCommandsAreDecodable(t *testing.T) {
+	long := make([]string, 131_073)
+	for name, c := range map[string]Command{
+		"target with invalid text":         {Announce: &site.Target{ID: "\xff"}},
+		"deregistration with invalid text": {Deregister: &Deregister{ID: "a\xc3"}},
+		"tables with invalid text":         {Publish: &Publish{Tables: site.Tables{Routes: []site.Route{{Host: "\xff"}}}}},
+		"tables with a long list":          {Publish: &Publish{Tables: site.Tables{Organisations: []site.Organisation{{Keys: long}}}}},
+	} {
+		_, err := (&Machine{}).EncodeCommand(c)
+		quicktest.Check(t, errors.Is(err, ErrUndecodable), quicktest.IsTrue, quicktest.Commentf("%s", name))
+	}
+}
+
+// TestUndecodableCommandIsSkipped: a command in the log that replicas can't decode must end none of them, and the
+// commands after it must be applied.
+func TestUndecodableCommandIsSkipped(t *testing.T) {
+	var m Machine
+	first, last := target("a", "10.0.0.1:1", 1, 1, site.Ready), target("b", "10.0.0.2:1", 1, 1, site.Ready)
+	quicktest.Assert(t, apply(t, &m, Command{Announce: &first}).Changed, quicktest.IsTrue)
+	odd := target("\xff", "10.0.0.3:1", 1, 1, site.Ready)
+	nested := any(0)
+	for range 100 {
+		nested = []any{nested}
+	}
+	for name, c := range map[string]any{
+		"invalid text": Command{Announce: &odd},
+		"nested":       map[int]any{2: nested},
+		"overflow":     map[int]any{2: map[int]any{1: "c", 5: uint64(math.MaxUint64), 7: math.Inf(1), 8: -1}},
+		"other types":  map[int]any{2: map[int]any{1: 5, 6: "ready"}},
+		"no map":       "a",
+	} {
+		b, err := m.packer.pack(c)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		r, err := DecodeResult(m.Apply(0, b))
+		quicktest.Assert(t, err, quicktest.IsNil, quicktest.Commentf("%s", name))
+		quicktest.Check(t, r.Error, quicktest.Not(quicktest.Equals), "", quicktest.Commentf("%s", name))
+		quicktest.Check(t, r.Changed, quicktest.IsFalse, quicktest.Commentf("%s", name))
+	}
+	quicktest.Assert(t, apply(t, &m, Command{Announce: &last}).Changed, quicktest.IsTrue)
+	b, err := m.Snapshot()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	var restored Machine
+	quicktest.Assert(t, restored.Restore(b), quicktest.IsNil)
+	quicktest.Assert(t, restored.Targets(), quicktest.DeepEquals, []site.Target{first, last})
+}
+
 // FuzzUnpack feeds arbitrary bytes to the reader of a registry update: it must fail or keep within
 // the bound, and not panic.
 func FuzzUnpack(f *testing.F) {
