reg: a target that can't be decoded doesn't end the link

A reader that can't decode one target of an update, as a leader of another build may send it, ended the link; so it did with the next one, as the update of each new link has the same target. It stopped following the registry for good. No build so far sends such a target.

Readers leave out the targets that they can't decode and take the others.

TestOddTargetInUpdate failed before (first case drawn), and passes after.

--- a/internal/reg/machine.go
+++ b/internal/reg/machine.go
@@ -44,6 +44,41 @@
 	PackedTargets []byte `cbor:"4,keyasint,omitempty"`
 }
 
+// UnmarshalCBOR decodes the changes. Targets that can't be decoded are left out.
+func (d *Delta) UnmarshalCBOR(b []byte) error {
+	type fields Delta
+	var c struct {
+		fields
+		Targets targetList `cbor:"3,keyasint"`
+	}
+	if err := cbor.Unmarshal(b, &c); err != nil {
+		return err
+	}
+	*d = Delta(c.fields)
+	d.Targets = c.Targets
+	return nil
+}
+
+// targetList decodes a list of targets, without those that can't be decoded: one that a leader of another
+// build sends must not keep the others from a reader.
+type targetList []site.Target
+
+// UnmarshalCBOR decodes the list. It returns an error for what is no list.
+func (l *targetList) UnmarshalCBOR(b []byte) error {
+	var raw []cbor.RawMessage
+	if err := cbor.Unmarshal(b, &raw); err != nil {
+		return err
+	}
+	*l = nil
+	for _, r := range raw {
+		var t site.Target
+		if cbor.Unmarshal(r, &t) == nil {
+			*l = append(*l, t)
+		}
+	}
+	return nil
+}
+
 // minPackedTargets is the number of targets from which on packing them is worth the time.
 const minPackedTargets = 16
 
@@ -52,10 +87,11 @@
 	if d.PackedTargets == nil {
 		return nil
 	}
-	if err := unpack(d.PackedTargets, &d.Targets); err != nil {
+	var list targetList
+	if err := unpack(d.PackedTargets, &list); err != nil {
 		return errors.Wrap(err, "targets of a registry update")
 	}
-	d.PackedTargets = nil
+	d.Targets, d.PackedTargets = list, nil
 	return nil
 }
 
--- a/internal/reg/machine_test.go
+++ b/internal/reg/machine_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
@@ -135,6 +136,72 @@
 	quicktest.Assert(t, restored.Targets(), quicktest.DeepEquals, []site.Target{first, last})
 }
 
+// TestOddTargetInUpdate guards against readers that stop following the registry: a target that a reader can't
+// decode ended its link, and each one after that, as the next update had the same target.
+func TestOddTargetInUpdate(t *testing.T) {
+	var m Machine
+	want := make([]site.Target, 2)
+	for i := range want {
+		want[i] = target(fmt.Sprint(i), "10.0.0.1:1", 1, 1, site.Ready)
+	}
+	for name, odd := range map[string]any{
+		"invalid text": site.Target{ID: "\xff"},
+		"other types":  map[int]any{1: 5, 5: "16"},
+		"overflow":     map[int]any{1: "c", 5: uint64(math.MaxUint64)},
+		"no target":    "c",
+	} {
+		list := []any{want[0], odd, want[1]}
+		b, err := cbor.Marshal(map[int]any{1: 7, 3: list})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		packed, err := m.packer.pack(list)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		var d Delta
+		quicktest.Assert(t, cbor.Unmarshal(b, &d), quicktest.IsNil, quicktest.Commentf("%s", name))
+		quicktest.Check(t, d.Targets, quicktest.DeepEquals, want, quicktest.Commentf("%s", name))
+		d = Delta{PackedTargets: packed}
+		quicktest.Assert(t, d.Unpack(), quicktest.IsNil, quicktest.Commentf("%s", name))
+		quicktest.Check(t, d.Targets, quicktest.DeepEquals, want, quicktest.Commentf("%s", name))
+	}
+}
+
+// TestStateOfAnyCommandsIsDecodable: whatever targets the commands in the log name, replicas must be able to
+// restore the snapshot, and readers to decode the update.
+func TestStateOfAnyCommandsIsDecodable(t *testing.T) {
+	text := rapid.OneOf(rapid.SampledFrom([]string{"", "a", "b", "\xff", "\x00", "a\r\nb"}),
+		rapid.Map(rapid.SliceOfN(rapid.Byte(), 0, 4), func(b []byte) string { return string(b) }))
+	rapid.Check(t, func(r *rapid.T) {
+		var m Machine
+		for range rapid.IntRange(1, 20).Draw(r, "steps") {
+			announced := site.Target{
+				ID: text.Draw(r, "id"), Pool: text.Draw(r, "pool"), Address: text.Draw(r, "address"), DataCentre: text.Draw(r, "place"),
+				Slots: rapid.Int().Draw(r, "slots"), State: site.State(rapid.Uint8().Draw(r, "state")), StartedMs: rapid.Int64().Draw(r, "born"),
+				Sequence: rapid.Uint64().Draw(r, "seq"), Cold: time.Duration(rapid.Int64().Draw(r, "cold")), ColdUntilMs: rapid.Int64().Draw(r, "until"),
+			}
+			b, err := m.packer.pack(Command{Announce: &announced})
+			quicktest.Assert(t, err, quicktest.IsNil)
+			m.Apply(0, b)
+		}
+		snapshot, err := m.Snapshot()
+		quicktest.Assert(t, err, quicktest.IsNil)
+		var restored Machine
+		if err := restored.Restore(snapshot); err != nil {
+			r.Fatalf("snapshot can't be restored: %v", err)
+		}
+		d, err := restored.DeltaSince(0, rapid.Bool().Draw(r, "packed"))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		b, err := cbor.Marshal(d)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		var got Delta
+		if err := cbor.Unmarshal(b, &got); err != nil {
+			r.Fatalf("update can't be decoded: %v", err)
+		}
+		quicktest.Assert(t, got.Unpack(), quicktest.IsNil)
+		if len(got.Targets) != len(restored.state.Targets) {
+			r.Fatalf("update has %d targets, want %d", len(got.Targets), len(restored.state.Targets))
+		}
+	})
+}
+
 // FuzzUnpack feeds arbitrary bytes to the reader of a registry update: it must fail or keep within
 // the bound, and not panic.
 func FuzzUnpack(f *testing.F) {
