gate: tables that can't be decoded don't hide changes of targets

An update whose tables an instance couldn't decode, as a leader of another build may send it, was dropped as a whole, and the leader doesn't send it again on the same link: the instance went on with targets that drain or had left, and without new ones.

The targets of such an update are applied and the former tables stay. The next link begins at revision 0, so that it brings the tables again, and an update of the same revision is taken then.

TestUndecodableTablesKeepTargets failed before, passes after.

--- a/internal/gate/evacuation.go
+++ b/internal/gate/evacuation.go
@@ -72,7 +72,7 @@
 	if old == nil {
 		return nil
 	}
-	next := &view{revision: old.revision, index: old.index, targets: old.targets, evacuations: s.evacuations}
+	next := &view{revision: old.revision, lacksTables: old.lacksTables, index: old.index, targets: old.targets, evacuations: s.evacuations}
 	next.groupByPool()
 	s.current.Store(next)
 	return next
--- a/internal/gate/follower.go
+++ b/internal/gate/follower.go
@@ -13,9 +13,10 @@
 // Server implements link.Follower: it receives the messages of the leader.
 var _ link.Follower = (*Server)(nil)
 
-// Revision returns the revision of the current view.
+// Revision returns the revision of the current view; 0 if the tables of an update could not be decoded,
+// so that the next link brings them again.
 func (s *Server) Revision() uint64 {
-	if v := s.views.load(); v != nil {
+	if v := s.views.load(); v != nil && !v.lacksTables {
 		return v.revision
 	}
 	return 0
@@ -27,14 +28,13 @@
 	former := s.views.load()
 	v, err := s.views.apply(d)
 	if err != nil {
-		s.Log.Error().Err(err).Uint64("revision", d.Revision).Msg("registry update could not be decoded")
-		return
+		s.Log.Error().Err(err).Uint64("revision", d.Revision).Msg("tables of a registry update could not be decoded")
 	}
 	if v == nil {
 		return
 	}
 	e := s.Log.Info().Uint64("revision", v.revision).Int("targets", len(d.Targets))
-	if d.PackedTables != nil && v.index != nil {
+	if d.PackedTables != nil && v.index != nil && err == nil {
 		e.Int64("version", v.index.Tables.Version).Int("routes", len(v.index.Tables.Routes))
 	}
 	e.Msg("registry update applied")
--- a/internal/gate/view.go
+++ b/internal/gate/view.go
@@ -16,8 +16,10 @@
 // view is an immutable snapshot of the site as this instance knows it.
 type view struct {
 	revision uint64
-	index    *site.Index
-	targets  map[string]site.Target
+	// lacksTables is set if the newest tables could not be decoded.
+	lacksTables bool
+	index       *site.Index
+	targets     map[string]site.Target
 	// evacuations are the data centres whose targets count as not ready.
 	evacuations reg.Evacuations
 	// pools are the ready targets, by pool and sorted by ID.
@@ -82,7 +84,8 @@
 }
 
 // apply builds and stores the view that follows from an update. It returns nil for an
-// update that is not newer than the current view.
+// update that is not newer than the current view. If the tables can't be decoded, it returns an
+// error and the view with the former ones.
 func (s *viewStore) apply(d *reg.Delta) (*view, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -90,16 +93,16 @@
 	if old == nil {
 		old = &view{}
 	}
-	if d.Revision <= old.revision {
+	if d.Revision < old.revision || d.Revision == old.revision && !old.lacksTables {
 		return nil, nil
 	}
-	next := &view{revision: d.Revision, index: old.index, targets: make(map[string]site.Target, len(old.targets)), evacuations: s.evacuations}
+	next := &view{revision: d.Revision, lacksTables: old.lacksTables, index: old.index, targets: make(map[string]site.Target, len(old.targets)), evacuations: s.evacuations}
+	var err error
 	if d.PackedTables != nil {
-		t, err := reg.UnpackTables(d.PackedTables)
-		if err != nil {
-			return nil, err
-		}
-		if next.index == nil || t.Version > next.index.Tables.Version {
+		var t *site.Tables
+		t, err = reg.UnpackTables(d.PackedTables)
+		next.lacksTables = err != nil
+		if err == nil && (next.index == nil || t.Version > next.index.Tables.Version) {
 			next.index = site.NewIndex(t)
 		}
 	}
@@ -114,7 +117,7 @@
 	next.groupByPool()
 	s.current.Store(next)
 	s.closeIfUsable()
-	return next, nil
+	return next, err
 }
 
 func (v *view) groupByPool() {
