gate, hub: committed targets that can't be used are left out

Instances took it for one of the pool: requests were sent there first, and the scheduler counted its slots.

Ruled out (TestOddTargetsAreLeftOut, also before): that an instance ends, stops following the registry, or that requests fail, as the send is known not to have run and goes elsewhere.

Instances and schedulers leave out the targets that Check refuses. The registry keeps them until they fall silent, so that replicas of all builds stay equal.

TestOddTargetsAreLeftOut: 6 of 6 cases kept the target before, none after.

--- a/internal/gate/view.go
+++ b/internal/gate/view.go
@@ -108,7 +108,8 @@
 	}
 	maps.Copy(next.targets, old.targets)
 	for _, t := range d.Targets {
-		if t.State == site.Gone {
+		// A build that checks less may have committed a target that can't be used.
+		if t.State == site.Gone || t.Check() != nil {
 			delete(next.targets, t.ID)
 			continue
 		}
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -100,7 +100,10 @@
 	}
 	byPool := make(map[string][]site.Target)
 	for _, t := range s.server.registry.Targets() {
-		byPool[t.Pool] = append(byPool[t.Pool], t)
+		// Entries leave out those that a build which checks less has committed.
+		if t.Check() == nil {
+			byPool[t.Pool] = append(byPool[t.Pool], t)
+		}
 	}
 	for i := range tables.Pools {
 		p := &tables.Pools[i]
