table: deeply nested files don't end the process

Settings files, tables and files of keys are JSON with comments, whose parser calls itself for each level. A file with 2,000,000 brackets (4 MB) exceeds the limit of a goroutine's stack of 1 GB, which ends the process; on a small machine fewer are enough to use up the memory. A process looks at its settings file every second and so would have ended at the change, and at each start after it.

Ruled out: bodies of requests, which encoding/json decodes, are refused from a depth of 10,000 on (TestDecodeTargetInvalid, TestDecodeTablesInvalid).

DecodeFile, and the check command before it looks for the kind of a file, refuse what is nested deeper than 1,000, with the line.

TestNestedFile ended the test process before (stack overflow), passes after.

--- a/internal/cmds/check.go
+++ b/internal/cmds/check.go
@@ -80,6 +80,9 @@
 // or that cannot be parsed, counts as settings.
 func kindOf(b []byte) fileKind {
 	kinds := fileKinds()
+	if table.CheckNesting(b) != nil {
+		return kinds[len(kinds)-1]
+	}
 	root, err := hujson.Parse(b)
 	if err != nil {
 		return kinds[len(kinds)-1]
--- a/pkg/table/decode.go
+++ b/pkg/table/decode.go
@@ -27,6 +27,9 @@
 // DecodeFile parses JSON with comments into v. Unknown keys are an error. Its errors are of
 // type *FieldError.
 func DecodeFile(b []byte, v any) error {
+	if err := CheckNesting(b); err != nil {
+		return err
+	}
 	std, err := hujson.Standardize(bytes.Clone(b))
 	if err != nil {
 		return &FieldError{Field: "file", Line: syntaxErrorLine(err), Message: err.Error()}
