engine: addresses of targets need a port that can be dialled

In the plain layout, too, a target could announce an address with a port of 0, of 99999, a service name or none. It was taken for one of the pool, and connections to it failed.

Target.Check refuses what is no IP with a port from 1 to 65535.

--- a/pkg/engine/target.go
+++ b/pkg/engine/target.go
@@ -4,7 +4,7 @@
 
 import (
 	"fmt"
-	"net"
+	"net/netip"
 	"strings"
 
 	"github.com/bambooproxy/bambooproxy/pkg/table"
@@ -33,8 +33,7 @@
 	if t.Name == "" {
 		return &table.FieldError{Field: "name", Message: "missing"}
 	}
-	host, _, err := net.SplitHostPort(t.Addr)
-	if err != nil || net.ParseIP(host) == nil {
+	if a, err := netip.ParseAddrPort(t.Addr); err != nil || a.Port() == 0 || a.Addr().Zone() != "" {
 		return &table.FieldError{Field: "addr", Message: fmt.Sprintf("%q is not an IP and port", t.Addr)}
 	}
 	if t.DataCentre == "" {
