hop: error texts and response heads are no events or comments

Callers would see: an engine breaks off, the next one answers 200 with a text instead of events, and the text stands in the middle of the stream, which then ends as if it were complete.

Cause: a line that merely begins with "data" made an event of "database failed", and one comment line made a comment of whatever stood behind it. A status line among the fields of an event was passed on with it.

Change: every line of an event must be a field or a comment, the field's name ends at the colon, and a comment has nothing but comment and retry lines.

--- a/internal/hop/event.go
+++ b/internal/hop/event.go
@@ -23,7 +23,7 @@
 	ID    int64
 	HasID bool
 	// IsComment is set if there is nothing but comment lines, which targets send to keep a
-	// connection open.
+	// connection open, and the time after which callers reconnect.
 	IsComment bool
 }
 
@@ -66,27 +66,41 @@
 }
 
 // parse sets the fields from the lines of the event. It returns ErrInvalidEvent if an ID is
-// no number, or if no line is of an event or a comment.
+// no number, if a line is neither a field nor a comment, or if fields have neither an ID nor data.
 func (e *Event) parse() error {
-	hasData, hasComment := false, false
+	hasData, hasField := false, false
 	for line := range bytes.Lines(e.Raw) {
-		hasComment = hasComment || line[0] == ':'
-		hasData = hasData || bytes.HasPrefix(line, []byte("data"))
-		v, ok := bytes.CutPrefix(line, []byte("id:"))
-		if !ok {
-			continue
-		}
-		n, err := strconv.ParseInt(string(bytes.TrimSpace(v)), 10, 64)
-		if err != nil {
-			return errors.Wrapf(ErrInvalidEvent, "id %q is not a number", v)
+		line = bytes.TrimRight(line, "\r\n")
+		name, value, hasColon := bytes.Cut(line, []byte(":"))
+		switch {
+		case len(line) == 0, len(name) == 0, string(name) == "retry":
+			continue // The end of the event, a comment, or a field that holds for the connection.
+		case !hasColon && !isFieldName(name):
+			return errors.Wrap(ErrInvalidEvent, "a line is neither a field nor a comment")
+		case string(name) == "data":
+			hasData = true
+		case string(name) == "id" && hasColon:
+			n, err := strconv.ParseInt(string(bytes.TrimSpace(value)), 10, 64)
+			if err != nil {
+				return errors.Wrapf(ErrInvalidEvent, "id %q is not a number", value)
+			}
+			e.ID, e.HasID = n, true
 		}
-		e.ID, e.HasID = n, true
+		hasField = true
 	}
-	if !e.HasID && !hasData {
-		if !hasComment {
-			return errors.Wrap(ErrInvalidEvent, "no line is an id, data or a comment")
-		}
-		e.IsComment = true
+	if hasField && !e.HasID && !hasData {
+		return errors.Wrap(ErrInvalidEvent, "no line is an id, data or a comment")
 	}
+	e.IsComment = !hasField
 	return nil
 }
+
+// isFieldName reports whether a line that consists of name is a field without a value.
+func isFieldName(name []byte) bool {
+	switch string(name) {
+	case "data", "id", "event":
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/hop/event_test.go
+++ b/internal/hop/event_test.go
@@ -36,6 +36,30 @@
 	quicktest.Assert(t, errors.Is(err, ErrInvalidEvent), quicktest.IsTrue)
 }
 
+// TestTextIsNoEvent guards against error texts and heads of responses that are passed on as events or
+// comments.
+func TestTextIsNoEvent(t *testing.T) {
+	for _, s := range []string{
+		"database failed\n\n", "data base failed\n\n", ": error\nfailed\n\n", ": error\nerror: failed\n\n", "failed\ndata: e\n\n",
+		"HTTP/1.1 500 X\r\nData: x\r\n\r\n", "id: 5\nHTTP/1.1 500 X\r\nDate: x\r\n\r\n", "event: ping\n\n",
+	} {
+		_, err := NewEventReader(strings.NewReader(s)).Next()
+		quicktest.Check(t, errors.Is(err, ErrInvalidEvent), quicktest.IsTrue, quicktest.Commentf("%q: %v", s, err))
+	}
+	for s, want := range map[string]Event{
+		"data\n\n":                      {},
+		"\n: a\r\n:b\n\n":               {IsComment: true},
+		": a\nretry: 1000\n\n":          {IsComment: true},
+		"event: e\nid:  5 \ndata:x\n\n": {ID: 5, HasID: true},
+		": a\nversion: 2\ndata: x\n\n":  {},
+	} {
+		got, err := NewEventReader(strings.NewReader(s)).Next()
+		want.Raw = []byte(s)
+		quicktest.Check(t, err, quicktest.IsNil, quicktest.Commentf("%q", s))
+		quicktest.Check(t, got, quicktest.DeepEquals, want)
+	}
+}
+
 // TestEventsKeepBytes cuts a stream at any byte. The events returned must be a prefix of
 // the stream, byte by byte, and io.EOF may come only at the end of an event.
 func TestEventsKeepBytes(t *testing.T) {
