gate: an answer of another media type doesn't continue a stream

Callers would see: an engine breaks off, and what another one answers with 200 as text/plain or text/html stands in their event stream, even with IDs that fit.

Cause: once a 200 answer had its seal, its body was read as events whatever its media type was.

Ruled out: text without the form of events, which ended the attempt already; answers to callers that have no head yet are passed on as they are.

Change: an answer whose media type differs from that of the head that the caller has is a failed attempt. An answer without a media type isn't known to be another. What the caller has of a stream is a type of its own, in a file with the functions that add to it (moved unchanged), so that a takeover copies it as a whole.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -50,11 +50,7 @@
 // stream is an exchange whose answer is relayed as events from engines to the caller.
 type stream struct {
 	*exchange
-	// headSent reports that the caller has the status and headers of the response.
-	headSent bool
-	// lastID is the number of the last event that the caller has, if hasLastID is set.
-	lastID    int64
-	hasLastID bool
+	received
 	// pauseCount is the number of pauses of this process when the last grant was requested.
 	pauseCount int
 	// refusals is the number of attempts that did not run because engines refused the
@@ -71,7 +67,7 @@
 
 // serveEngine sends a request to engines and relays the events to the caller.
 func (x *exchange) serveEngine(ctx context.Context) {
-	s := &stream{exchange: x, lastID: x.call.LastEventID, hasLastID: x.call.HasLastEventID}
+	s := &stream{exchange: x, received: received{lastID: x.call.LastEventID, hasLastID: x.call.HasLastEventID}}
 	x.server.placer.awaitLink(ctx)
 	done, reason, retry := s.run(ctx)
 	if done {
@@ -239,7 +235,7 @@
 	s.relay = relayOf(resp)
 	s.server.blocklist.recordResponse(lead, resp.StatusCode)
 	end.Pause = s.recordNotice(lead, resp, att.sentAt)
-	if o := s.classify(lead, resp); o != nil {
+	if o := s.classifyAnswer(lead, resp); o != nil {
 		end.FailedTarget = s.faultyTarget(lead, resp)
 		_, refused := o.(notRun)
 		reuse = refused && keepsConnection(resp)
@@ -474,48 +470,6 @@
 	return send{at: a.sentAt, lastEventAt: a.lastEventAt}.lastByteAt()
 }
 
-// isRepeated reports whether the caller already has an event.
-func (s *stream) isRepeated(ev hop.Event) bool { return ev.HasID && s.hasLastID && ev.ID <= s.lastID }
-
-// relayEvent writes one event to the caller, unless the caller already has it. It returns
-// the reason for a failure, or "".
-func (s *stream) relayEvent(resp *hop.Response, ev hop.Event) (reason string) {
-	if s.isRepeated(ev) || s.standby != nil {
-		return ""
-	}
-	if ev.HasID && s.hasLastID && s.eventCount > 0 && ev.ID != s.lastID+1 {
-		return "an event is missing"
-	}
-	if !s.headSent {
-		s.writeHead(resp)
-	}
-	if ev.HasID {
-		s.lastID, s.hasLastID = ev.ID, true
-	}
-	if !ev.IsComment {
-		s.countEvent()
-	}
-	_, err := s.w.Write(ev.Raw)
-	if err == nil {
-		err = http.NewResponseController(s.w).Flush()
-	}
-	if s.callerLost = err != nil; s.callerLost {
-		return "the caller disconnected, or did not read in time"
-	}
-	return ""
-}
-
-// countEvent updates the times of the first event and of the longest pause.
-func (s *stream) countEvent() {
-	if s.eventCount == 0 {
-		s.firstEvent = time.Since(s.start)
-	} else {
-		s.maxPause = max(s.maxPause, time.Since(s.lastEventAt))
-	}
-	s.lastEventAt = time.Now()
-	s.eventCount++
-}
-
 // firstEventLimit is how long the wait for the first event of an engine may last; 0 means until the time
 // limit of the request. If the caller has a part of the answer already and no other engine may be tried,
 // the caller decides how long to wait.
@@ -525,14 +479,3 @@
 	}
 	return s.eventTimeout()
 }
-
-// writeHead sends the status and headers of the response to the caller.
-func (s *stream) writeHead(resp *hop.Response) {
-	s.headSent = true
-	s.status, s.answeredBy = resp.StatusCode, byTarget
-	h := s.w.Header()
-	for k, v := range s.server.HeaderCodec.CallerHeader(resp.Header) {
-		h[k] = v
-	}
-	s.w.WriteHeader(resp.StatusCode)
-}
--- /dev/null
+++ b/internal/gate/received.go
@@ -0,0 +1,102 @@
+package gate
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/bambooproxy/bambooproxy/internal/hop"
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+// eventStreamType is the media type of streams.
+const eventStreamType = "text/event-stream"
+
+// received is what the caller has of a stream.
+type received struct {
+	// headSent reports that the caller has the status and headers of the response. Then mediaType is
+	// what they state; "" if nothing.
+	headSent  bool
+	mediaType string
+	// lastID is the number of the last event that the caller has, if hasLastID is set.
+	lastID    int64
+	hasLastID bool
+}
+
+// classifyAnswer is like classify, and also returns the outcome of a response whose headers show that
+// it doesn't continue the stream that the caller has begun to receive.
+func (s *stream) classifyAnswer(t site.Target, resp *hop.Response) outcome {
+	if o := s.classify(t, resp); o != nil || !s.headSent || resp.StatusCode != http.StatusOK {
+		return o
+	}
+	switch mediaType(resp.Header) {
+	case s.mediaType, "":
+		return nil
+	case eventStreamType:
+		if s.mediaType == "" {
+			return nil
+		}
+	}
+	s.server.health.recordFailure(t.ID)
+	s.logFailedAttempt(t, "response has another media type than the stream", nil)
+	return mayHaveRun{"the response of a target does not continue the stream"}
+}
+
+// mediaType returns the media type of a response, in lower case; "" if it states none.
+func mediaType(h http.Header) string {
+	t, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(t))
+}
+
+// isRepeated reports whether the caller already has an event.
+func (s *stream) isRepeated(ev hop.Event) bool { return ev.HasID && s.hasLastID && ev.ID <= s.lastID }
+
+// relayEvent writes one event to the caller, unless the caller already has it. It returns
+// the reason for a failure, or "".
+func (s *stream) relayEvent(resp *hop.Response, ev hop.Event) (reason string) {
+	if s.isRepeated(ev) || s.standby != nil {
+		return ""
+	}
+	if ev.HasID && s.hasLastID && s.eventCount > 0 && ev.ID != s.lastID+1 {
+		return "an event is missing"
+	}
+	if !s.headSent {
+		s.writeHead(resp)
+	}
+	if ev.HasID {
+		s.lastID, s.hasLastID = ev.ID, true
+	}
+	if !ev.IsComment {
+		s.countEvent()
+	}
+	_, err := s.w.Write(ev.Raw)
+	if err == nil {
+		err = http.NewResponseController(s.w).Flush()
+	}
+	if s.callerLost = err != nil; s.callerLost {
+		return "the caller disconnected, or did not read in time"
+	}
+	return ""
+}
+
+// countEvent updates the times of the first event and of the longest pause.
+func (s *stream) countEvent() {
+	if s.eventCount == 0 {
+		s.firstEvent = time.Since(s.start)
+	} else {
+		s.maxPause = max(s.maxPause, time.Since(s.lastEventAt))
+	}
+	s.lastEventAt = time.Now()
+	s.eventCount++
+}
+
+// writeHead sends the status and headers of the response to the caller.
+func (s *stream) writeHead(resp *hop.Response) {
+	s.headSent, s.mediaType = true, mediaType(resp.Header)
+	s.status, s.answeredBy = resp.StatusCode, byTarget
+	h := s.w.Header()
+	for k, v := range s.server.HeaderCodec.CallerHeader(resp.Header) {
+		h[k] = v
+	}
+	s.w.WriteHeader(resp.StatusCode)
+}
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -34,10 +34,8 @@
 	timer *time.Timer
 	// silence is how long the first engine may be silent before the next round.
 	silence time.Duration
-	// headSent, lastID and hasLastID are those of the first stream.
-	headSent  bool
-	lastID    int64
-	hasLastID bool
+	// received is what the caller had of the first stream when the wait for the next round began.
+	received received
 	// ended is set once the first attempt relays nothing more: no further round starts.
 	ended bool
 	// claimed is set once the second stream continues the answer.
@@ -95,7 +93,7 @@
 
 // start starts the next round after the time silence without a new event. The caller holds mu.
 func (t *takeover) start(silence time.Duration) {
-	t.headSent, t.lastID, t.hasLastID = t.first.headSent, t.first.lastID, t.first.hasLastID
+	t.received = t.first.received
 	t.silence = silence
 	t.timer.Reset(silence)
 }
@@ -119,7 +117,7 @@
 	defer close(r.done)
 	t.round = r
 	s := t.second
-	s.headSent, s.lastID, s.hasLastID = t.headSent, t.lastID, t.hasLastID
+	s.received = t.received
 	silence := t.silence
 	t.mu.Unlock()
 	// After a pause of this process the events that came meanwhile are read first.
@@ -261,7 +259,7 @@
 	mayHaveRun, crashes := f.mayHaveRun || s.mayHaveRun, max(f.crashes, s.crashes)
 	if t.claimed {
 		*f.exchange = *s.exchange
-		f.headSent, f.lastID, f.hasLastID, f.callerLost = s.headSent, s.lastID, s.hasLastID, s.callerLost
+		f.received, f.callerLost = s.received, s.callerLost
 	}
 	f.sends, f.failedTargets, f.mayHaveRun, f.crashes, f.refusals = sends, failed, mayHaveRun, crashes, s.refusals
 	f.noRetry = cmp.Or(s.noRetry, f.noRetry)
@@ -278,7 +276,7 @@
 		return false
 	}
 	f := t.first
-	s.headSent, s.lastID, s.hasLastID, s.callerLost = f.headSent, f.lastID, f.hasLastID, f.callerLost
+	s.received, s.callerLost = f.received, f.callerLost
 	s.status, s.answeredBy = f.status, f.answeredBy
 	s.firstEvent, s.maxPause, s.lastEventAt, s.eventCount = f.firstEvent, f.maxPause, f.lastEventAt, f.eventCount
 	s.standby = nil
