gate: an event without an ID doesn't continue a numbered stream

Callers would see: an engine breaks off, and an error event of another one ("event: error", no ID) or any event without an ID stands between the right events, and the stream ends as if it were complete.

Cause: only events with an ID were checked against the caller's last one.

Ruled out: repeated events and gaps, which were dropped and refused already. Within the answer that the stream began with, events without an ID are passed on as they are, since nothing is joined there.

Change: the events of any further answer must have IDs. Events are checked before the answer of a silent engine is given up for them, as a gap was not, so that this engine may still go on.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -403,8 +403,8 @@
 		}
 		isNew := !ev.IsComment && !s.isRepeated(ev)
 		if isNew {
-			if !s.mayRelay(ctx) {
-				return otherEngineReason, nil
+			if reason := s.admitEvent(ctx, resp, ev); reason != "" {
+				return reason, nil
 			}
 			s.recordProgress(att)
 			s.server.blocklist.recordAlive(lead)
--- a/internal/gate/midstream_test.go
+++ b/internal/gate/midstream_test.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/frankban/quicktest"
 )
@@ -113,9 +114,13 @@
 		"JSON as events":                events("{\"data\":\n\"failed\"}\n\n", streamHeaders),
 		"text that begins like data":    events("database failed\n\n", streamHeaders),
 		"text behind a comment":         events(": error\nfailed\n\n", streamHeaders),
+		"events without ID":             events("data: e\n\ndata: e\n\n", streamHeaders),
 		"events from the start":         events(eventText(1, lastPiece), streamHeaders),
 		"events with a gap":             events(eventText(7, lastPiece), streamHeaders),
 		"events beyond the end":         events(eventText(12, 13), streamHeaders),
+		"error event":                   events("event: error\ndata: failed\n\n", streamHeaders),
+		"error event after an event":    events(eventText(5, 5)+"event: error\ndata: failed\n\n", streamHeaders),
+		"error event, then broken off":  {script: chunkedAnswer(true, 200, streamHeaders, "event: error\ndata: failed\n\n"), own: "event: error\ndata: failed\n\n"},
 		"head in the body":              events(wholeHead, streamHeaders),
 		"head in the body after events": events(eventText(1, 6)+wholeHead+"\n\n", streamHeaders),
 		"head within an event":          events("id: 5\n"+wholeHead+"\n\n", streamHeaders),
@@ -247,6 +252,43 @@
 	}
 }
 
+// silentWithin streams all events and is silent for pause after the part begun.
+func silentWithin(begun string, pause time.Duration) script {
+	return func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+		chunkedAnswer(true, 200, streamHeaders, begun)(f, c, q)
+		time.Sleep(pause)
+		rest := strings.TrimPrefix(eventText(1, lastPiece), begun)
+		_, err := fmt.Fprintf(c, "%x\r\n%s\r\n0\r\n\r\n", len(rest), rest)
+		return err == nil
+	}
+}
+
+// TestErrorWhileEngineIsSilent: an answer of another engine that is no continuation must not end that of
+// an engine which is silent and goes on.
+func TestErrorWhileEngineIsSilent(t *testing.T) {
+	for _, begun := range []string{eventText(1, 4), eventText(1, 4) + "id: 5\nda"} {
+		broken := brokenOff{body: eventText(1, 4), rest: strings.TrimPrefix(begun, eventText(1, 4))}
+		for name, next := range nextAnswers() {
+			t.Run(name+broken.rest, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					s := newTestbed(t, nil, []script{closeConn, closeConn})
+					firstThen(s, silentWithin(begun, 1900*time.Millisecond), next.script)
+					res := s.call(resumableStreamPath, "prompt", "Left", "5000")
+					if what := checkJoined(res, broken, next); what != "" {
+						t.Errorf("%s: status %d, truncated %t, body %q", what, res.status, res.truncated, res.body)
+					}
+					if !next.hasNoEvent && !strings.Contains(next.own, eventText(5, 5)) {
+						quicktest.Check(t, res.truncated, quicktest.IsFalse)
+						quicktest.Check(t, res.body, quicktest.Equals, eventText(1, lastPiece))
+					}
+					quicktest.Check(t, s.requestCount(), quicktest.Equals, 2)
+					time.Sleep(2 * time.Second)
+				})
+			})
+		}
+	}
+}
+
 // inTurn has the targets follow the scripts in the order in which they get requests.
 func inTurn(s *testbed, scripts ...script) {
 	for _, f := range s.targets {
--- a/internal/gate/received.go
+++ b/internal/gate/received.go
@@ -1,6 +1,8 @@
 package gate
 
 import (
+	"cmp"
+	"context"
 	"net/http"
 	"strings"
 	"time"
@@ -18,6 +20,8 @@
 	// what they state; "" if nothing.
 	headSent  bool
 	mediaType string
+	// source is the response that the first event came from; nil before that.
+	source *hop.Response
 	// lastID is the number of the last event that the caller has, if hasLastID is set.
 	lastID    int64
 	hasLastID bool
@@ -48,6 +52,20 @@
 	return strings.ToLower(strings.TrimSpace(t))
 }
 
+// admitEvent returns why a new event of a response can't be the next one of the caller's stream, or "".
+// Events of another response than the one that the stream began with must have IDs.
+func (s *stream) admitEvent(ctx context.Context, resp *hop.Response, ev hop.Event) (reason string) {
+	switch {
+	case s.source != nil && !ev.HasID && resp != s.source:
+		return "an event has no ID"
+	case s.source != nil && ev.HasID && s.hasLastID && ev.ID != s.lastID+1:
+		return "an event is missing"
+	case !s.mayRelay(ctx):
+		return otherEngineReason
+	}
+	return ""
+}
+
 // isRepeated reports whether the caller already has an event.
 func (s *stream) isRepeated(ev hop.Event) bool { return ev.HasID && s.hasLastID && ev.ID <= s.lastID }
 
@@ -57,9 +75,6 @@
 	if s.isRepeated(ev) || s.standby != nil {
 		return ""
 	}
-	if ev.HasID && s.hasLastID && s.eventCount > 0 && ev.ID != s.lastID+1 {
-		return "an event is missing"
-	}
 	if !s.headSent {
 		s.writeHead(resp)
 	}
@@ -68,6 +83,7 @@
 	}
 	if !ev.IsComment {
 		s.countEvent()
+		s.source = cmp.Or(s.source, resp)
 	}
 	_, err := s.w.Write(ev.Raw)
 	if err == nil {
