gate: a stream with an event without an ID is not continued

Callers would see: an engine whose events have no IDs, or one of them has none, breaks off, and another engine sends the same events again; the stream then looks complete.

Cause: a stream was continued on any resumable route, also where nothing tells the next engine, or this instance, which events the caller has.

Ruled out: numbered streams, which TestNoDuplicateOrMissingEvents covers.

Change: once the caller has an event without an ID, no other engine gets the request, so the stream breaks off visibly, also not while its engine is silent, since nothing could take over.

Result: TestEventsWithoutIDAreNotRepeated failed in 4 of 4 cases and TestStalledStreamWithoutIDsIsKept failed; both pass.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -88,7 +88,7 @@
 		if left, blocked := s.server.blocklist.find(s.exchange); blocked {
 			return false, blockedReason, left
 		}
-		if s.sends > 0 && (s.mayHaveRun && !s.route.MayRetry() || !s.acquireRetry()) {
+		if s.sends > 0 && (s.isUnnumbered || s.mayHaveRun && !s.route.MayRetry() || !s.acquireRetry()) {
 			break
 		}
 		g, err := s.acquireGrant(ctx)
@@ -421,7 +421,7 @@
 			idleBytes = 0
 			// From here on the caller decides how long to wait.
 			resp.SetReadDeadline(time.Time{})
-			s.next.await(time.Duration(stallShare * float64(s.eventTimeout())))
+			s.awaitNext()
 			continue
 		}
 		if idleBytes += len(ev.Raw); idleBytes > maxIdleBytes {
@@ -430,6 +430,13 @@
 	}
 }
 
+// awaitNext has another engine continue the stream after a stall, if one can.
+func (s *stream) awaitNext() {
+	if !s.isUnnumbered {
+		s.next.await(time.Duration(stallShare * float64(s.eventTimeout())))
+	}
+}
+
 // endRelay returns the results of relayEvents after an error of the event reader, which is io.EOF
 // after the last event.
 func (s *stream) endRelay(ctx context.Context, lead site.Target, resp *hop.Response, err error) (reason string, cause error) {
--- a/internal/gate/midstream_test.go
+++ b/internal/gate/midstream_test.go
@@ -297,3 +297,43 @@
 		}
 	}
 }
+
+// TestEventsWithoutIDAreNotRepeated: a stream with an event that has no ID can't be continued, as another
+// engine would send that event again.
+func TestEventsWithoutIDAreNotRepeated(t *testing.T) {
+	for name, body := range map[string]string{
+		"no IDs":               "data: a\n\ndata: b\n\n",
+		"one without ID":       eventText(1, 2) + "data: b\n\n",
+		"first without ID":     "data: b\n\n" + eventText(1, 2),
+		"numbered, then error": eventText(1, 2) + "event: error\ndata: failed\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestbed(t, nil, []script{closeConn, closeConn})
+				firstThen(s, chunkedAnswer(true, 200, streamHeaders, body), chunkedAnswer(false, 200, streamHeaders, body, eventText(3, 4)))
+				res := s.call(resumableStreamPath, "prompt")
+				quicktest.Check(t, res.truncated, quicktest.IsTrue)
+				quicktest.Check(t, res.body, quicktest.Equals, body)
+				quicktest.Check(t, s.requestCount(), quicktest.Equals, 1)
+			})
+		})
+	}
+}
+
+// TestStalledStreamWithoutIDsIsKept: an engine whose stream can't be continued keeps it through a stall.
+func TestStalledStreamWithoutIDsIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, []script{closeConn, closeConn})
+		firstThen(s, func(_ *fakeTarget, c net.Conn, _ *http.Request) bool {
+			const event = "9\r\ndata: a\n\n\r\n"
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: a1\r\n%sTransfer-Encoding: chunked\r\n\r\n%s", streamHeaders, event)
+			time.Sleep(1900 * time.Millisecond)
+			_, err := io.WriteString(c, event+"0\r\n\r\n")
+			return err == nil
+		}, closeConn)
+		res := s.call(resumableStreamPath, "prompt", "Left", "3000")
+		quicktest.Check(t, res.truncated, quicktest.IsFalse)
+		quicktest.Check(t, res.body, quicktest.Equals, "data: a\n\ndata: a\n\n")
+		quicktest.Check(t, s.requestCount(), quicktest.Equals, 1)
+	})
+}
--- a/internal/gate/received.go
+++ b/internal/gate/received.go
@@ -22,6 +22,9 @@
 	mediaType string
 	// source is the response that the first event came from; nil before that.
 	source *hop.Response
+	// isUnnumbered is set once the caller has an event without an ID, which another engine would send
+	// again.
+	isUnnumbered bool
 	// lastID is the number of the last event that the caller has, if hasLastID is set.
 	lastID    int64
 	hasLastID bool
@@ -83,7 +86,7 @@
 	}
 	if !ev.IsComment {
 		s.countEvent()
-		s.source = cmp.Or(s.source, resp)
+		s.source, s.isUnnumbered = cmp.Or(s.source, resp), s.isUnnumbered || !ev.HasID
 	}
 	_, err := s.w.Write(ev.Raw)
 	if err == nil {
