gate: a stream doesn't end before an event that an engine had begun

Callers would see: an engine breaks off within an event, another one answers 200 with its seal and no further event, and the stream looks complete without its last events. Where the caller had no event yet it got an empty 200.

Cause: a resumed answer that ended well ended the stream, whatever the engine before it had begun to send.

Ruled out: an answer without further events after a break between two events is still taken for the end; the last event may have come, and nothing tells that case from an engine that wrongly sends nothing.

Change: the reader returns what there is of an event when a stream breaks off. Until the caller has that event, an answer that ends without it has failed, also where the engine that had begun it was only silent and was given up.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -399,6 +399,7 @@
 	for {
 		ev, err := events.Next()
 		if err != nil {
+			s.hasBegunEvent = s.hasBegunEvent || ev.IsPartial && !s.isRepeated(ev)
 			return s.endRelay(ctx, lead, resp, err)
 		}
 		isNew := !ev.IsComment && !s.isRepeated(ev)
@@ -443,13 +444,8 @@
 	switch {
 	case errors.Is(err, io.EOF) && s.server.endedWithProcess(lead, resp):
 		return "the process of an engine ended with its event stream", io.ErrUnexpectedEOF
-	case errors.Is(err, io.EOF) && !s.mayRelay(ctx):
-		return otherEngineReason, nil
 	case errors.Is(err, io.EOF):
-		if !s.headSent {
-			s.writeHead(resp)
-		}
-		return "", nil
+		return s.complete(ctx, resp), nil
 	case ctx.Err() != nil:
 		return s.endReason(), nil
 	default:
--- a/internal/gate/received.go
+++ b/internal/gate/received.go
@@ -25,6 +25,8 @@
 	// isUnnumbered is set once the caller has an event without an ID, which another engine would send
 	// again.
 	isUnnumbered bool
+	// hasBegunEvent is set while an engine has begun an event that the caller lacks.
+	hasBegunEvent bool
 	// lastID is the number of the last event that the caller has, if hasLastID is set.
 	lastID    int64
 	hasLastID bool
@@ -87,6 +89,7 @@
 	if !ev.IsComment {
 		s.countEvent()
 		s.source, s.isUnnumbered = cmp.Or(s.source, resp), s.isUnnumbered || !ev.HasID
+		s.hasBegunEvent = false
 	}
 	_, err := s.w.Write(ev.Raw)
 	if err == nil {
@@ -98,6 +101,28 @@
 	return ""
 }
 
+// begunEventReason is why an answer without further events isn't the end of the stream.
+const begunEventReason = "the event stream of an engine ended before an event that another one had begun"
+
+// complete ends the response to the caller after the last event. It returns the reason why the answer
+// of this engine isn't complete, or "".
+func (s *stream) complete(ctx context.Context, resp *hop.Response) (reason string) {
+	if s.hasBegunEvent {
+		return begunEventReason
+	}
+	if !s.mayRelay(ctx) {
+		return otherEngineReason
+	}
+	// Another engine may have fallen silent within an event.
+	if s.hasBegunEvent {
+		return begunEventReason
+	}
+	if !s.headSent {
+		s.writeHead(resp)
+	}
+	return ""
+}
+
 // countEvent updates the times of the first event and of the longest pause.
 func (s *stream) countEvent() {
 	if s.eventCount == 0 {
--- a/internal/hop/event.go
+++ b/internal/hop/event.go
@@ -25,6 +25,9 @@
 	// IsComment is set if there is nothing but comment lines, which targets send to keep a
 	// connection open, and the time after which callers reconnect.
 	IsComment bool
+	// IsPartial is set for an event that the stream ended within, or broke off in. Its ID is set if
+	// that line is complete.
+	IsPartial bool
 }
 
 // EventReader reads the events of a stream.
@@ -37,7 +40,7 @@
 
 // Next returns the next event. It returns io.EOF after the last one, io.ErrUnexpectedEOF
 // if the stream ends within an event, ErrInvalidEvent, or the error of the underlying
-// reader.
+// reader. With these errors, but for ErrInvalidEvent, it returns what there is of an event.
 func (r *EventReader) Next() (Event, error) {
 	var ev Event
 	// hasContent is set once a line was not empty; isContinued is set in the middle of a
@@ -52,9 +55,9 @@
 			hasContent, isContinued = true, true
 			continue
 		case errors.Is(err, io.EOF) && (hasContent || !isEmpty):
-			return ev, io.ErrUnexpectedEOF
+			return ev.partial(), io.ErrUnexpectedEOF
 		case err != nil:
-			return ev, err
+			return ev.partial(), err
 		case len(ev.Raw) > maxEventBytes:
 			return ev, errors.Wrapf(ErrInvalidEvent, "longer than %d bytes", maxEventBytes)
 		case isEmpty && hasContent:
@@ -95,6 +98,21 @@
 	return nil
 }
 
+// partial returns the fields of an event whose end is missing.
+func (e *Event) partial() Event {
+	out := Event{Raw: e.Raw}
+	for line := range bytes.Lines(e.Raw) {
+		if text := bytes.TrimRight(line, "\r\n"); len(text) > 0 && text[0] != ':' {
+			out.IsPartial = true
+		}
+	}
+	whole := Event{Raw: e.Raw[:bytes.LastIndexByte(e.Raw, '\n')+1]}
+	if whole.parse() == nil {
+		out.ID, out.HasID = whole.ID, whole.HasID
+	}
+	return out
+}
+
 // isFieldName reports whether a line that consists of name is a field without a value.
 func isFieldName(name []byte) bool {
 	switch string(name) {
--- a/internal/hop/event_test.go
+++ b/internal/hop/event_test.go
@@ -60,6 +60,20 @@
 	}
 }
 
+func TestPartialEvent(t *testing.T) {
+	for s, want := range map[string]Event{
+		"id: 12\nda":     {IsPartial: true, ID: 12, HasID: true},
+		"id: 1":          {IsPartial: true},
+		"\n: a\ndata: x": {IsPartial: true},
+		"\n: a\n: b":     {},
+	} {
+		got, err := NewEventReader(strings.NewReader(s)).Next()
+		want.Raw = []byte(s)
+		quicktest.Check(t, err, quicktest.Equals, io.ErrUnexpectedEOF, quicktest.Commentf("%q", s))
+		quicktest.Check(t, got, quicktest.DeepEquals, want)
+	}
+}
+
 // TestEventsKeepBytes cuts a stream at any byte. The events returned must be a prefix of
 // the stream, byte by byte, and io.EOF may come only at the end of an event.
 func TestEventsKeepBytes(t *testing.T) {
