entry: an answer of a service that breaks off resets HTTP/1.0 connections

Callers in HTTP/1.0 would see: an answer of a service without a length that broke off halfway looks complete, as their connection is closed as after a whole answer. (Nobody reported it; a test shows it.)

Cause: only the gate reset such connections; here they were closed.

Ruled out: callers in HTTP/1.1, who miss the last chunk. Streams of engines end with an error event and without [DONE] instead.

Change: the gate's reset moves to httpx.Abort, which both layouts use.

Result: TestTruncatedAnswerInHTTP10 of the entry failed for HTTP/1.0 and passes.

--- a/internal/entry/exchange.go
+++ b/internal/entry/exchange.go
@@ -7,6 +7,7 @@
 
 	"github.com/google/uuid"
 
+	"github.com/bambooproxy/bambooproxy/internal/httpx"
 	"github.com/bambooproxy/bambooproxy/internal/member"
 	"github.com/bambooproxy/bambooproxy/pkg/table"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
@@ -135,6 +136,6 @@
 	case !x.out.headerSent:
 		writeError(x.out.w, e)
 	case !x.errorSent:
-		panic(http.ErrAbortHandler)
+		httpx.Abort(x.out.w, x.r)
 	}
 }
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooproxy/bambooproxy/internal/httpx"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
@@ -282,24 +283,7 @@
 // response.
 func (x *exchange) abortConnection() {
 	x.logOutcome()
-	if !x.r.ProtoAtLeast(1, 1) {
-		x.resetConnection()
-	}
-	panic(http.ErrAbortHandler)
-}
-
-// resetConnection resets the caller's connection. A response in HTTP/1.0 has no framing, so a
-// connection that is merely closed would end it like a complete one.
-func (x *exchange) resetConnection() {
-	c, _, err := http.NewResponseController(x.w).Hijack()
-	if err != nil {
-		return // The connection is closed already.
-	}
-	if l, ok := c.(interface{ SetLinger(sec int) error }); ok {
-		// This fails only on a closed connection.
-		_ = l.SetLinger(0)
-	}
-	c.Close()
+	httpx.Abort(x.w, x.r)
 }
 
 // isRefused reports whether this instance responded that the request did not run.
