gate: the silence of a target is evidence as soon as another one is tried

Cause: a send that goes on while another target is tried was kept as evidence of a crash only when it had ended, at the time limit of the request or with the answer of the other target. Change: the silence is recorded when another target is tried, once; a sign of life of the target clears it as before.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -72,6 +72,8 @@
 	written time.Duration
 	// lastEventAt is when the last event of the answer came; zero if none has.
 	lastEventAt time.Time
+	// isRecorded is set if watchSilence was called, and nothing came since.
+	isRecorded bool
 }
 
 // minSilence is how long a connection must have been silent when its request ended, if no time-out of
@@ -104,7 +106,7 @@
 		// This instance closed the connection.
 		silent, ended = noticedAt.Sub(s.lastByteAt()) >= minSilence, false
 	}
-	if s.written >= poison.SurvivalTime || !silent && !ended {
+	if s.written >= poison.SurvivalTime || !silent && !ended || silent && s.isRecorded {
 		return
 	}
 	f := poison.FailedSend{Segments: x.segments(), SentAt: s.at, FailedAt: noticedAt, Silent: silent, Repeated: x.crashes > 0}
@@ -118,6 +120,12 @@
 	}
 }
 
+// watchSilence is watchSend for a send that goes on although its target is silent.
+func (x *exchange) watchSilence(s send) {
+	now := time.Now()
+	x.watchSend(s, &engine.Silent{After: now.Sub(s.lastByteAt())}, now)
+}
+
 // ended reports whether the caller has disconnected, or the time limit was reached.
 func (x *exchange) ended() bool { return x.r.Context().Err() != nil || x.timeLeft() <= 0 }
 
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -213,12 +213,12 @@
 // sendToLead sends the request to the lead engine and relays the response.
 func (s *stream) sendToLead(ctx context.Context, g place.Grant, lead site.Target, helpers []PrefillHelper, end *place.End) (done bool, reason string) {
 	defer s.server.health.track(lead.ID)()
-	att := streamAttempt{grantID: g.ID, sentAt: time.Now()}
+	att := streamAttempt{target: lead, grantID: g.ID, sentAt: time.Now()}
 	q := s.buildRequest(lead, SendInfo{Urgency: g.Urgency, Helpers: helpers, LastEventID: s.lastID, HasLastEventID: s.hasLastID})
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	if s.canRetryElsewhere(lead) {
-		s.next = newTakeover(ctx, s, lead, g.ID, cancel)
+		s.next = newTakeover(ctx, s, &att, cancel)
 		defer s.next.firstEnds()
 	}
 	q.HeadTimeout = s.firstEventLimit()
@@ -227,7 +227,9 @@
 		if s.next.firstEnds() {
 			err = &engine.Silent{After: time.Since(att.sentAt)}
 		}
-		return s.handleSendError(ctx, send{target: lead, at: att.sentAt}, err, end)
+		failed := att.send()
+		failed.isRecorded = s.next.hasStarted()
+		return s.handleSendError(ctx, failed, err, end)
 	}
 	reuse := false
 	defer func() { resp.Close(reuse) }()
@@ -261,9 +263,10 @@
 func (s *stream) handleBrokenStream(ctx context.Context, lead site.Target, att *streamAttempt, reason string, err error, end *place.End) string {
 	s.mayHaveRun = true
 	if s.next.firstEnds() {
-		reason, err = "an engine was silent, and another one continued its answer", &engine.Silent{After: time.Since(att.lastByteAt())}
+		reason, err = "an engine was silent, and another one continued its answer", &engine.Silent{After: time.Since(att.send().lastByteAt())}
 	}
-	failed := send{lead, att.sentAt, att.written, att.lastEventAt}
+	failed := att.send()
+	failed.isRecorded = s.next.hasStarted()
 	if ctx.Err() != nil || s.callerLost {
 		s.watchSend(failed, err, time.Now())
 		return reason
@@ -373,6 +376,7 @@
 
 // streamAttempt describes one send while its events are relayed.
 type streamAttempt struct {
+	target  site.Target
 	grantID string
 	sentAt  time.Time
 	// firstEventAt is when the first new event came, and lastEventAt when the last one did;
@@ -468,9 +472,9 @@
 	}
 }
 
-// lastByteAt returns when the last event came, or else when the request was sent.
-func (a *streamAttempt) lastByteAt() time.Time {
-	return send{at: a.sentAt, lastEventAt: a.lastEventAt}.lastByteAt()
+// send returns the send of the attempt.
+func (a *streamAttempt) send() send {
+	return send{target: a.target, at: a.sentAt, written: a.written, lastEventAt: a.lastEventAt}
 }
 
 // firstEventLimit is how long the wait for the first event of an engine may last; 0 means until the time
--- a/internal/gate/hedge.go
+++ b/internal/gate/hedge.go
@@ -25,8 +25,8 @@
 	// sends before them.
 	second *exchange
 	sends  int
-	// target is the ID of the first target.
-	target string
+	// first is the send to the first target.
+	first send
 
 	mu sync.Mutex
 	// timer starts the further sends.
@@ -47,7 +47,7 @@
 	y.sends++
 	y.mayHaveRun = false
 	y.failedTargets = append(slices.Clone(x.failedTargets), t.ID)
-	h := &hedge{ctx: ctx, second: &y, sends: y.sends, target: t.ID}
+	h := &hedge{ctx: ctx, second: &y, sends: y.sends, first: send{target: t, at: time.Now()}}
 	ctx, h.endFirst = context.WithCancelCause(ctx)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -81,7 +81,8 @@
 	h.mu.Unlock()
 	defer close(h.done)
 	// Requests that come meanwhile are sent elsewhere.
-	h.second.server.health.recordFailure(h.target)
+	h.second.server.health.recordFailure(h.first.target.ID)
+	h.second.watchSilence(h.first)
 	r := h.second.runPlain(ctx)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -142,6 +143,17 @@
 	}
 }
 
+// hasStarted reports whether further sends were made, and so the silence of the first target recorded. A nil
+// hedge makes none.
+func (h *hedge) hasStarted() bool {
+	if h == nil {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.done != nil
+}
+
 // sendError returns the error of a send whose context is ctx: silence since the time sentAt if
 // it was cancelled because another target has answered, and err otherwise.
 func sendError(ctx context.Context, err error, sentAt time.Time) error {
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -299,7 +299,7 @@
 	resp, err := s.TargetClient.Do(ctx, t.Address, q)
 	if err != nil {
 		err = sendError(ctx, err, sentAt)
-		x.recordIfCrashed(send{target: t, at: sentAt}, err)
+		x.recordIfCrashed(send{target: t, at: sentAt, isRecorded: h.hasStarted()}, err)
 		return nil, x.classifySendError(t, err)
 	}
 	reuse := false
@@ -321,11 +321,12 @@
 	body, err := s.readBody(t, resp)
 	if err != nil {
 		err = sendError(ctx, err, sentAt)
+		failed := send{target: t, at: sentAt, isRecorded: h.hasStarted()}
 		if (ctx.Err() == nil || isSilence(err)) && !errors.Is(err, errBuffersFull) {
 			s.health.recordFailure(t.ID)
-			x.recordIfCrashed(send{target: t, at: sentAt}, err)
+			x.recordIfCrashed(failed, err)
 		} else if ctx.Err() != nil {
-			x.watchSend(send{target: t, at: sentAt}, err, time.Now())
+			x.watchSend(failed, err, time.Now())
 		}
 		x.logFailedAttempt(t, "response ended early", err)
 		return nil, mayHaveRun{"the response of a target ended early"}
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -10,7 +10,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooproxy/bambooproxy/internal/meter"
-	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // takeover tries another engine while the first one is silent, and leaves the connection to the first
@@ -24,16 +23,18 @@
 	// second.sends before the first of them.
 	first, second *stream
 	sends         int
-	// engine is the ID of the first engine, and grantID that of the grant for it.
-	engine, grantID string
+	// attempt is the first attempt; only its target and grantID may be read while it goes on.
+	attempt *streamAttempt
 	// firstDone is closed when the first attempt relays nothing more.
 	firstDone chan struct{}
 
 	mu sync.Mutex
 	// timer starts a round; it is stopped while an event is written to the caller.
 	timer *time.Timer
-	// silence is how long the first engine may be silent before the next round.
+	// silence is how long the first engine may be silent before the next round, and sent its send as it was
+	// when that time began.
 	silence time.Duration
+	sent    send
 	// received is what the caller had of the first stream when the wait for the next round began.
 	received received
 	// ended is set once the first attempt relays nothing more: no further round starts.
@@ -67,14 +68,14 @@
 	failedOutcome = "failed"
 )
 
-// newTakeover returns the takeover for a stream whose request is about to be sent to the engine lead. If
-// the stream is itself the second one of a takeover, no round starts before it continues the answer.
-func newTakeover(ctx context.Context, first *stream, lead site.Target, grantID string, endFirst context.CancelFunc) *takeover {
+// newTakeover returns the takeover for an attempt that is about to begin. If the stream is itself the second one
+// of a takeover, no round starts before it continues the answer.
+func newTakeover(ctx context.Context, first *stream, att *streamAttempt, endFirst context.CancelFunc) *takeover {
 	x := *first.exchange
 	x.sends++
 	x.mayHaveRun = false
-	x.failedTargets = append(slices.Clone(x.failedTargets), lead.ID)
-	t := &takeover{ctx: ctx, endFirst: endFirst, first: first, engine: lead.ID, grantID: grantID, sends: x.sends, firstDone: make(chan struct{})}
+	x.failedTargets = append(slices.Clone(x.failedTargets), att.target.ID)
+	t := &takeover{ctx: ctx, endFirst: endFirst, first: first, attempt: att, sends: x.sends, firstDone: make(chan struct{})}
 	t.second = &stream{exchange: &x, refusals: first.refusals, standby: t}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -93,7 +94,7 @@
 
 // start starts the next round after the time silence without a new event. The caller holds mu.
 func (t *takeover) start(silence time.Duration) {
-	t.received = t.first.received
+	t.received, t.sent = t.first.received, t.attempt.send()
 	t.silence = silence
 	t.timer.Reset(silence)
 }
@@ -118,15 +119,16 @@
 	t.round = r
 	s := t.second
 	s.received = t.received
-	silence := t.silence
+	silence, sent := t.silence, t.sent
 	t.mu.Unlock()
 	// After a pause of this process the events that came meanwhile are read first.
 	s.server.pauses.await(ctx)
 	if ctx.Err() != nil {
 		return
 	}
-	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.engine).Dur("silence", silence).Msg("engine is silent, trying another one")
-	s.server.placer.reportSilence(t.grantID)
+	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.attempt.target.ID).Dur("silence", silence).Msg("engine is silent, trying another one")
+	s.server.placer.reportSilence(t.attempt.grantID)
+	s.watchSilence(sent)
 	r.complete, r.reason, _ = s.run(ctx)
 	t.recordOutcome(r)
 }
@@ -146,7 +148,7 @@
 	t.mu.Unlock()
 	s := t.second
 	metrics.GetOrRegisterCounter(meter.Label("gate.takeovers", "outcome", outcome), s.server.Metrics).Inc(1)
-	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.engine).Str("other", s.target).Str("outcome", outcome).Str("reason", r.reason).
+	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.attempt.target.ID).Str("other", s.target).Str("outcome", outcome).Str("reason", r.reason).
 		Int("sends", s.sends).Msg("trial of another engine ended")
 }
 
@@ -206,6 +208,17 @@
 	return t.claimed
 }
 
+// hasStarted reports whether a round has started, and so the silence of the first engine was recorded, without an event
+// of that engine since. A nil takeover has no rounds.
+func (t *takeover) hasStarted() bool {
+	if t == nil {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.round != nil && !t.round.cancelled
+}
+
 // firstHasEnded reports whether the first attempt relays nothing more.
 func (t *takeover) firstHasEnded() bool {
 	t.mu.Lock()
