store: what a restart reads is synced before it is used

What would be lost: a replica whose process was killed within a write starts again and finds the whole write in the file. It acknowledges these entries to the leader, which commits them. If all machines then lose power before the replica has written anything else, and the disk of another one is lost, the acknowledged change is gone. Likewise a term and a vote.

Cause: Open took everything that it could read for synced. A process that is killed between a write and its sync, or between a rename and the sync of the folder, leaves data that its successor reads and that a power loss still takes.

Ruled out: writes within one process (each is synced before the next begins), and the acknowledgements of a running replica (sent after the sync).

Change: Open syncs the last segment and the folder, and writes the state to a last segment that lacks it, before it removes anything. The file system in memory can be copied as a kill or a power loss leaves it, with names kept or lost one by one.

--- a/internal/store/load.go
+++ b/internal/store/load.go
@@ -41,9 +41,32 @@
 	if err := s.dropCoveredEntries(c); err != nil {
 		return nil, err
 	}
+	if err := s.syncLoaded(); err != nil {
+		return nil, err
+	}
 	return c, s.prune(c.Index)
 }
 
+// syncLoaded makes durable what was read, before anything is removed. The last process may have been
+// killed before it synced the end of the last segment, or the name of a file that it had created or
+// renamed, or when it had created a segment and not yet written the state to it.
+func (s *Store) syncLoaded() error {
+	if s.file != nil {
+		if err := s.file.Sync(); err != nil {
+			return s.markFailed(err)
+		}
+		if s.state != nil && !s.segments[len(s.segments)-1].hasState {
+			if err := s.commit(record{kind: stateRecord, syncedSize: uint64(s.size), data: s.state}.appendTo(nil)); err != nil {
+				return err
+			}
+		}
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return s.markFailed(err)
+	}
+	return nil
+}
+
 // loadIdentity reads the identity, which a new folder doesn't have.
 func (s *Store) loadIdentity(c *Contents) error {
 	file := path.Join(s.dir, identityName)
@@ -99,7 +122,7 @@
 }
 
 // resumeSegment opens the last segment for writing and cuts off what follows its last complete
-// record, at offset size.
+// record, at offset size. The caller syncs it.
 func (s *Store) resumeSegment(file string, size, fileSize int64, c *Contents) error {
 	f, err := s.fs.Append(file)
 	if err != nil {
@@ -110,7 +133,7 @@
 		return nil
 	}
 	c.Cut = fileSize - size
-	if err := errors.CombineErrors(f.Truncate(size), f.Sync()); err != nil {
+	if err := f.Truncate(size); err != nil {
 		return s.markFailed(err)
 	}
 	return nil
@@ -121,6 +144,7 @@
 	switch r.kind {
 	case stateRecord:
 		c.State = r.data
+		s.segments[i].hasState = true
 	case entryRecord:
 		s.segments[i].lastIndex = max(s.segments[i].lastIndex, r.index)
 		return c.applyEntry(Entry{Index: r.index, Data: r.data})
--- a/internal/store/memfs.go
+++ b/internal/store/memfs.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"io"
 	"io/fs"
+	"maps"
+	"math/rand/v2"
 	"path"
 	"slices"
 	"strings"
@@ -51,6 +53,64 @@
 	m.syncErr = nil
 }
 
+// Copy returns a copy for another process, which finds the files as the one before left them when
+// it was killed: what was not synced is there, and may still be lost in a power loss.
+func (m *Mem) Copy() *Mem {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	copies := make(map[*memFile]*memFile)
+	clone := func(files map[string]*memFile) map[string]*memFile {
+		to := make(map[string]*memFile, len(files))
+		for name, f := range files {
+			if copies[f] == nil {
+				copies[f] = &memFile{data: slices.Clone(f.data), synced: slices.Clone(f.synced), truncated: f.truncated}
+			}
+			to[name] = copies[f]
+		}
+		return to
+	}
+	return &Mem{files: clone(m.files), durable: clone(m.durable)}
+}
+
+// CopyAfterPowerLoss returns a copy as a power loss may leave it. Of each file a random part of what
+// was written since its last sync is kept, and may have a gap. Each name that was created, renamed or
+// removed since its folder was synced is randomly as before or after that.
+func (m *Mem) CopyAfterPowerLoss(r *rand.Rand) *Mem {
+	c := m.Copy()
+	names := slices.Sorted(maps.Keys(c.files))
+	for name := range c.durable {
+		if c.files[name] == nil {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	kept := make(map[string]*memFile)
+	for _, name := range names {
+		f := c.files[name]
+		if before := c.durable[name]; before != f && r.IntN(2) == 0 {
+			f = before
+		}
+		if f != nil {
+			data := f.afterPowerLoss(r)
+			kept[name] = &memFile{data: data, synced: slices.Clone(data)}
+		}
+	}
+	return &Mem{files: kept, durable: cloneFiles(kept)}
+}
+
+// afterPowerLoss returns what a power loss may leave of a file.
+func (f *memFile) afterPowerLoss(r *rand.Rand) []byte {
+	if !bytes.HasPrefix(f.data, f.synced) {
+		return slices.Clone([][]byte{f.data, f.synced}[r.IntN(2)])
+	}
+	data := slices.Clone(f.data[:len(f.synced)+r.IntN(len(f.data)-len(f.synced)+1)])
+	if rest := data[len(f.synced):]; len(rest) > 0 && r.IntN(2) == 0 {
+		from := r.IntN(len(rest))
+		clear(rest[from : from+r.IntN(len(rest)-from)+1])
+	}
+	return data
+}
+
 // SetRoom limits how many bytes can still be written before the disk is full.
 func (m *Mem) SetRoom(bytes int) {
 	m.mu.Lock()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -78,6 +78,8 @@
 	number uint64
 	// lastIndex is the highest index of an entry in the segment.
 	lastIndex uint64
+	// hasState is set if the segment was loaded and a state was in it.
+	hasState bool
 }
 
 // Open locks a folder and reads its contents. Corruption of synced data is a *DamageError; an
