store: a new data folder is durable

What would be lost: the folder of the log is created within the data folder of the instance at its first start. A name that was created without a sync of its folder may be lost with the power, and all that had been synced in it with it.

Cause: Open created the folder and synced only the names within it.

Change: Open syncs the parent too. Syncing a folder of the file system in memory no longer drops what lies in folders below it.

--- a/internal/store/memfs.go
+++ b/internal/store/memfs.go
@@ -8,7 +8,6 @@
 	"math/rand/v2"
 	"path"
 	"slices"
-	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -215,7 +214,7 @@
 	}
 	durable := cloneFiles(m.durable)
 	for name := range durable {
-		if strings.HasPrefix(name, path.Clean(dir)+"/") {
+		if path.Dir(name) == path.Clean(dir) {
 			delete(durable, name)
 		}
 	}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -88,6 +88,10 @@
 	if err := fs.MkdirAll(dir); err != nil {
 		return nil, nil, errors.Wrapf(err, "create data folder %s", dir)
 	}
+	// Without this a power loss may take a folder that was just created, with all that is in it.
+	if err := fs.SyncDir(path.Dir(path.Clean(dir))); err != nil {
+		return nil, nil, errors.Wrapf(err, "sync the parent of data folder %s", dir)
+	}
 	lock, err := fs.Lock(path.Join(dir, lockName))
 	if err != nil {
 		return nil, nil, errors.Wrapf(err, "lock data folder %s", dir)
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -216,6 +216,27 @@
 	}
 }
 
+// syncsFS records which folders are synced.
+type syncsFS struct {
+	*Mem
+	synced []string
+}
+
+func (f *syncsFS) SyncDir(dir string) error {
+	f.synced = append(f.synced, dir)
+	return f.Mem.SyncDir(dir)
+}
+
+// TestNewFolderIsDurable guards against a folder that a power loss takes after it was created, with all
+// that was synced in it.
+func TestNewFolderIsDurable(t *testing.T) {
+	fs := &syncsFS{Mem: &Mem{}}
+	s, _, err := Open(fs, "/data/log")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Assert(t, fs.synced, quicktest.Contains, "/data")
+	quicktest.Assert(t, s.Close(), quicktest.IsNil)
+}
+
 // TestCoveredSegmentsAreRemoved guards against segments that stay although a snapshot covers them,
 // and against the removal of segments that are still needed.
 func TestCoveredSegmentsAreRemoved(t *testing.T) {
