--- a/internal/quorum/disk.go
+++ b/internal/quorum/disk.go
@@ -76,9 +76,18 @@
 		}
 		d.logBytes += len(e.Data)
 	}
+	out.dropReplaced()
 	return out, nil
 }
 
+// dropReplaced drops the entries of a log that the snapshot has replaced as a whole, if their segment
+// was not removed before a crash or its removal was lost in one. The terms in a log never fall.
+func (p *PersistentState) dropReplaced() {
+	if len(p.Entries) > 0 && p.Entries[0].Term < p.Snapshot.Term {
+		p.Entries = nil
+	}
+}
+
 // decodeOptional decodes b into v, or leaves v as it is if b is nil.
 func decodeOptional(b []byte, v any) error {
 	if b == nil {
