link, hub: a fresh entry counts only voters that have applied their whole log

What callers would see: after a loss of power an entry that starts anew may route by tables, targets and evacuations older than what was acknowledged, until it is linked to a leader. A target whose drain was acknowledged gets requests.

Cause: an entry took the registry for confirmed once more than half of the control instances had sent theirs, as a committed change were known to one of them. That is so of their logs, not of their registries: - an instance that lost its disk counted, though it has nothing; - so did one that is being added and is still catching up; - a replica learns only with a later message, and stores up to 0.5 s later, that an entry is committed. When all lose power right after an acknowledgement none of them has applied the change until there is a leader.

Change: a control instance names the voters in its first message if it is one of them and has applied all commands in its log. Only those count, and they must be a majority of the voters that each of them names. A replica applies what it knows to be committed at its start, and not a tick later. Its status is published before it acknowledges what it describes. An entry beside control instances of the former build waits for the leader. The stand-in for control instances in the tests of the link names its voters, too.

--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -41,6 +41,10 @@
 	former map[string]bool
 	// loadReader is given to control instances that start from now on.
 	loadReader LoadReader
+	// voters is the number of voting control instances; 0 means one for each seed. wrapDisk returns the
+	// file system on a disk; nil means the disk itself.
+	voters   int
+	wrapDisk func(addr string, disk *store.Mem) store.FS
 	// processors holds the processors of the control instances, by peer address. Those that have none are
 	// never busy.
 	processors map[string]*processor
@@ -262,10 +266,17 @@
 func (cl *cluster) startControl(addr string, disk *store.Mem, bootstrap bool) *controlNode {
 	local := &wire.Server{}
 	dial := cl.net.Dialer(addr)
+	voters, fs := cl.voters, store.FS(disk)
+	if voters == 0 {
+		voters = min(5, max(3, len(cl.seeds)))
+	}
+	if cl.wrapDisk != nil {
+		fs = cl.wrapDisk(addr, disk)
+	}
 	pool := &wire.Pool{Self: addr, Local: local}
 	c := &controlNode{disk: disk, done: make(chan struct{}), Server: &Server{
-		Name: addr, DataCentre: "dc-a", PeerAddr: addr, SeedAddrs: cl.seeds, Bootstrap: bootstrap, Voters: min(5, max(3, len(cl.seeds))),
-		Seed: 1, DataDir: "/data", FS: disk, Calls: pool, LoadReader: cl.loadReader, Log: discardLogger(), Metrics: metrics.NewRegistry(),
+		Name: addr, DataCentre: "dc-a", PeerAddr: addr, SeedAddrs: cl.seeds, Bootstrap: bootstrap, Voters: voters,
+		Seed: 1, DataDir: "/data", FS: fs, Calls: pool, LoadReader: cl.loadReader, Log: discardLogger(), Metrics: metrics.NewRegistry(),
 	}}
 	pool.Dial = func(ctx context.Context, to string) (net.Conn, error) {
 		c.dials.Add(1)
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -189,10 +189,10 @@
 			return nil
 		}
 		s.Log.Error().Err(err).Str("folder", s.DataDir).Msg("replica of the replicated log failed; restarting it")
-		s.registry.Reset()
 		s.mu.Lock()
 		s.node = s.newNode()
 		s.mu.Unlock()
+		s.registry.Reset()
 		select {
 		case <-ctx.Done():
 			return nil
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -87,7 +87,12 @@
 func (s *Server) newWelcome(sess *session, leading bool) *link.ControlMessage {
 	m := &link.ControlMessage{Welcome: s.describeControl(leading)}
 	sess.toldLeader = m.Welcome.LeaderAddr
-	s.addUpdate(sess, m)
+	n := s.replica()
+	voters := n.CompleteVoters()
+	// The registry is emptied when the replica is replaced.
+	if s.addUpdate(sess, m) && n == s.replica() {
+		m.Welcome.Voters = voters
+	}
 	s.loads.fill(sess, m)
 	return m
 }
@@ -130,10 +135,10 @@
 }
 
 // addUpdate adds the registry changes that an instance lacks to a message. Control
-// instances get none, as they replicate the log.
-func (s *Server) addUpdate(sess *session, m *link.ControlMessage) {
+// instances get none, as they replicate the log. It returns false if they could not be encoded.
+func (s *Server) addUpdate(sess *session, m *link.ControlMessage) bool {
 	if sess.hello.IsControl {
-		return
+		return true
 	}
 	s.addEvacuations(sess, m)
 	if m.Update == nil {
@@ -142,12 +147,13 @@
 	d, err := s.registry.DeltaSince(m.Since, sess.hello.Compact)
 	if err != nil {
 		s.Log.Error().Err(err).Str("peer", sess.hello.Name).Msg("registry update not sent")
-		return
+		return false
 	}
 	if d.Revision > sess.sentRevision {
 		sess.sentRevision = d.Revision
 		m.Update = &d
 	}
+	return true
 }
 
 // minPushInterval is the shortest time between two registry updates to an instance. When a
--- a/internal/link/client.go
+++ b/internal/link/client.go
@@ -121,9 +121,9 @@
 	// one of a leader was; that is the time of the start before there was one.
 	lastReceived   time.Time
 	lastFromLeader time.Time
-	// heard are the control instances that have sent their registry since the start, until
-	// confirmed is set.
-	heard     map[string]bool
+	// heard holds the Welcome.Voters of the control instances that have named any since the start,
+	// until confirmed is set.
+	heard     map[string][]string
 	confirmed bool
 	// notLeading is when each control instance last answered without leading.
 	notLeading map[string]time.Time
@@ -349,8 +349,10 @@
 }
 
 // confirm notes that a control instance has sent its registry, and reports whether the updates
-// received so far are confirmed: by the leader, or by a majority of the control instances.
-// Each committed change is known to at least one instance of any majority.
+// received so far are confirmed: by the leader, or by a majority of the voting control instances.
+// Each committed change is in the log of at least one voter of any majority. An instance doesn't count
+// if it has lost its disk, or if its registry lacks a part of its log, as after a restart. Instances
+// that name different voters count only if they are a majority for each of them.
 func (c *Client) confirm(addr string, w *Welcome) bool {
 	c.mu.Lock()
 	if c.confirmed {
@@ -358,11 +360,12 @@
 		return true
 	}
 	if c.heard == nil {
-		c.heard = make(map[string]bool)
+		c.heard = make(map[string][]string)
 	}
-	c.heard[addr] = true
-	// A control instance with an empty disk names none.
-	c.confirmed = w.IsLeader || len(w.ControlAddrs) > 0 && 2*len(c.heard) > len(w.ControlAddrs)
+	if len(w.Voters) > 0 {
+		c.heard[addr] = w.Voters
+	}
+	c.confirmed = w.IsLeader || c.hasHeardMajorityLocked()
 	confirmed, heard := c.confirmed, len(c.heard)
 	c.mu.Unlock()
 	if confirmed {
@@ -372,6 +375,23 @@
 	return confirmed
 }
 
+// hasHeardMajorityLocked reports whether the instances in heard are a majority of the voters that each of
+// them names. The caller holds mu.
+func (c *Client) hasHeardMajorityLocked() bool {
+	for _, voters := range c.heard {
+		count := 0
+		for _, v := range voters {
+			if c.heard[v] != nil {
+				count++
+			}
+		}
+		if 2*count <= len(voters) {
+			return false
+		}
+	}
+	return len(c.heard) > 0
+}
+
 // Reset ends the link, so that another one brings what the follower has missed.
 func (c *Client) Reset() {
 	c.mu.Lock()
--- a/internal/link/client_test.go
+++ b/internal/link/client_test.go
@@ -79,6 +79,7 @@
 	for k := range n {
 		w.ControlAddrs = append(w.ControlAddrs, controlAddr(k))
 	}
+	w.Voters = w.ControlAddrs
 	if err := st.Send(&ControlMessage{Welcome: &w}); err != nil {
 		return err
 	}
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -179,6 +179,9 @@
 	// Term is the term of the log in which the sender doesn't lead, or in which LeaderAddr does; 0 if
 	// it isn't known, as with older builds.
 	Term uint64 `cbor:"4,keyasint,omitempty"`
+	// Voters are the peer addresses of the control instances that vote, if the sender is one of them and
+	// its registry has all that is in its log; otherwise, and from older builds, there are none.
+	Voters []string `cbor:"5,keyasint,omitempty"`
 }
 
 // ControlMessage is a message from a control instance. Every message counts as a heartbeat
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -366,6 +367,16 @@
 	}
 }
 
+// hasAllApplied reports whether this replica votes and the command of each entry in its log has been
+// applied, if the newest applied entry is at index. A committed entry is in the logs of a majority of the
+// voters, but each may learn only later that it is committed.
+func (c *Core) hasAllApplied(index uint64) bool {
+	if !c.config.isVoter(c.id) || index < c.log.baseIndex {
+		return false
+	}
+	return !slices.ContainsFunc(c.log.entriesBetween(index+1, c.log.lastIndex()), func(e Entry) bool { return e.Kind == Command })
+}
+
 func (c *Core) append(k Kind, data []byte) uint64 {
 	e := Entry{Index: c.log.lastIndex() + 1, Term: c.term, Kind: k, Data: data}
 	c.log.replaceFrom([]Entry{e})
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -89,6 +89,8 @@
 	Status
 	// uninitialised is set while this replica has never had a snapshot or a log entry.
 	uninitialised bool
+	// hasAllApplied is Core.hasAllApplied.
+	hasAllApplied bool
 }
 
 // waiter is the proposer of the entry with the given term at an index.
@@ -206,6 +208,10 @@
 func (n *Node) loop(ctx context.Context) error {
 	tick := time.NewTicker(n.Timing.HeartbeatInterval / ticksPerHeartbeat)
 	defer tick.Stop()
+	// What is known to be committed is applied before the first tick.
+	if err := n.processEvents(); err != nil {
+		return err
+	}
 	for {
 		select {
 		case <-ctx.Done():
@@ -294,6 +300,8 @@
 			return errors.Wrap(err, "write replica data")
 		}
 		n.core.Synced()
+		// What is acknowledged may be committed at once, and the status must not be older than that.
+		n.publishStatus()
 		n.send(o.AfterSync)
 		if err := n.apply(o); err != nil {
 			return err
@@ -395,7 +403,9 @@
 // publishStatus makes the current status visible to other goroutines, and logs a change
 // of leader or term.
 func (n *Node) publishStatus() {
-	next := &nodeStatus{Status: n.core.Status(), uninitialised: n.disk.uninitialised}
+	next := &nodeStatus{
+		Status: n.core.Status(), uninitialised: n.disk.uninitialised, hasAllApplied: n.core.hasAllApplied(n.appliedIndex),
+	}
 	last := n.status.Swap(next)
 	if last.Leader != next.Leader || last.Term != next.Term {
 		n.Log.Info().Uint64("term", next.Term).Str("leader", n.replicaAddr(next.Leader)).Msg("control leader or term changed")
--- a/internal/quorum/propose.go
+++ b/internal/quorum/propose.go
@@ -84,6 +84,23 @@
 	return Status{}
 }
 
+// CompleteVoters returns the addresses of the group's voters if this replica is one of them and its
+// StateMachine has applied all commands in its log; otherwise it returns nil. Of what was committed, all is
+// in one such StateMachine of any majority.
+func (n *Node) CompleteVoters() []string {
+	st := n.status.Load()
+	if st == nil || !st.hasAllApplied {
+		return nil
+	}
+	var addrs []string
+	for _, r := range st.Config.Replicas {
+		if r.Voter {
+			addrs = append(addrs, r.Addr)
+		}
+	}
+	return addrs
+}
+
 // Propose commits a command, locally or through the leader, and returns the result of
 // applying it. It retries until ctx ends while no leader accepts the command.
 func (n *Node) Propose(ctx context.Context, cmd []byte) ([]byte, error) {
