quorum: the silence of a former leader counts from its last message

What would be seen: a control instance is replaced by one at another address. If it led, the group had a voter less for up to 3.7 s, and a loss of another disk then leaves it without a majority for good. An instance counts as lost for 4 s.

Cause: a new leader took all voters for alive at its election, so that the former leader, whose silence had led to it, was replaced two election timeouts later.

Change: a leader counts the silence of the one before from its last message. Checks of the leader's majority and its lease use replies only, as before.

Result: TestLearnerReplacesSilentLeader failed before the change and passes with it.

--- a/internal/quorum/change.go
+++ b/internal/quorum/change.go
@@ -10,7 +10,7 @@
 // maxPromotionLag is how many entries a learner may lack when it becomes a voter.
 const maxPromotionLag = 64
 
-// In a group that manages its members itself, a voter that has not replied for
+// In a group that manages its members itself, a voter that has given no sign of life for
 // replaceAfterTimeouts election timeouts is replaced if a learner has caught up, and a
 // learner that has not replied for removeAfterTimeouts election timeouts is removed.
 const (
@@ -176,7 +176,7 @@
 		if r.ID == c.id || p == nil {
 			continue
 		}
-		silence := c.now - p.lastReply
+		silence := c.now - p.lastSign
 		switch {
 		case r.Voter && silence > replaceAfterTimeouts*c.timing.ElectionTimeout:
 			silentVoter = r
--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -125,7 +125,9 @@
 	// lastLeaderContact is when this replica last received a message from a leader. It grants
 	// no votes until an election timeout after that.
 	lastLeaderContact time.Duration
-	restart           restart
+	// lastLeader is the leader that sent that message; 0 if there was none since the start.
+	lastLeader ID
+	restart    restart
 	// timerDue is when the next election or heartbeat is due.
 	timerDue time.Duration
 	votes    map[ID]bool
--- a/internal/quorum/elect.go
+++ b/internal/quorum/elect.go
@@ -180,7 +180,7 @@
 	if c.role != follower || c.leader != m.From {
 		c.becomeFollower(m.From)
 	}
-	c.lastLeaderContact, c.restart.pending = c.now, false
+	c.lastLeader, c.lastLeaderContact, c.restart.pending = m.From, c.now, false
 	c.resetElectionTimer()
 	return true
 }
@@ -192,6 +192,10 @@
 	c.votes, c.restart.pending = nil, false
 	c.peers = make(map[ID]*progress)
 	c.syncPeers()
+	if p := c.peers[c.lastLeader]; p != nil {
+		// Its silence led to the election.
+		p.lastSign = c.lastLeaderContact
+	}
 	c.append(Noop, nil)
 	c.timerDue = c.now
 	c.tickLeader()
--- a/internal/quorum/progress.go
+++ b/internal/quorum/progress.go
@@ -19,6 +19,9 @@
 	ackedSendTime time.Duration
 	// lastReply is when the peer's newest reply arrived.
 	lastReply time.Duration
+	// lastSign is when the peer last gave a sign of life: that reply, or what it sent as the leader
+	// before.
+	lastSign time.Duration
 	// outgoing is the snapshot that is being sent, or nil.
 	outgoing *outgoingSnapshot
 }
@@ -34,7 +37,7 @@
 		if r.ID == c.id || c.peers[r.ID] != nil {
 			continue
 		}
-		c.peers[r.ID] = &progress{next: c.log.lastIndex() + 1, probing: true, ackedSendTime: distantPast, lastReply: c.now}
+		c.peers[r.ID] = &progress{next: c.log.lastIndex() + 1, probing: true, ackedSendTime: distantPast, lastReply: c.now, lastSign: c.now}
 	}
 }
 
@@ -53,7 +56,7 @@
 
 // recordReply records that a peer replied to a message sent at the given time.
 func (c *Core) recordReply(p *progress, sent time.Duration) {
-	p.lastReply = c.now
+	p.lastReply, p.lastSign = c.now, c.now
 	p.ackedSendTime = max(p.ackedSendTime, sent)
 }
 
--- a/internal/quorum/voters_test.go
+++ b/internal/quorum/voters_test.go
@@ -90,6 +90,26 @@
 	})
 }
 
+// TestLearnerReplacesSilentLeader guards against a leader that fell silent and is replaced later than another
+// voter would be, as if its silence had begun with the election: until then the group has a voter less, and
+// can't bear the loss that comes next.
+func TestLearnerReplacesSilentLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newAutoGroup(t, 3, 4)
+		defer g.close()
+		g.waitConfig("three voters and a learner", func(c Config) bool { return c.VoterCount() == 3 && len(c.Replicas) == 4 })
+		lost := g.leader()
+		timeout := g.replicas[lost].node.Timing.ElectionTimeout
+		g.isolate(lost)
+		// The last addition is for two changes of the members, each made at a heartbeat.
+		time.Sleep(replaceAfterTimeouts*timeout + timeout/2)
+		c := g.replicas[g.leader(lost)].node.Status().Config
+		_, has := c.FindAddr(lost)
+		quicktest.Check(t, has, quicktest.IsFalse, quicktest.Commentf("members are %+v", c.Replicas))
+		g.heal(lost)
+	})
+}
+
 // follower returns the address of a voter that does not lead.
 func (g *testGroup) follower() string {
 	lead := g.leader()
