soak: targets that fall silent and go on, and answers given up meanwhile

What callers saw: answers that had begun were cut off after 1.6 s without an event, though their engine went on 0.2 s later. The soak missed it: it silences connections for good, cuts off processes of the site but not targets, and its only streaming route had a target of 1 s, so that entries waited 3.2 s.

Some, most or all targets now fall silent for 1.3 to 1.9 s and go on, on open and new connections, with and without their announcements, from a random source of their own: the other faults of a seed are as before. New promise "silence": while the caller still waits (the next event of a stream: the longest of 2 s, four times the target for the first event and eight times that for pauses; a plain answer: the time limit) an answer isn't cut off or replaced by 500, 502 or 504 if a target executes it, and nothing but silence has befallen the entry and the targets that did. That what may run once doesn't run again and that refused requests never run was checked already.

So that a silence meets answers in progress and uses up retries, events come every 50 ms instead of 20, the route's targets are 500 and 250 ms, and the retry slack is 15 in 10 s for all entries, which is that of large sites for each one. The bounds on drains and limits don't apply right after a silence, as it delays requests.

TestAnswerGivenUp fails if the conditions on executions, patience or targets, or the check itself are taken out.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -51,6 +52,8 @@
 	entries       []string
 	lookupExpires time.Time
 	sent          int
+	// began is when the present attempt was sent, lastEventAt when its last event came, or began.
+	began, lastEventAt time.Time
 }
 
 // Run sends requests until ctx ends.
@@ -82,7 +85,7 @@
 		return false
 	}
 	route := routes()[c.rng.IntN(len(routes()))]
-	a := &attempt{kind: route.Kind, path: route.Prefix + fmt.Sprint(c.rng.IntN(1000)), organisation: organisation}
+	a := &attempt{kind: route.Kind, path: route.Prefix + fmt.Sprint(c.rng.IntN(1000)), organisation: organisation, patience: patience(route)}
 	call := gate.CallInfo{Key: apiKey, TimeLimit: requestTimeout}
 	if route.Kind == site.Streaming {
 		call.PromptTokens, call.MaxOutputTokens = shortPrompt, 400
@@ -134,12 +137,13 @@
 func (c *Caller) sendAttempt(ctx context.Context, entry string, a *attempt, call gate.CallInfo) time.Duration {
 	c.sent++
 	call.ID = fmt.Sprintf("%x-%d-%d", c.Seed, c.Index, c.sent)
-	a = &attempt{kind: a.kind, path: a.path, organisation: a.organisation, body: "body of " + call.ID}
+	a = &attempt{kind: a.kind, path: a.path, organisation: a.organisation, patience: a.patience, body: "body of " + call.ID}
 	c.Recorder.RecordSent(call.ID, a)
 	// A request that is still open after this time has missed its time limit.
 	attemptCtx, cancel := context.WithTimeout(ctx, requestTimeout+timeoutSlack)
 	defer cancel()
-	began := time.Now()
+	c.began = time.Now()
+	c.lastEventAt = c.began
 	resp, err := c.client.Do(attemptCtx, entry, &hop.Request{
 		Method: http.MethodPost, URI: a.path, Host: hostName, Header: platform.EncodeCall(call), Body: []byte(a.body),
 	})
@@ -147,16 +151,25 @@
 		defer func() { resp.Close(err == nil) }()
 		var retry time.Duration
 		if retry, err = c.checkResponse(resp, a, call); err == nil {
+			if code := resp.StatusCode; code >= http.StatusInternalServerError && code != http.StatusServiceUnavailable {
+				c.checkGivenUp(entryHost(entry), call.ID, "status "+strconv.Itoa(code), a)
+			}
 			return retry
 		}
 	}
-	c.recordFailure(ctx, entry, call.ID, began, err)
+	c.recordFailure(ctx, entry, call.ID, a, err)
 	return -1
 }
 
-// recordFailure classifies an attempt that got no complete response.
-func (c *Caller) recordFailure(ctx context.Context, entry, id string, began time.Time, err error) {
+// entryHost returns the IP of the process behind the address of an entry.
+func entryHost(entry string) string {
 	host, _, _ := strings.Cut(entry, ":")
+	return processAddrOf(host)
+}
+
+// recordFailure classifies an attempt that got no complete response.
+func (c *Caller) recordFailure(ctx context.Context, entry, id string, a *attempt, err error) {
+	began, host := c.began, entryHost(entry)
 	var unreachable *engine.Unreachable
 	var malformed *engine.Garbled
 	switch {
@@ -167,11 +180,12 @@
 		c.Recorder.AddViolation("whole", "request %s got a malformed response: %v", id, err)
 	case time.Since(began) >= requestTimeout+timeoutSlack:
 		c.Recorder.CountOutcome("no end")
-		if c.CheckTimeBounds && c.Disturbances.IsUndisturbed(began, processAddrOf(host), controlPlaneName) {
+		if c.CheckTimeBounds && c.Disturbances.IsUndisturbed(began, host, controlPlaneName) {
 			c.Recorder.AddViolation("time limit", "request %s to %s was still open after its time limit: %v", id, entry, err)
 		}
 	default:
 		c.Recorder.CountOutcome("cut")
+		c.checkGivenUp(host, id, err.Error(), a)
 		if c.Direct && c.Disturbances.IsUndisturbed(began, unplannedName) && time.Since(began) < requestTimeout {
 			c.Recorder.AddViolation("planned stop", "request %s was cut off at %s after %.3f s: %v", id, entry, time.Since(began).Seconds(), err)
 		}
@@ -239,5 +253,6 @@
 			c.Recorder.AddViolation("order", "the stream of request %s has event %d after event %d: %q", call.ID, ev.ID, last, ev.Raw)
 			return -1, nil
 		}
+		c.lastEventAt = time.Now()
 	}
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -75,7 +75,7 @@
 	case Reload:
 		s.reload(f)
 	case SetMode:
-		defer s.disturbances.Begin(unplannedName)()
+		defer s.disturbances.Begin(unplannedName, f.Target.ProcessHost())()
 		f.Target.SetMode(f.Mode)
 		time.Sleep(f.Duration)
 		f.Target.SetMode(Healthy)
@@ -214,7 +214,7 @@
 			return
 		}
 		defer f.Target.faultMu.Unlock()
-		defer s.disturbances.Begin(unplannedName)()
+		defer s.disturbances.Begin(unplannedName, f.Target.ProcessHost())()
 		f.Target.Crash()
 		time.Sleep(f.Downtime)
 		s.startTarget(f.Target, f.KeepID)
--- a/internal/soak/limit.go
+++ b/internal/soak/limit.go
@@ -60,12 +60,12 @@
 
 // countRequest counts a request of an entry that must keep to the limit. It returns how many
 // have come within limitWindow and how many are allowed.
-func (l *requestLimit) countRequest(entry string, d *Disturbances) (count, allowed int) {
+func (l *requestLimit) countRequest(entry, silenceName string, d *Disturbances) (count, allowed int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	told, ok := l.told[entry]
-	if !ok || now.Sub(told) < limitTold || now.Sub(l.firstNamed) < limitContact || !d.IsUndisturbed(told, entry) {
+	if !ok || now.Sub(told) < limitTold || now.Sub(l.firstNamed) < limitContact || !d.IsUndisturbed(told, entry, silenceName) {
 		return 0, 0
 	}
 	l.arrivals = append(l.arrivals, now)
@@ -77,7 +77,7 @@
 
 // checkLimit reports a request beyond the limit that the target names.
 func (t *Target) checkLimit(id, entry string) {
-	if count, allowed := t.limit.countRequest(entry, t.Disturbances); t.CheckTimeBounds && count > allowed {
+	if count, allowed := t.limit.countRequest(entry, t.silenceName(), t.Disturbances); t.CheckTimeBounds && count > allowed {
 		t.Recorder.AddViolation("limit", "request %s to %s from %s is number %d in %s, allowed are %d", id, t.Name(), entry, count, limitWindow, allowed)
 	}
 }
--- a/internal/soak/process.go
+++ b/internal/soak/process.go
@@ -90,7 +90,8 @@
 	s := conf.Process{
 		Name: p.Name(), DataCentre: p.DataCentre(), Peers: p.ProxyAddr(peersPort), Metrics: p.ProxyAddr(metricsPort), Directory: p.ProxyAddr(directoryPort),
 		Bind: p.ProcessHost(), Seeds: p.Seeds, First: first, Losses: 1, Grace: table.Duration(stopGrace), Memory: 256, Log: "info",
-		Repeats: conf.Repeats{Ratio: 0.2, Slack: 100, Window: table.Duration(10 * time.Second)},
+		// Few retries for each entry, so that silent targets use them up as on large sites.
+		Repeats: conf.Repeats{Ratio: 0.2, Slack: 15, Window: table.Duration(10 * time.Second)},
 	}
 	if p.Role == Control {
 		s.Control, s.Data = p.ProxyAddr(controlPort), p.dataDir()
--- a/internal/soak/recorder.go
+++ b/internal/soak/recorder.go
@@ -33,8 +33,10 @@
 	kind         site.Kind
 	path, body   string
 	organisation string
-	refused      bool
-	executions   []execution
+	// patience is how long the caller waits for the next event, or for a plain answer.
+	patience   time.Duration
+	refused    bool
+	executions []execution
 }
 
 // execution is one execution of an attempt at a target.
@@ -42,6 +44,8 @@
 	// seal is the unique tag of the execution, which its answer carries. Callers use it to
 	// match an answer to its execution.
 	target, seal string
+	// host is the IP of the target.
+	host string
 	// answer is the whole body of a plain answer, events the number of events of a stream.
 	answer string
 	events int64
@@ -125,6 +129,16 @@
 	return execution{}, false
 }
 
+// executingHosts returns the IPs of the targets that have executed an attempt.
+func (rec *Recorder) executingHosts(id string) (hosts []string) {
+	rec.mu.Lock()
+	defer rec.mu.Unlock()
+	for _, r := range rec.attempts[id].executions {
+		hosts = append(hosts, r.host)
+	}
+	return hosts
+}
+
 // CountOutcome counts a request under its outcome.
 func (rec *Recorder) CountOutcome(outcome string) {
 	rec.mu.Lock()
--- a/internal/soak/site.go
+++ b/internal/soak/site.go
@@ -214,19 +214,20 @@
 	return ctx.Err()
 }
 
-// disturbAll injects the faults of the seed while targets name limits. The faults don't depend
-// on the limits.
+// disturbAll injects the faults of the seed while targets name limits, and fall silent and go on. The
+// faults don't depend on either.
 func (s *Site) disturbAll(ctx context.Context) {
-	limitCtx, endLimits := context.WithCancel(ctx)
-	var limits sync.WaitGroup
-	limits.Go(func() { s.varyLimits(limitCtx, rand.New(rand.NewPCG(s.Seed, 1))) })
+	targetCtx, endTargets := context.WithCancel(ctx)
+	var targets sync.WaitGroup
+	targets.Go(func() { s.varyLimits(targetCtx, rand.New(rand.NewPCG(s.Seed, 1))) })
+	targets.Go(func() { s.varySilences(targetCtx, rand.New(rand.NewPCG(s.Seed, 2))) })
 	var replacement sync.WaitGroup
 	replacement.Go(func() { s.replaceBuilds(ctx) })
 	rng := newRand(s.Seed)
 	s.InjectFaults(ctx, rng, s.DrawFaults(rng, s.Length, s.PlannedOnly))
 	replacement.Wait()
-	endLimits()
-	limits.Wait()
+	endTargets()
+	targets.Wait()
 }
 
 // checkRecovery checks that the site serves again after the last fault and that every
--- a/internal/soak/tables.go
+++ b/internal/soak/tables.go
@@ -24,7 +24,7 @@
 	share := func(pool string) []site.PoolWeight { return []site.PoolWeight{{Pool: pool, Weight: 1}} }
 	return []site.Route{
 		{
-			Name: "ask", Host: hostName, Prefix: "/ask/", Kind: site.Streaming, Limit: requestTimeout, Aim: time.Second, Pause: 500 * time.Millisecond,
+			Name: "ask", Host: hostName, Prefix: "/ask/", Kind: site.Streaming, Limit: requestTimeout, Aim: 500 * time.Millisecond, Pause: 250 * time.Millisecond,
 			Attempts: 3, Resumable: true, Split: share(enginePool),
 		},
 		{Name: "file", Host: hostName, Prefix: "/file/", Kind: site.NonIdempotent, Limit: requestTimeout, Aim: 300 * time.Millisecond, Attempts: 2, Split: share(plainPool)},
@@ -32,6 +32,14 @@
 	}
 }
 
+// patience returns how long the caller of a route waits for the next event, or for a plain answer.
+func patience(r site.Route) time.Duration {
+	if r.Kind != site.Streaming {
+		return r.Limit
+	}
+	return max(minPatience, 4*r.Aim, 8*r.Pause)
+}
+
 // tables returns the tables of a version. Each version adds a unique public route, which
 // shows a probe whether an entry uses that version.
 func tables(version int64) *site.Tables {
--- a/internal/soak/target.go
+++ b/internal/soak/target.go
@@ -53,7 +53,7 @@
 	// prefillRate is the prefill rate of an engine in tokens per second, eventInterval the
 	// time between the events of a stream.
 	prefillRate   = 500_000
-	eventInterval = 20 * time.Millisecond
+	eventInterval = 50 * time.Millisecond
 	// listenTimeout and listenInterval bound the attempts to listen at an address again.
 	listenTimeout  = 2 * time.Second
 	listenInterval = 10 * time.Millisecond
@@ -239,7 +239,7 @@
 	if call.Key != "" {
 		t.Recorder.AddViolation("unasked", "%s received the API key of the caller with request %s", announced.ID, call.ID)
 	}
-	executed := execution{target: announced.ID, seal: seal, answer: t.plainAnswer(call.ID, seal), events: eventCount(call.ID)}
+	executed := execution{target: announced.ID, host: t.ProcessHost(), seal: seal, answer: t.plainAnswer(call.ID, seal), events: eventCount(call.ID)}
 	t.Recorder.RecordExecution(call.ID, r.URL.RequestURI(), string(body), send.Organisation, executed)
 	x := &exchange{target: t, w: w, r: r, call: call, execution: executed, mode: mode}
 	if call.PromptTokens > 0 {
@@ -270,7 +270,7 @@
 func (t *Target) checkDrain(r *http.Request, id string, drainAckedAt time.Time) {
 	from := hostOf(r)
 	late := time.Since(drainAckedAt) - drainBound
-	if t.CheckTimeBounds && !drainAckedAt.IsZero() && late > 0 && t.Disturbances.IsUndisturbed(drainAckedAt, from, controlPlaneName) {
+	if t.CheckTimeBounds && !drainAckedAt.IsZero() && late > 0 && t.Disturbances.IsUndisturbed(drainAckedAt, from, controlPlaneName, t.silenceName()) {
 		t.Recorder.AddViolation("drain", "request %s reached draining %s from %s %.3f s too late", id, t.Name(), from, late.Seconds())
 	}
 }
