quorum: a replica with an empty disk asks the member that sends to it

What operators saw: a control instance that lost its disk gave no configuration for 12 s and more.

Cause: a replica without data asks only the members in its settings. The others go on sending to its address, as their configuration has the former replica there, and it drops these messages, as they are for that one. Ruled out: that the others don't reach it, or that the leader refuses; the test has a sound network and a group that manages its members, and fails alike.

Change: while a replica has no data it keeps the address of the last batch of a group, which the batch has always carried, and asks there, too. A follower passes that on to the leader, as before. Messages keep their form. Who has data, or may found a group, is not affected.

Left: a replica that comes back after a spare has taken its place gets no messages, so with no seed but itself it still has nobody to ask.

--- a/internal/quorum/bootstrap.go
+++ b/internal/quorum/bootstrap.go
@@ -132,12 +132,17 @@
 	return replicas, false
 }
 
-// requestJoin sends join requests to the initial members until this replica has a snapshot.
+// requestJoin sends join requests to the initial members, and to a member that still sends to a former
+// replica at this address, until this replica has a snapshot.
 func (n *Node) requestJoin(ctx context.Context) {
 	tick := time.NewTicker(helloInterval + rand.N(helloInterval))
 	defer tick.Stop()
 	for n.status.Load().uninitialised {
-		for _, addr := range n.InitialMembers {
+		addrs := n.InitialMembers
+		if contact := n.contact.Load(); contact != nil && !slices.Contains(addrs, *contact) {
+			addrs = append(slices.Clip(addrs), *contact)
+		}
+		for _, addr := range addrs {
 			if addr == n.Addr {
 				continue
 			}
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -82,6 +82,8 @@
 	// learnedAddrs holds the sender addresses of replicas that may not be in the
 	// configuration yet.
 	learnedAddrs map[ID]string
+	// contact is the address of the member of a group that last sent to this replica while it had no data.
+	contact atomic.Pointer[string]
 }
 
 // nodeStatus is the status that other goroutines read.
@@ -251,6 +253,9 @@
 	if group := n.core.Status().Config.GroupID; group != 0 && e.batch.GroupID != 0 && group != e.batch.GroupID {
 		return
 	}
+	if n.disk.uninitialised && e.batch.GroupID != 0 {
+		n.contact.Store(&e.batch.Addr)
+	}
 	for _, m := range e.batch.Messages {
 		n.learnedAddrs[m.From] = e.batch.Addr
 		n.core.Step(n.now(), m)
--- a/internal/quorum/voters_test.go
+++ b/internal/quorum/voters_test.go
@@ -157,6 +157,29 @@
 	})
 }
 
+// TestEmptyDiskJoinsThroughSender guards against a replica with an empty disk that stays out of the group
+// because the only initial member that it knows is itself, though members still send to its address.
+func TestEmptyDiskJoinsThroughSender(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newAutoGroup(t, 3, 3)
+		defer g.close()
+		g.waitConfig("three voters", func(c Config) bool { return c.VoterCount() == 3 })
+		g.mustPropose(g.leader(), "a")
+		lost := g.follower()
+		former := g.replicas[lost].node.Status().ID
+		g.crashReplica(lost)
+		g.replicas[lost].disk, g.replicas[lost].initial = &store.Mem{}, []string{lost}
+		g.joinExisting = true
+		g.start(lost)
+		g.waitConfig("three voters, one of them new", func(c Config) bool {
+			r, ok := c.FindAddr(lost)
+			return ok && r.Voter && r.ID != former && c.VoterCount() == 3
+		})
+		g.mustPropose(g.leader(), "b")
+		g.waitApplied(2, "b")
+	})
+}
+
 // TestEmptyDiskDoesNotCreateGroup guards against a second group: a founder that lost its
 // disk restarts while it can't reach the others. It must wait for them, and be added to
 // the existing group.
