gate: no other engine is tried as an event comes

A takeover's timer may expire just as the engine goes on. Its function then got the lock after goesOn had found no round to cancel, and began a round beside the engine that was writing: one send and one unit of the retry budget in vain, and the engine was reported as silent. Only the next event ended that round. Events were neither lost nor doubled: a claim waits for the first attempt and takes its last event (ruled out as a fault by the property tests).

A round now begins only while the first engine is waited for.

TestNoTrialBesideEvent: fails before (a round began), passes after.

--- a/internal/gate/silent_test.go
+++ b/internal/gate/silent_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -230,3 +231,23 @@
 		quicktest.Check(t, s.gate.buffers.used.Load(), quicktest.Equals, int64(0))
 	})
 }
+
+// TestNoTrialBesideEvent: when the wait for an event ends at the moment at which it comes, no other engine must
+// be tried.
+func TestNoTrialBesideEvent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, []script{closeConn, closeConn})
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		first := &stream{exchange: &exchange{server: s.gate, route: &s.tables.Routes[3], deadline: time.Now().Add(time.Minute)}}
+		next := newTakeover(ctx, first, &streamAttempt{target: s.targets[0].Target}, func() {})
+		quicktest.Assert(t, next.goesOn(), quicktest.IsTrue)
+		next.run()
+		quicktest.Assert(t, next.round, quicktest.IsNil)
+		next.await(time.Second)
+		time.Sleep(2 * time.Second)
+		next.mu.Lock()
+		defer next.mu.Unlock()
+		quicktest.Assert(t, next.round, quicktest.IsNotNil)
+	})
+}
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -31,6 +31,8 @@
 	mu sync.Mutex
 	// timer starts a round; it is stopped while an event is written to the caller.
 	timer *time.Timer
+	// awaiting is set while the first engine is waited for: the timer may expire as an event comes.
+	awaiting bool
 	// silence is how long the first engine may be silent before the next round, and sent its send as it was
 	// when that time began.
 	silence time.Duration
@@ -95,14 +97,14 @@
 // start starts the next round after the time silence without a new event. The caller holds mu.
 func (t *takeover) start(silence time.Duration) {
 	t.received, t.sent = t.first.received, t.attempt.send()
-	t.silence = silence
+	t.awaiting, t.silence = true, silence
 	t.timer.Reset(silence)
 }
 
 // run runs one round.
 func (t *takeover) run() {
 	t.mu.Lock()
-	if t.ended || t.claimed {
+	if t.ended || t.claimed || !t.awaiting {
 		t.mu.Unlock()
 		return
 	}
@@ -173,6 +175,7 @@
 		return false
 	}
 	t.timer.Stop()
+	t.awaiting = false
 	if t.round != nil {
 		t.round.cancelled = true
 		t.round.cancel()
