gate: test that an engine that lacks the next event ends no answer

An engine that is tried while another one is silent, and sends an event beyond the next one, must be dropped before it claims the answer.

--- a/internal/gate/silent_test.go
+++ b/internal/gate/silent_test.go
@@ -251,3 +251,21 @@
 		quicktest.Assert(t, next.round, quicktest.IsNotNil)
 	})
 }
+
+// TestGapEndsNoAnswer: an engine that lacks the next event must not end the answer of a silent one that goes on.
+func TestGapEndsNoAnswer(t *testing.T) {
+	for _, after := range []int{1, 2} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newTestbed(t, nil, []script{closeConn, closeConn})
+			firstThen(s, silentAfter(after, 1700*time.Millisecond), func(_ *fakeTarget, c net.Conn, q *http.Request) bool {
+				ev := eventText(4, 4)
+				_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", q.Header.Get("Id"), sealHeader, len(ev), ev)
+				return err == nil
+			})
+			res := s.call(resumableStreamPath, "prompt", "Left", "3000")
+			quicktest.Check(t, res.truncated, quicktest.IsFalse)
+			quicktest.Check(t, res.body, quicktest.Equals, eventText(1, 4))
+			quicktest.Check(t, s.requestCount(), quicktest.Equals, 2)
+		})
+	}
+}
