gate: a renewal of reserved memory without a response is repeated at once

Engines cut off an answer whose reserved memory expires.

A renewal that got no response is now repeated after 100 ms; one that the engine refused waits for the next interval as before. Silences of up to 1.9 s at the worst moment are outlasted, for engines that lose what is sent to them meanwhile.

TestSilenceEndsNoReservation: before, no renewal in 3.5 s; after, one.

--- a/internal/gate/reservation.go
+++ b/internal/gate/reservation.go
@@ -20,6 +20,8 @@
 	reservationTTL = 3500 * time.Millisecond
 	// renewInterval is how often a reservation in use is renewed.
 	renewInterval = 1200 * time.Millisecond
+	// renewRetryInterval is the pause before a renewal that got no response is repeated.
+	renewRetryInterval = 100 * time.Millisecond
 	// reservationTimeout bounds the wait for the response to a request to reserve or
 	// release.
 	reservationTimeout = 400 * time.Millisecond
@@ -112,17 +114,22 @@
 // renewUntilStopped renews the reservations until release is called.
 func (r *reservations) renewUntilStopped(ctx context.Context) {
 	defer close(r.done)
-	tick := time.NewTicker(renewInterval)
-	defer tick.Stop()
+	timer := time.NewTimer(renewInterval)
+	defer timer.Stop()
 	for {
 		select {
 		case <-r.stop:
 			return
-		case <-tick.C:
+		case <-timer.C:
 		}
+		next := renewInterval
 		if err := r.reserveAll(ctx, reservationTTL); err != nil {
 			r.server.Log.Warn().Str("id", r.requestID).Err(err).Msg("memory reservation not renewed")
+			if !errors.Is(err, errReservationRefused) {
+				next = renewRetryInterval
+			}
 		}
+		timer.Reset(next)
 	}
 }
 
--- a/internal/gate/silent_test.go
+++ b/internal/gate/silent_test.go
@@ -269,3 +269,34 @@
 		})
 	}
 }
+
+// TestSilenceEndsNoReservation: a reservation on a helper engine that does not respond for 1.9 s must be renewed
+// before it expires, which would end the answer.
+func TestSilenceEndsNoReservation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, nil)
+		s.addTarget("engines", 20, streamEvents(1, 0))
+		f := s.targets[0]
+		began := time.Now()
+		silentFrom := began.Add(renewInterval - 100*time.Millisecond)
+		dial := s.gate.TargetClient.Dial
+		s.gate.TargetClient.Dial = func(ctx context.Context, addr string) (net.Conn, error) {
+			if after := time.Since(silentFrom); after >= 0 && after < 1900*time.Millisecond {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
+			return dial(ctx, addr)
+		}
+		reserved, err := s.gate.reserve(t.Context(), "a1", []PrefillHelper{{Target: f.Target, ReservationID: "k", ReservedTokens: 5000}})
+		quicktest.Assert(t, err, quicktest.IsNil)
+		time.Sleep(time.Until(silentFrom))
+		s.gate.TargetClient.CloseIdle(f.Address)
+		time.Sleep(time.Until(began.Add(reservationTTL)))
+		f.mu.Lock()
+		renewed := len(f.orders)
+		f.mu.Unlock()
+		quicktest.Check(t, renewed, quicktest.Equals, 2)
+		reserved.release(t.Context())
+		time.Sleep(time.Second)
+	})
+}
