gate: the end of a trial of another engine is no time limit in the log

The log of a takeover whose first engine went on named "the time limit was reached" as the reason (outcome kept), which misleads a reader who looks for requests that ran out of time. It now says that another engine went on with the answer. Nothing else depends on the reason.

TestOtherEngineIsLeft: fails before on the log line, passes after.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -270,13 +270,17 @@
 	}
 }
 
-// endReason returns why the context of a request ended. A caller that disconnects also ends
+// endReason returns why the context of a request, or of its further sends, ended. A caller that disconnects also ends
 // the read from the target; that is no failure of the target.
 func (x *exchange) endReason() string {
-	if x.r.Context().Err() != nil {
+	switch {
+	case x.r.Context().Err() != nil:
 		return "the caller disconnected"
+	case x.timeLeft() > 0:
+		return otherEngineReason
+	default:
+		return "the time limit was reached"
 	}
-	return "the time limit was reached"
 }
 
 // abortConnection closes the caller's connection, so that it notices a truncated
--- a/internal/gate/silent_test.go
+++ b/internal/gate/silent_test.go
@@ -160,6 +160,7 @@
 		quicktest.Check(t, inFlight, quicktest.Equals, 0)
 		c := metrics.GetOrRegisterCounter(meter.Label("gate.takeovers", "outcome", keptOutcome), s.gate.Metrics)
 		quicktest.Check(t, c.Count(), quicktest.Equals, int64(1))
+		quicktest.Check(t, s.logs.String(), quicktest.Not(quicktest.Contains), "time limit")
 	})
 }
 
