--- a/internal/gate/takeover_test.go
+++ b/internal/gate/takeover_test.go
@@ -98,6 +98,8 @@
 type playedRun struct {
 	id         string
 	start, end time.Time
+	// refused is set if the target states that the request did not run.
+	refused bool
 }
 
 // next returns the behaviour for a request, which is at work until done is called.
@@ -108,7 +110,7 @@
 	if n := p.sends(id); n < len(p.plan) {
 		b = p.plan[n]
 	}
-	run := &playedRun{id: id, start: time.Now()}
+	run := &playedRun{id: id, start: time.Now(), refused: b.end == refuses}
 	p.runs = append(p.runs, run)
 	return b, func() {
 		p.mu.Lock()
@@ -128,6 +130,19 @@
 	return n
 }
 
+// ran returns how many requests may have run.
+func (p *playedTargets) ran() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, r := range p.runs {
+		if !r.refused {
+			n++
+		}
+	}
+	return n
+}
+
 // judge returns what is wrong with the sends of all calls once these have ended, or "". At most
 // atOnce targets may work on one request at the same time.
 func (p *play) judge(atOnce int) string {
@@ -292,7 +307,7 @@
 // run plays the calls and returns what is wrong, or "". The function check judges the result of one call.
 func (p *play) run(t *testing.T, atOnce int, check func(res callResult) string) (wrong string) {
 	var s *testbed
-	if p.path == resumableStreamPath {
+	if p.path == resumableStreamPath || p.path == nonResumableStreamPath {
 		s = newTestbed(t, nil, slices.Repeat([]script{p.stream}, p.targets))
 	} else {
 		s = newTestbed(t, slices.Repeat([]script{p.answer}, p.targets), nil)
@@ -423,3 +438,24 @@
 		}
 	})
 }
+
+// TestPlayedOnce: a request that must not be repeated may run once, and not at all if it is refused.
+func TestPlayedOnce(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		p := drawPlay(r, rapid.SampledFrom([]string{nonIdempotentPath, nonResumableStreamPath}).Draw(r, "path"), 2)
+		p.calls = 1
+		wrong, refused := "not played", false
+		synctest.Test(t, func(t *testing.T) {
+			wrong = p.run(t, 1, func(res callResult) string {
+				refused = res.status == http.StatusServiceUnavailable
+				return ""
+			})
+		})
+		if n := p.ran(); n > 1 || refused && n > 0 {
+			wrong = fmt.Sprintf("a request ran %d times, refused: %t", n, refused)
+		}
+		if wrong != "" {
+			r.Fatalf("%s\nplan: %+v", wrong, p.plan)
+		}
+	})
+}
