gate: a silent service doesn't hold a caller to the time limit

What callers saw: since a request is left to its silent service, one whose service stayed silent for good was answered at its time limit when the other service had failed or refused, with the error of that one in hand: too late to try again. Change: once no other service can be used, the silent one has half of the time that is left. A repeat counts against the retry budget when it is sent, and no longer if its grant is refused or the trial cancelled. A refusal by the first engine after that of another one counts, too. Kept: an answer of an engine is waited for until its caller gives up, before its first event as well.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -88,7 +88,7 @@
 		if left, blocked := s.server.blocklist.find(s.exchange); blocked {
 			return false, blockedReason, left
 		}
-		if s.sends > 0 && (s.isUnnumbered || s.mayHaveRun && !s.route.MayRetry() || !s.acquireRetry()) {
+		if s.sends > 0 && (s.isUnnumbered || s.mayHaveRun && !s.route.MayRetry() || !s.mayRetry()) {
 			break
 		}
 		g, err := s.acquireGrant(ctx)
@@ -207,6 +207,10 @@
 		s.refusals++
 		return false, blockedReason
 	}
+	if s.sends > 0 && !s.acquireRetry() {
+		s.refusals++
+		return false, noBudget
+	}
 	return s.sendToLead(ctx, g, lead, helpers, &end)
 }
 
--- a/internal/gate/hedge.go
+++ b/internal/gate/hedge.go
@@ -12,8 +12,11 @@
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
 
-// errAnsweredElsewhere is the cause with which the send to a silent target is cancelled.
-var errAnsweredElsewhere = errors.New("another target has answered")
+// errAnsweredElsewhere and errGivenUp are the causes with which the send to a silent target is cancelled.
+var (
+	errAnsweredElsewhere = errors.New("another target has answered")
+	errGivenUp           = errors.New("the target was silent for too long")
+)
 
 // hedge sends a request to another target while the first one is silent, and leaves the connection to
 // the first one open: the retry budget and the other targets may refuse, and the first one may go on.
@@ -93,6 +96,9 @@
 	h.result = r
 	if r.delivered {
 		h.endFirst(errAnsweredElsewhere)
+	} else if !h.ended {
+		// No other target could be used. The caller can try again in the time that is left then.
+		h.timer = time.AfterFunc(h.second.timeLeft()/2, func() { h.endFirst(errGivenUp) })
 	}
 }
 
@@ -155,9 +161,9 @@
 }
 
 // sendError returns the error of a send whose context is ctx: silence since the time sentAt if
-// it was cancelled because another target has answered, and err otherwise.
+// it was cancelled because of that, and err otherwise.
 func sendError(ctx context.Context, err error, sentAt time.Time) error {
-	if errors.Is(context.Cause(ctx), errAnsweredElsewhere) {
+	if cause := context.Cause(ctx); errors.Is(cause, errAnsweredElsewhere) || errors.Is(cause, errGivenUp) {
 		return &engine.Silent{After: time.Since(sentAt)}
 	}
 	return err
--- a/internal/gate/silent_test.go
+++ b/internal/gate/silent_test.go
@@ -301,3 +301,24 @@
 		time.Sleep(time.Second)
 	})
 }
+
+// TestSilentServiceHoldsNoCaller: when a service stays silent and no other one can be used, the caller must be answered
+// while it can still try again.
+func TestSilentServiceHoldsNoCaller(t *testing.T) {
+	for name, c := range map[string]struct {
+		other script
+		want  int
+	}{
+		"refuses": {respond(503, "full", notRunHeader), 502}, "closes": {closeConn, 502}, "fails": {respond(500, "error", sealHeader), 500},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestbed(t, []script{closeConn, closeConn}, nil)
+				firstThen(s, neverRespond, c.other)
+				res := s.call(idempotentPath, "")
+				quicktest.Check(t, res.status, quicktest.Equals, c.want)
+				quicktest.Check(t, res.took <= 1300*time.Millisecond, quicktest.IsTrue, quicktest.Commentf("%s of the 2 s that the caller has", res.took))
+			})
+		})
+	}
+}
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -21,8 +21,8 @@
 	endFirst context.CancelFunc
 	// first is the stream of the first attempt, and second that of the others. sends is the value of
 	// second.sends before the first of them.
-	first, second *stream
-	sends         int
+	first, second   *stream
+	sends, refusals int
 	// attempt is the first attempt; only its target and grantID may be read while it goes on.
 	attempt *streamAttempt
 	// firstDone is closed when the first attempt relays nothing more.
@@ -77,7 +77,7 @@
 	x.sends++
 	x.mayHaveRun = false
 	x.failedTargets = append(slices.Clone(x.failedTargets), att.target.ID)
-	t := &takeover{ctx: ctx, endFirst: endFirst, first: first, attempt: att, sends: x.sends, firstDone: make(chan struct{})}
+	t := &takeover{ctx: ctx, endFirst: endFirst, first: first, attempt: att, sends: x.sends, refusals: first.refusals, firstDone: make(chan struct{})}
 	t.second = &stream{exchange: &x, refusals: first.refusals, standby: t}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -277,7 +277,8 @@
 		*f.exchange = *s.exchange
 		f.received, f.callerLost = s.received, s.callerLost
 	}
-	f.sends, f.failedTargets, f.mayHaveRun, f.crashes, f.refusals = sends, failed, mayHaveRun, crashes, s.refusals
+	f.sends, f.failedTargets, f.mayHaveRun, f.crashes = sends, failed, mayHaveRun, crashes
+	f.refusals += s.refusals - t.refusals
 	f.noRetry = cmp.Or(s.noRetry, f.noRetry)
 }
 
