--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -19,8 +19,8 @@
 	// ctx is the context of the request, and endFirst ends the first attempt.
 	ctx      context.Context
 	endFirst context.CancelFunc
-	// first is the stream of the first attempt, and second that of the others. sends is the value of
-	// second.sends before the first of them.
+	// first is the stream of the first attempt, and second that of the others. sends and refusals are those
+	// of second before the first of them.
 	first, second   *stream
 	sends, refusals int
 	// attempt is the first attempt; only its target and grantID may be read while it goes on.
