--- a/review/testdata/rig/cases.go
+++ b/review/testdata/rig/cases.go
@@ -50,10 +50,12 @@
 // ask is one request of a client for a stream of a number of events: an attempt, and another one if the
 // first was broken off, which resumes behind the last event. It checks the order of the events.
 func ask(ctx context.Context, d *deployment, path string, events int) {
+	const deadline = 10 * time.Second
+	began := time.Now()
 	last, entry := 0, ""
 	for try := range 2 {
 		entry = d.pickEntry(ctx, entry)
-		id, a := send(ctx, d.rec, attempt{entry: entry, path: path, key: apiKey, deadline: 10 * time.Second, lastEvent: last})
+		id, a := send(ctx, d.rec, attempt{entry: entry, path: path, key: apiKey, deadline: deadline - time.Since(began), lastEvent: last})
 		if ctx.Err() != nil {
 			return
 		}
@@ -79,7 +81,8 @@
 		if a.status != 0 && a.status != http.StatusOK && a.status != http.StatusServiceUnavailable && a.status != http.StatusBadGateway && a.status != http.StatusGatewayTimeout {
 			return
 		}
-		time.Sleep(100 * time.Millisecond)
+		// Clients honour Retry-After up to a third of the time that they have left.
+		time.Sleep(max(100*time.Millisecond, min(a.retryAfter, time.Until(began.Add(deadline))/3)))
 	}
 }
 
@@ -192,3 +195,52 @@
 	wait()
 	return nil
 }
+
+// busyUnframed lets runners of a service without engines crash that are full, and have told all entries so,
+// while they write answers that have no length.
+func busyUnframed(ctx context.Context, d *deployment, trouble bool) error {
+	return killBusy(ctx, d, trouble, "3")
+}
+
+// fullUnframed is busyUnframed without Retry-After in the refusals, for comparison.
+func fullUnframed(ctx context.Context, d *deployment, trouble bool) error {
+	return killBusy(ctx, d, trouble, "")
+}
+
+func killBusy(ctx context.Context, d *deployment, trouble bool, retryAfter string) error {
+	const events = 16
+	config := newConfig(`[{"name":"r-2yhvz3p","host":"ficu95.example","pathPrefix":"/stream/","kind":"streaming","timeoutMs":10000,"targetLatencyMs":1500,"priority":1,"service":"wuno96b","maxAttempts":2,"public":false,"sticky":true,"resumable":true,"gapAimMs":600}]`)
+	if err := d.start(ctx, 3, 3, config); err != nil {
+		return err
+	}
+	flags := []string{"-events", fmt.Sprint(events), "-gap", "60ms", "-unframed", "-slots", "6", "-queue", "6", "-retry-after", retryAfter}
+	var runners []*process
+	for i := range 3 {
+		p, err := d.startRunner(i+1, plainService, flags...)
+		if err != nil {
+			return err
+		}
+		runners = append(runners, p)
+	}
+	time.Sleep(2 * time.Second)
+	runCtx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wait := clients(runCtx, 60, func(ctx context.Context) { ask(ctx, d, "/stream/2f", events) })
+	time.Sleep(6 * time.Second)
+	for i := range 7 {
+		if trouble {
+			d.rec.line("disruption: %s crashes (SIGKILL)", runners[i].name)
+			runners[i].kill()
+			time.Sleep(4 * time.Second)
+			p, err := d.startRunner(len(runners)+1, plainService, flags...)
+			if err != nil {
+				return err
+			}
+			runners = append(runners, p)
+		}
+		time.Sleep(4 * time.Second)
+	}
+	cancel()
+	wait()
+	return nil
+}
--- a/review/testdata/rig/client.go
+++ b/review/testdata/rig/client.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -22,6 +23,8 @@
 type answer struct {
 	status int
 	seal   string
+	// retryAfter is when the client may come again after a refusal.
+	retryAfter time.Duration
 	// events are the IDs of the whole events in their order.
 	events []int
 	// complete is set if the answer ended as its framing says.
@@ -76,6 +79,9 @@
 	}
 	defer resp.Body.Close()
 	ans.status, ans.seal = resp.StatusCode, resp.Header.Get("Bambooproxy-Runner-Seal")
+	if v, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
+		ans.retryAfter = time.Duration(v * float64(time.Second))
+	}
 	ans.events, ans.err = readEvents(resp.Body)
 	if errors.Is(ans.err, io.EOF) {
 		ans.err, ans.complete = nil, true
--- a/review/testdata/rig/evacuation.go
+++ b/review/testdata/rig/evacuation.go
@@ -14,13 +14,15 @@
 	// evacuateTime and outerTime are evacuateMs and outerMs: an unstable core may stretch the bound by the second.
 	evacuateTime, outerTime = 5 * time.Second, 6 * time.Second
 	// settleTime is the time between an evacuation and its end, and watchTime how long the runner is watched.
-	settleTime, watchTime = 3 * time.Second, 6 * time.Second
+	settleTime, watchTime = 3 * time.Second, 3 * time.Second
+	// triesAtFrozen is how often the operator asks the frozen control instance before it asks another one.
+	triesAtFrozen = 2
 	// cycles bounds the evacuations.
 	cycles = 4
 )
 
-// staleWithdrawal freezes a control instance as it is sent the end of an evacuation. The operator sends it
-// again to another one, and evacuates the zone once more before the frozen one wakes.
+// staleWithdrawal freezes a control instance as it is sent the end of an evacuation. The operator sends that
+// again, also to another one, and evacuates the zone once more before the frozen one wakes.
 func staleWithdrawal(ctx context.Context, d *deployment, trouble bool) error {
 	config := newConfig(`[{"name":"r-status","host":"ficu95.example","pathPrefix":"/status/","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":300,"priority":2,"service":"wuno96b","maxAttempts":2,"public":false,"sticky":false,"resumable":false}]`)
 	if err := d.start(ctx, 3, 3, config); err != nil {
@@ -66,7 +68,9 @@
 			d.rec.line("disruption: SIGSTOP of %s", frozen.name)
 			frozen.signal(syscall.SIGSTOP)
 			time.Sleep(100 * time.Millisecond)
-			order(frozen, http.MethodDelete)
+			for range triesAtFrozen {
+				order(frozen, http.MethodDelete)
+			}
 		}
 		if err := until(d.controls[1], http.MethodDelete); err != nil {
 			return err
--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -49,6 +49,8 @@
 		"stale-withdrawal": staleWithdrawal,
 		"spot-unframed":    spotUnframed,
 		"crash-unframed":   crashUnframed,
+		"busy-unframed":    busyUnframed,
+		"full-unframed":    fullUnframed,
 	}
 	play := cases[name]
 	if play == nil {
--- a/review/testdata/rig/runner.go
+++ b/review/testdata/rig/runner.go
@@ -34,6 +34,14 @@
 	events                  int
 	gap                     time.Duration
 	unframed, deregister    bool
+	// slots is how many requests run at a time, and queue how many more wait; pending counts both.
+	slots   int
+	queue   int64
+	pending atomic.Int64
+	// slot holds a value for each request that runs.
+	slot chan struct{}
+	// retryAfter is the Retry-After of such refusals, in seconds; "" means none.
+	retryAfter string
 	// listen is where the runner listens if its address leads there through a path of the case.
 	listen string
 	// via holds the paths that lead to other addresses.
@@ -62,6 +70,9 @@
 	flags.IntVar(&r.events, "events", 24, "events of a stream")
 	flags.DurationVar(&r.gap, "gap", 50*time.Millisecond, "time between events")
 	flags.BoolVar(&r.unframed, "unframed", false, "answers have no length and end with their connection")
+	flags.IntVar(&r.slots, "slots", 16, "requests that run at a time")
+	flags.Int64Var(&r.queue, "queue", -1, "requests that wait for a slot, more are refused; -1 means any number")
+	flags.StringVar(&r.retryAfter, "retry-after", "", "Retry-After of refusals")
 	flags.BoolVar(&r.deregister, "deregister", false, "on SIGTERM, send DELETE first and go on serving")
 	flags.StringVar(&r.listen, "listen", "", "")
 	via := flags.String("via", "", "paths to control instances, as ADDRESS=PATH,...")
@@ -73,6 +84,7 @@
 			r.via[a] = p
 		}
 	}
+	r.slot = make(chan struct{}, r.slots)
 	r.client = &http.Client{Transport: &http.Transport{Proxy: nil, MaxIdleConnsPerHost: 1, DialContext: r.dial}}
 	if r.listen == "" {
 		r.listen = r.addr
@@ -158,7 +170,7 @@
 			state = "draining"
 		}
 		body, _ := json.Marshal(map[string]any{
-			"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": 16, "state": state, "coldRemainingMs": 0,
+			"service": r.service, "address": r.addr, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, "coldRemainingMs": 0,
 			"stage": "unified", "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []any{}}}, "sequence": r.sequence, "born": r.born,
 		})
 		status, answer := r.call(c, http.MethodPut, body)
@@ -248,13 +260,30 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	defer r.pending.Add(-1)
+	if n := r.pending.Add(1); r.queue >= 0 && n > int64(r.slots)+r.queue {
+		h.Set("Bambooproxy-Not-Executed", "1")
+		if r.retryAfter != "" {
+			h.Set("Retry-After", r.retryAfter)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if r.queue >= 0 {
+		select {
+		case r.slot <- struct{}{}:
+			defer func() { <-r.slot }()
+		case <-req.Context().Done():
+			return
+		}
+	}
 	after := 0
 	if v := req.Header.Get("Last-Event-Id"); v != "" {
 		after, _ = strconv.Atoi(v)
 	}
 	note("run %s %s %s bytes=%d last-event-id=%q", id, req.Method, req.URL.Path, len(body), req.Header.Get("Last-Event-Id"))
 	h.Set("Bambooproxy-Runner-Seal", fmt.Sprintf("%s.%d.%d", r.id, r.born, r.seals.Add(1)))
-	if !strings.HasPrefix(req.URL.Path, "/stream") {
+	if strings.HasPrefix(req.URL.Path, "/status") {
 		time.Sleep(30 * time.Millisecond)
 		h.Set("Content-Type", "text/plain")
 		w.Write(bytes.Repeat([]byte("x"), 800))
