--- a/review/testdata/rig/cases.go
+++ b/review/testdata/rig/cases.go
@@ -82,7 +82,7 @@
 			return
 		}
 		// Clients honour Retry-After up to a third of the time that they have left.
-		time.Sleep(max(100*time.Millisecond, min(a.retryAfter, time.Until(began.Add(deadline))/3)))
+		sleep(ctx, max(100*time.Millisecond, min(a.retryAfter, time.Until(began.Add(deadline))/3)))
 	}
 }
 
@@ -120,22 +120,22 @@
 			return err
 		}
 	}
-	time.Sleep(2 * time.Second)
+	sleep(ctx, 2*time.Second)
 	runCtx, cancel := context.WithCancel(ctx)
 	wait := clients(runCtx, 48, func(ctx context.Context) { ask(ctx, d, "/stream/2f", events) })
-	time.Sleep(2 * time.Second)
+	sleep(ctx, 2*time.Second)
 	for i := range 10 {
 		p := d.entries[i%len(d.entries)]
 		if trouble {
 			d.rec.line("disruption: SIGKILL of %s", p.name)
 			p.kill()
-			time.Sleep(500 * time.Millisecond)
+			sleep(ctx, 500*time.Millisecond)
 			if err := p.start(); err != nil {
 				cancel()
 				return err
 			}
 		}
-		time.Sleep(3 * time.Second)
+		sleep(ctx, 3*time.Second)
 	}
 	cancel()
 	wait()
@@ -168,28 +168,28 @@
 		}
 		runners = append(runners, p)
 	}
-	time.Sleep(2 * time.Second)
+	sleep(ctx, 2*time.Second)
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := clients(runCtx, 42, func(ctx context.Context) { ask(ctx, d, "/stream/2f", events) })
-	time.Sleep(4 * time.Second)
+	sleep(ctx, 4*time.Second)
 	for i := range 4 {
 		if trouble {
 			if drain {
 				d.rec.line("disruption: %s drains", runners[i].name)
 				runners[i].signal(syscall.SIGTERM)
 			}
-			time.Sleep(2200 * time.Millisecond)
+			sleep(ctx, 2200*time.Millisecond)
 			d.rec.line("disruption: %s is gone (SIGKILL)", runners[i].name)
 			runners[i].kill()
-			time.Sleep(4 * time.Second)
+			sleep(ctx, 4*time.Second)
 			p, err := d.startRunner(len(runners)+1, engineService, flags...)
 			if err != nil {
 				return err
 			}
 			runners = append(runners, p)
 		}
-		time.Sleep(3 * time.Second)
+		sleep(ctx, 3*time.Second)
 	}
 	cancel()
 	wait()
@@ -222,23 +222,23 @@
 		}
 		runners = append(runners, p)
 	}
-	time.Sleep(2 * time.Second)
+	sleep(ctx, 2*time.Second)
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := clients(runCtx, 60, func(ctx context.Context) { ask(ctx, d, "/stream/2f", events) })
-	time.Sleep(6 * time.Second)
+	sleep(ctx, 6*time.Second)
 	for i := range 7 {
 		if trouble {
 			d.rec.line("disruption: %s crashes (SIGKILL)", runners[i].name)
 			runners[i].kill()
-			time.Sleep(4 * time.Second)
+			sleep(ctx, 4*time.Second)
 			p, err := d.startRunner(len(runners)+1, plainService, flags...)
 			if err != nil {
 				return err
 			}
 			runners = append(runners, p)
 		}
-		time.Sleep(4 * time.Second)
+		sleep(ctx, 4*time.Second)
 	}
 	cancel()
 	wait()
--- a/review/testdata/rig/deployment.go
+++ b/review/testdata/rig/deployment.go
@@ -109,28 +109,30 @@
 	}
 }
 
-// ip returns a loopback address of the case.
-func (d *deployment) ip(group, n int) string { return fmt.Sprintf("127.%d.%d.%d", d.net, group, n) }
+// loopback returns an address of the case.
+func (d *deployment) loopback(group, n int) string {
+	return fmt.Sprintf("127.%d.%d.%d", d.net, group, n)
+}
 
-func (d *deployment) addr(ip string, port int) string {
-	return fmt.Sprintf("%s:%d", ip, d.port+port)
+func (d *deployment) addr(host string, port int) string {
+	return fmt.Sprintf("%s:%d", host, d.port+port)
 }
 
 // findPorts chooses a range of addresses and ports that are free.
-func (d *deployment) findPorts(ips func() []string) error {
+func (d *deployment) findPorts(hosts func() []string) error {
 	for range 50 {
 		d.net, d.port = 20+rand.IntN(200), 20000+rand.IntN(10000)
-		if d.isFree(ips()) {
+		if d.isFree(hosts()) {
 			return nil
 		}
 	}
 	return fmt.Errorf("%w: no free ports", errNotRun)
 }
 
-func (d *deployment) isFree(ips []string) bool {
-	for _, ip := range ips {
+func (d *deployment) isFree(hosts []string) bool {
+	for _, host := range hosts {
 		for port := range portCount {
-			ln, err := net.Listen("tcp4", d.addr(ip, port))
+			ln, err := net.Listen("tcp4", d.addr(host, port))
 			if err != nil {
 				return false
 			}
@@ -146,10 +148,10 @@
 	err := d.findPorts(func() []string {
 		var ips []string
 		for i := range controls {
-			ips = append(ips, d.ip(0, i+1))
+			ips = append(ips, d.loopback(0, i+1))
 		}
 		for i := range entries {
-			ips = append(ips, d.ip(1, i+1))
+			ips = append(ips, d.loopback(1, i+1))
 		}
 		return ips
 	})
@@ -158,17 +160,17 @@
 	}
 	var seeds []string
 	for i := range controls {
-		seeds = append(seeds, d.addr(d.ip(0, i+1), controlPort))
+		seeds = append(seeds, d.addr(d.loopback(0, i+1), controlPort))
 	}
 	for i := range controls {
-		p, err := d.newNode("core", d.ip(0, i+1), zones[i%len(zones)], i, seeds)
+		p, err := d.newNode("core", d.loopback(0, i+1), zones[i%len(zones)], i, seeds)
 		if err != nil {
 			return err
 		}
 		d.controls = append(d.controls, p)
 	}
 	for i := range entries {
-		p, err := d.newNode("edge", d.ip(1, i+1), zones[i%len(zones)], i, seeds)
+		p, err := d.newNode("edge", d.loopback(1, i+1), zones[i%len(zones)], i, seeds)
 		if err != nil {
 			return err
 		}
@@ -266,7 +268,7 @@
 
 // startRunner starts a runner as a process of its own.
 func (d *deployment) startRunner(n int, service string, flags ...string) (*process, error) {
-	return d.startRunnerAt(d.ip(2, n), n, service, flags...)
+	return d.startRunnerAt(d.loopback(2, n), n, service, flags...)
 }
 
 // startRunnerAt is startRunner at an address of another one that has ended.
@@ -324,6 +326,14 @@
 	return time.UnixMilli(n), text
 }
 
+// sleep waits for a duration, or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // call makes one HTTP call and returns its status, or 0 if there was no whole answer.
 func call(ctx context.Context, client *http.Client, method, url string, body []byte) (int, []byte) {
 	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
--- a/review/testdata/rig/evacuation.go
+++ b/review/testdata/rig/evacuation.go
@@ -38,7 +38,7 @@
 			evacuated = p
 		}
 	}
-	time.Sleep(2 * time.Second)
+	sleep(ctx, 2*time.Second)
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := clients(runCtx, 8, func(ctx context.Context) { askStatus(ctx, d) })
@@ -54,7 +54,7 @@
 			if order(c, method) {
 				return nil
 			}
-			time.Sleep(200 * time.Millisecond)
+			sleep(ctx, 200*time.Millisecond)
 		}
 		return fmt.Errorf("%w: %s not acknowledged", errNotRun, method)
 	}
@@ -62,12 +62,12 @@
 		if err := until(d.controls[1], http.MethodPost); err != nil {
 			return err
 		}
-		time.Sleep(settleTime)
+		sleep(ctx, settleTime)
 		frozen := d.controls[2*(cycle%2)]
 		if trouble {
 			d.rec.line("disruption: SIGSTOP of %s", frozen.name)
 			frozen.signal(syscall.SIGSTOP)
-			time.Sleep(100 * time.Millisecond)
+			sleep(ctx, 100*time.Millisecond)
 			for range triesAtFrozen {
 				order(frozen, http.MethodDelete)
 			}
@@ -75,17 +75,17 @@
 		if err := until(d.controls[1], http.MethodDelete); err != nil {
 			return err
 		}
-		time.Sleep(time.Second)
+		sleep(ctx, time.Second)
 		if err := until(d.controls[1], http.MethodPost); err != nil {
 			return err
 		}
 		acked := time.Now()
-		time.Sleep(time.Second)
+		sleep(ctx, time.Second)
 		if trouble {
 			d.rec.line("disruption: SIGCONT of %s", frozen.name)
 			frozen.signal(syscall.SIGCONT)
 		}
-		time.Sleep(time.Until(acked.Add(evacuateTime + outerTime + watchTime)))
+		sleep(ctx, time.Until(acked.Add(evacuateTime+outerTime+watchTime)))
 		if err := checkEvacuated(d, evacuated, acked.Add(evacuateTime+outerTime), time.Now()); err != nil {
 			return err
 		}
--- a/review/testdata/rig/late.go
+++ b/review/testdata/rig/late.go
@@ -35,12 +35,12 @@
 			return err
 		}
 	}
-	time.Sleep(2 * time.Second)
+	sleep(ctx, 2*time.Second)
 	runCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wait := clients(runCtx, 8, func(ctx context.Context) { askStatus(ctx, d) })
 	for round := range lateRounds {
-		if err := lateRound(d, 3+2*round, trouble); err != nil {
+		if err := lateRound(ctx, d, 3+2*round, trouble); err != nil {
 			return err
 		}
 	}
@@ -50,8 +50,8 @@
 }
 
 // lateRound plays one partition, of the n-th runner.
-func lateRound(d *deployment, n int, trouble bool) error {
-	ip := d.ip(2, n)
+func lateRound(ctx context.Context, d *deployment, n int, trouble bool) error {
+	ip := d.loopback(2, n)
 	var paths []*path
 	var via []string
 	for i, c := range d.controls {
@@ -77,7 +77,7 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(3 * time.Second)
+	sleep(ctx, 3*time.Second)
 	setCut(true)
 	d.rec.line("%s crashes and starts again", before.name)
 	before.kill()
@@ -85,12 +85,12 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(cutTime)
+	sleep(ctx, cutTime)
 	setCut(false)
-	time.Sleep(leaveTime)
+	sleep(ctx, leaveTime)
 	d.rec.line("planned: %s is to leave", again.name)
 	again.signal(syscall.SIGTERM)
-	time.Sleep(serveTime)
+	sleep(ctx, serveTime)
 	again.kill()
 	return checkDrained(d, again)
 }
--- a/review/testdata/rig/main.go
+++ b/review/testdata/rig/main.go
@@ -74,10 +74,11 @@
 	ctx, cancel := context.WithTimeout(ctx, maxTime)
 	defer cancel()
 	d := &deployment{program: *program, dir: dir, rec: rec}
-	defer d.stop()
 	trouble := os.Getenv("TROUBLE") != "0"
 	rec.line("case %s, disruption %v", name, trouble)
 	err = play(ctx, d, trouble)
+	// Nothing that was started outlives this process, even if its output is closed.
+	d.stop()
 	if err == nil && ctx.Err() != nil {
 		err = fmt.Errorf("%w: %w", errNotRun, ctx.Err())
 	}
