--- a/review/testdata/rig/deployment.go
+++ b/review/testdata/rig/deployment.go
@@ -236,12 +236,12 @@
 // publish sends the configuration until a control instance acknowledges it.
 func (d *deployment) publish(ctx context.Context, config []byte) error {
 	for i := 0; ctx.Err() == nil && i < 200; i++ {
-		ip := d.controls[i%len(d.controls)].ip
+		host := d.controls[i%len(d.controls)].ip
 		callCtx, cancel := context.WithTimeout(ctx, time.Second)
-		status, _ := call(callCtx, plainClient, http.MethodPut, "http://"+d.addr(ip, controlPort)+"/config", config)
+		status, _ := call(callCtx, plainClient, http.MethodPut, "http://"+d.addr(host, controlPort)+"/config", config)
 		cancel()
 		if status == http.StatusOK {
-			d.rec.line("operator: configuration acknowledged by %s", ip)
+			d.rec.line("operator: configuration acknowledged by %s", host)
 			return nil
 		}
 		if status >= 400 && status < 500 {
@@ -272,12 +272,12 @@
 }
 
 // startRunnerAt is startRunner at an address of another one that has ended.
-func (d *deployment) startRunnerAt(ip string, n int, service string, flags ...string) (*process, error) {
+func (d *deployment) startRunnerAt(host string, n int, service string, flags ...string) (*process, error) {
 	self, err := os.Executable()
 	if err != nil {
 		return nil, err
 	}
-	p := &process{name: fmt.Sprintf("i-%s-%d", service, n), ip: ip, zone: zones[n%len(zones)]}
+	p := &process{name: fmt.Sprintf("i-%s-%d", service, n), ip: host, zone: zones[n%len(zones)]}
 	p.logPath = filepath.Join(d.dir, p.name+".log")
 	var controls []string
 	for _, c := range d.controls {
--- a/review/testdata/rig/late.go
+++ b/review/testdata/rig/late.go
@@ -51,12 +51,12 @@
 
 // lateRound plays one partition, of the n-th runner.
 func lateRound(ctx context.Context, d *deployment, n int, trouble bool) error {
-	ip := d.loopback(2, n)
+	host := d.loopback(2, n)
 	var paths []*path
 	var via []string
 	for i, c := range d.controls {
 		control := d.addr(c.ip, controlPort)
-		p, err := newPath(fmt.Sprintf("%s:%d", ip, d.port+portCount+i), control)
+		p, err := newPath(fmt.Sprintf("%s:%d", host, d.port+portCount+i), control)
 		if err != nil {
 			return err
 		}
@@ -81,7 +81,7 @@
 	setCut(true)
 	d.rec.line("%s crashes and starts again", before.name)
 	before.kill()
-	again, err := d.startRunnerAt(ip, n+1, plainService, flags...)
+	again, err := d.startRunnerAt(host, n+1, plainService, flags...)
 	if err != nil {
 		return err
 	}
