gate: a stream resumes at services, too

What callers saw: a stream that a caller resumed with Last-Event-Id began anew where the split of the route picked a service without engines, so pieces came twice (ORDER). Cause: entries take the header from every request and set it again themselves, but only the path to engines did. Ruled out: the service's stand-in honours the header, and logs it as empty; the number is not lost earlier, as engines get it. Change: sends to services carry the caller's last event, also those of repeats and hedges, which share the path. An event stream that begins anew all the same is passed on from the event after it, as from engines. A stream of a service still reaches the caller only when it is complete.

--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -294,7 +294,7 @@
 	s := x.server
 	defer s.health.track(t.ID)()
 	x.target = t.ID
-	q := x.buildRequest(t, SendInfo{Urgency: -1})
+	q := x.buildRequest(t, SendInfo{Urgency: -1, LastEventID: x.call.LastEventID, HasLastEventID: x.call.HasLastEventID})
 	sentAt := time.Now()
 	resp, err := s.TargetClient.Do(ctx, t.Address, q)
 	if err != nil {
@@ -316,6 +316,9 @@
 		reuse = ok && keepsConnection(resp)
 		return nil, o
 	}
+	if x.resumesStream(resp) {
+		resp.Body = newResumedStream(resp.Body, x.call.LastEventID)
+	}
 	// The body may stall as well as the head.
 	h.await(x.timeLeft() / 2)
 	body, err := s.readBody(t, resp)
