reg: a target that left before control knew it is not used on a late heartbeat

What callers saw: requests went to a runner for seconds after its departure had been acknowledged (DRAIN). It had started behind a partition and left; a heartbeat sent before arrived after that. Cause: the registry marks the targets that it knows as gone. A departure of an unknown process, of a later process under a known ID, or of one that had timed out changed nothing and was acknowledged, so the late heartbeat announced a target that was ready. Ruled out: the departure was committed, and numbers of heartbeats play no part, as there was no record to compare with. Change: the state keeps such departures; an announcement of a process that they cover is recorded, readers get it as gone, and its departure is recorded after it. Revision and records are those of replicas without the list (TestReplicasOfBothBuildsAgree draws the new field).

--- a/internal/hub/leaving_test.go
+++ b/internal/hub/leaving_test.go
@@ -1,6 +1,7 @@
 package hub
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -65,3 +66,40 @@
 	quicktest.Assert(t, s.HeartbeatAddr(site.Target{DataCentre: "a"}), quicktest.Equals, "10.0.0.1:80")
 	quicktest.Assert(t, s.HeartbeatAddr(site.Target{DataCentre: "b"}), quicktest.Equals, "")
 }
+
+// TestLateHeartbeatAfterDeparture guards against a target that is used again: its departure was acknowledged
+// before control knew it, and a heartbeat that it sent before arrives at another control instance.
+func TestLateHeartbeatAfterDeparture(t *testing.T) {
+	runCluster(t, 3, 2, func(t *testing.T, cl *cluster) {
+		cl.publish(1)
+		for i, tellsStart := range []bool{true, false, true} {
+			id, c := fmt.Sprint(i+1), cl.seeds[i]
+			x := clusterTarget(id, 1, site.Ready)
+			x.StartedMs = time.Now().UnixMilli() - 1000
+			var startedMs int64
+			if tellsStart {
+				startedMs = x.StartedMs
+			}
+			quicktest.Assert(t, cl.controls[c].Deregister(t.Context(), id, startedMs), quicktest.IsNil)
+			// The departure must outlive the instance that acknowledged it.
+			cl.startControl(c, cl.crash(c), false)
+			time.Sleep(3 * time.Second)
+			for ; x.Sequence <= 3; x.Sequence++ {
+				for _, a := range cl.seeds {
+					quicktest.Assert(t, cl.controls[a].Announce(t.Context(), x), quicktest.IsNil)
+					time.Sleep(200 * time.Millisecond)
+					for _, e := range cl.entries {
+						quicktest.Assert(t, e.state(id), quicktest.Equals, site.Gone)
+					}
+				}
+			}
+			next := clusterTarget(id, 1, site.Ready)
+			next.StartedMs = time.Now().UnixMilli()
+			quicktest.Assert(t, cl.follower().Announce(t.Context(), next), quicktest.IsNil)
+			time.Sleep(time.Second)
+			for _, e := range cl.entries {
+				quicktest.Assert(t, e.state(id), quicktest.Equals, site.Ready)
+			}
+		}
+	})
+}
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -155,7 +155,12 @@
 		return nil
 	}
 	received := time.Now()
-	r, err := s.propose(ctx, reg.Command{Announce: &t})
+	r, err := s.propose(ctx, reg.Command{Announce: &t, ReceivedMs: received.UnixMilli()})
+	if err == nil && r.HasLeft {
+		// Its record must state so for replicas of builds that don't remember the departure. The target may announce
+		// itself again, as a departure without a start time may be that of another process.
+		_, err = s.propose(ctx, reg.Command{Deregister: &reg.Deregister{ID: t.ID, StartedMs: t.StartedMs, TimedOut: true}})
+	}
 	if err == nil {
 		s.recordHeartbeat(t.ID)
 		// Without the time of the commit, each late one would extend the time at all entries.
@@ -163,7 +168,7 @@
 		s.recordCold(t)
 	}
 	s.Log.Info().Str("target", t.ID).Str("pool", t.Pool).Str("address", t.Address).Str("state", t.State.String()).
-		Uint64("seq", t.Sequence).Int64("born", t.StartedMs).Bool("changed", r.Changed).Err(err).Msg("announcement of target handled")
+		Uint64("seq", t.Sequence).Int64("born", t.StartedMs).Bool("changed", r.Changed).Bool("left", r.HasLeft).Err(err).Msg("announcement of target handled")
 	return err
 }
 
@@ -249,8 +254,8 @@
 	if err := d.Check(); err != nil {
 		return verd.Wrap(err, verd.NotRun, verd.BadRequest, "invalid deregistration")
 	}
-	r, err := s.propose(ctx, reg.Command{Deregister: d})
-	s.Log.Info().Str("target", id).Bool("changed", r.Changed).Err(err).Msg("deregistration of target handled")
+	r, err := s.propose(ctx, reg.Command{Deregister: d, ReceivedMs: time.Now().UnixMilli()})
+	s.Log.Info().Str("target", id).Int64("born", startedMs).Bool("changed", r.Changed).Err(err).Msg("deregistration of target handled")
 	return err
 }
 
--- a/internal/reg/builds_test.go
+++ b/internal/reg/builds_test.go
@@ -122,6 +122,7 @@
 	Announce   *laterTarget   `cbor:"2,keyasint,omitempty"`
 	Deregister *Deregister    `cbor:"3,keyasint,omitempty"`
 	Evacuate   *laterEvacuate `cbor:"4,keyasint,omitempty"`
+	ReceivedMs int64          `cbor:"5,keyasint,omitempty"`
 }
 
 // withNewFields returns tables with all new fields set.
@@ -198,6 +199,7 @@
 				quicktest.Assert(t, old.Restore(reencode[oldStateShape](t, current.state)), quicktest.IsNil)
 			}
 			c := drawCommand(r)
+			c.ReceivedMs = rapid.Int64Range(0, 3).Draw(r, "received")
 			b, err := p.pack(c)
 			quicktest.Assert(t, err, quicktest.IsNil)
 			var read oldCommandShape
--- a/internal/reg/departed.go
+++ b/internal/reg/departed.go
@@ -1,6 +1,10 @@
 package reg
 
-import "github.com/bambooproxy/bambooproxy/internal/site"
+import (
+	"slices"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
 
 // maxDeparted bounds the processes that a Machine remembers as departed.
 const maxDeparted = 1024
@@ -53,5 +57,5 @@
 func (m *Machine) HasDeparted(id string, startedMs int64) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.departed.known[process{id, startedMs}]
+	return m.departed.known[process{id, startedMs}] || slices.ContainsFunc(m.state.Unannounced, func(d Departure) bool { return d.covers(id, startedMs) })
 }
--- a/internal/reg/machine.go
+++ b/internal/reg/machine.go
@@ -269,7 +269,7 @@
 	}
 	for _, r := range m.state.Targets {
 		if r.Revision > since {
-			d.Targets = append(d.Targets, r.Target)
+			d.Targets = append(d.Targets, r.current())
 		}
 	}
 	if packed && len(d.Targets) >= minPackedTargets {
@@ -290,9 +290,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	var out []site.Target
-	for _, r := range m.state.Targets {
-		if r.Target.State != site.Gone {
-			out = append(out, r.Target)
+	for i := range m.state.Targets {
+		if t := m.state.Targets[i].current(); t.State != site.Gone {
+			out = append(out, t)
 		}
 	}
 	return out
@@ -304,8 +304,12 @@
 	defer m.mu.Unlock()
 	var out []site.Target
 	for i := range m.state.Targets {
-		if t := &m.state.Targets[i].Target; t.Cold > 0 && t.State != site.Gone {
-			out = append(out, *t)
+		r := &m.state.Targets[i]
+		if r.Target.Cold == 0 {
+			continue
+		}
+		if t := r.current(); t.State != site.Gone {
+			out = append(out, t)
 		}
 	}
 	return out
@@ -328,5 +332,5 @@
 	if !ok {
 		return site.Target{}, false
 	}
-	return m.state.Targets[i].Target, true
+	return m.state.Targets[i].current(), true
 }
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -20,6 +20,18 @@
 	Revision uint64      `cbor:"2,keyasint"`
 	// TimedOut is set if the target is gone because its heartbeats stopped.
 	TimedOut bool `cbor:"3,keyasint,omitempty"`
+	// HasLeft is set if the process had left before this announcement of it arrived. Readers get it as gone,
+	// while the state of Target is the one that was announced, as in replicas of builds without this field.
+	HasLeft bool `cbor:"4,keyasint,omitempty"`
+}
+
+// current returns the target as readers get it.
+func (r *Record) current() site.Target {
+	t := r.Target
+	if r.HasLeft {
+		t.State = site.Gone
+	}
+	return t
 }
 
 // State is the replicated state. All replicas apply the same commands in the same order.
@@ -36,14 +48,19 @@
 	// Evacuations is left out while it is empty, so that snapshots of sites without evacuations
 	// stay as they were.
 	Evacuations Evacuations `cbor:"6,keyasint,omitzero"`
+	// Unannounced are the departures of processes that may not be the known one of their target, in the order in
+	// which they were received. It is left out while it is empty.
+	Unannounced []Departure `cbor:"7,keyasint,omitempty"`
 }
 
-// Command is a change of the state. Exactly one field is set.
+// Command is a change of the state. Exactly one of the pointers is set.
 type Command struct {
 	Publish    *Publish     `cbor:"1,keyasint,omitempty"`
 	Announce   *site.Target `cbor:"2,keyasint,omitempty"`
 	Deregister *Deregister  `cbor:"3,keyasint,omitempty"`
 	Evacuate   *Evacuate    `cbor:"4,keyasint,omitempty"`
+	// ReceivedMs is when the call of a target was received, in Unix milliseconds.
+	ReceivedMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Publish replaces the tables if the new version is higher.
@@ -73,22 +90,26 @@
 	Revision uint64 `cbor:"2,keyasint"`
 	// Error is the reason why the command could not be decoded; "" if it could.
 	Error string `cbor:"3,keyasint,omitempty"`
+	// HasLeft is set if the command announced a process that had left before.
+	HasLeft bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Apply applies a command.
 func (s *State) Apply(c Command) Result {
-	changed := false
+	var r Result
 	switch {
 	case c.Publish != nil:
-		changed = s.publish(c.Publish)
+		r.Changed = s.publish(c.Publish)
 	case c.Announce != nil:
-		changed = s.announce(*c.Announce)
+		r.HasLeft = s.hasLeft(c.Announce.ID, c.Announce.StartedMs, c.ReceivedMs)
+		r.Changed = s.announce(*c.Announce, r.HasLeft)
 	case c.Deregister != nil:
-		changed = s.deregister(*c.Deregister)
+		r.Changed = s.deregister(*c.Deregister, c.ReceivedMs)
 	case c.Evacuate != nil:
-		changed = s.evacuate(c.Evacuate)
+		r.Changed = s.evacuate(c.Evacuate)
 	}
-	return Result{Changed: changed, Revision: s.Revision}
+	r.Revision = s.Revision
+	return r
 }
 
 // publish replaces the tables if the new version is higher. It returns whether it did.
@@ -103,8 +124,9 @@
 
 // announce adds or updates a target and returns whether the state changed. It ignores an
 // announcement that is older than the record of the target, and one of a process whose
-// address belongs to a later process. Other targets with the same address become gone.
-func (s *State) announce(t site.Target) bool {
+// address belongs to a later process. Other targets with the same address become gone. hasLeft is set if
+// the announcing process has left.
+func (s *State) announce(t site.Target, hasLeft bool) bool {
 	i, found := s.find(t.ID)
 	if found {
 		if old := s.Targets[i]; !old.isSupersededBy(t) || t.IsSameAs(old.Target) {
@@ -128,7 +150,7 @@
 		}
 	}
 	s.Revision++
-	r := Record{Target: t, Revision: s.Revision}
+	r := Record{Target: t, Revision: s.Revision, HasLeft: hasLeft}
 	if found {
 		s.Targets[i] = r
 	} else {
@@ -150,9 +172,12 @@
 	return (old.State != site.Gone || r.TimedOut) && t.Sequence > old.Sequence
 }
 
-// deregister marks a target as gone. It returns whether the state changed.
-func (s *State) deregister(d Deregister) bool {
+// deregister marks a target as gone. It returns whether that changed its record.
+func (s *State) deregister(d Deregister, receivedMs int64) bool {
 	i, found := s.find(d.ID)
+	if !d.TimedOut {
+		s.noteDeparture(d, receivedMs)
+	}
 	if !found {
 		return false
 	}
