hub: an old call doesn't revert a newer evacuation

What callers saw: requests went to targets of an evacuated data centre (EVAC). The operator had ended an evacuation and ordered it again; the instance that he asked first was frozen, read his old call when it woke, and had the leader commit it. Cause: calls of operators carry no version, and the time limit of a call runs from when it is read. Ruled out: replicas that apply changes in another order, as the list has one counter for all. Change: a control instance that was paused for over 0.4 s refuses calls without a version for a second, as not run; departures without a start time are among them, which could remove the next process under their ID. A change is bound to the list in force when its call was read and has no effect on a later one: that covers calls that are late on their way to the leader. The end of the caller's connection has 20 ms to be noticed. The detection of pauses moved from gate.pauseGuard to timing.PauseDetector, which both use. Why it works: a caller waits one second before it asks elsewhere. A call waits unread for 0.4 s at most in an instance that runs, and is bound within 0.5 s of being read.

--- a/internal/gate/pause.go
+++ b/internal/gate/pause.go
@@ -32,35 +32,22 @@
 	Relink   func()
 	IsLinked func() bool
 
-	mu      sync.Mutex
-	started bool
-	// seen is the time of the last note, and wokeAt that of the end of the last pause.
-	seen   time.Duration
-	wokeAt time.Duration
-	// isStale is set from the end of a pause until a new link is there.
-	isStale bool
-	pauses  int
+	detector timing.PauseDetector
+
+	mu sync.Mutex
+	// refreshedCount is the number of pauses after which a new link has come, or the wait for it is over.
+	refreshedCount int
 }
 
 // start begins to detect pauses. From now on note must be called every pauseCheckInterval.
 func (p *pauseGuard) start() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.seen, p.started = p.Clock(), true
+	p.detector.Clock, p.detector.Limit = p.Clock, maxPauseTime
+	p.detector.Start()
 }
 
 // note records that the process runs now, and detects a pause before.
 func (p *pauseGuard) note() {
-	now := p.Clock()
-	p.mu.Lock()
-	wasPaused := p.started && now-p.seen > maxPauseTime
-	p.seen = now
-	if wasPaused {
-		p.isStale, p.wokeAt = true, now
-		p.pauses++
-	}
-	p.mu.Unlock()
-	if wasPaused {
+	if p.detector.Note() {
 		p.Relink()
 	}
 }
@@ -69,20 +56,20 @@
 // last one may have run out.
 func (p *pauseGuard) pauseCount() int {
 	p.note()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.pauses
+	count, _ := p.detector.Last()
+	return count
 }
 
 // refreshed reports whether no news is missing, or the wait for it is over.
 func (p *pauseGuard) refreshed() bool {
+	count, ended := p.detector.Last()
 	linked := p.IsLinked()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.isStale && (linked || p.Clock()-p.wokeAt >= refreshTimeout) {
-		p.isStale = false
+	if linked || ended >= refreshTimeout {
+		p.refreshedCount = count
 	}
-	return !p.isStale
+	return p.refreshedCount == count
 }
 
 // await waits after a pause until a new link has brought what was missed, until
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -60,8 +60,10 @@
 	disk *store.Mem
 	// dials counts the connections that it opened to other instances.
 	dials atomic.Int32
-	stop  context.CancelFunc
-	done  chan struct{}
+	// suspended is for how long its host was suspended, in nanoseconds.
+	suspended atomic.Int64
+	stop      context.CancelFunc
+	done      chan struct{}
 }
 
 // entryNode is the link.Follower of an instance that serves callers.
@@ -297,6 +299,8 @@
 		}
 		return conn, err
 	}
+	began := time.Now()
+	c.Clock = func() time.Duration { return time.Since(began) + time.Duration(c.suspended.Load()) }
 	cl.controls[addr] = c
 	local.Methods, local.Streams = c.Setup()
 	c.node.SnapshotBytes = cl.snapshotBytes
--- a/internal/hub/evacuation.go
+++ b/internal/hub/evacuation.go
@@ -20,6 +20,17 @@
 	// evacuateMethod has the leader commit a change of the evacuated data centres. A leader of a
 	// build that doesn't know evacuations lacks the method, so it commits none.
 	evacuateMethod = "hub.evacuate"
+	// freshTime is how long after it was read a call may be bound to the list that is in force, and pauseLimit
+	// how long it may have waited unread in a process that runs. The caller repeats the call after one second,
+	// and may send other changes once that is acknowledged.
+	freshTime  = 500 * time.Millisecond
+	pauseLimit = 400 * time.Millisecond
+	// pauseNoteInterval is how often the instance notes that it runs.
+	pauseNoteInterval = 100 * time.Millisecond
+	// staleTime is how long after a pause of the process calls may be read that came before its end.
+	staleTime = time.Second
+	// callerCheckTime is the time in which the end of the connection of a caller that has left is read.
+	callerCheckTime = 20 * time.Millisecond
 	// voterGrace is how long a new leader waits for the links of voters that it has not heard of.
 	// Those that live link within a second. One that is lost must not keep its data centre from
 	// being evacuated.
@@ -30,6 +41,8 @@
 type evacuateResponse struct {
 	Changed bool   `cbor:"1,keyasint"`
 	Counter uint64 `cbor:"2,keyasint"`
+	// Outdated is set if the list has changed since the one that the change was made for.
+	Outdated bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Evacuate has no more requests sent to the targets of a data centre. It returns once that is
@@ -44,45 +57,87 @@
 }
 
 // changeEvacuations has the leader commit a change. A change is idempotent, so one with an unknown
-// outcome is tried again until callTimeout.
+// outcome is tried again until callTimeout. It is bound to the list that was in force when the call was
+// read: an attempt that is late on its way to the leader must not revert what the operator has ordered since.
 func (s *Server) changeEvacuations(ctx context.Context, e *reg.Evacuate) error {
 	if err := e.Check(); err != nil {
 		return verd.Wrap(err, verd.NotRun, verd.BadRequest, "invalid evacuation")
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	var r evacuateResponse
-	var err, reason error
+	r, err := s.commitBound(ctx, e)
+	result := "acknowledged"
+	if err != nil {
+		result = "refused"
+	}
+	s.counter(meter.Label("hub.evacuation_calls", "result", result)).Inc(1)
+	s.Log.Info().Str("data_centre", e.DataCentre).Bool("evacuated", !e.Withdrawn).Bool("changed", r.Changed).Uint64("counter", r.Counter).
+		Err(err).Msg("evacuation call handled")
+	return err
+}
+
+// commitBound binds a change to the list that is in force and has the leader commit it.
+func (s *Server) commitBound(ctx context.Context, e *reg.Evacuate) (r evacuateResponse, err error) {
+	bindCtx, cancel := context.WithTimeout(ctx, freshTime)
+	defer cancel()
+	if !timing.Sleep(bindCtx, callerCheckTime) {
+		return r, verd.Wrap(ctx.Err(), verd.NotRun, verd.Unavailable, "the caller has left")
+	}
+	var reason error
 	for {
-		attemptCtx, cancelAttempt := context.WithTimeout(ctx, attemptTimeout)
-		switch leader, ok := s.replica().Leader(); {
-		case !ok:
-			err = verd.New(verd.NotRun, verd.Unavailable, "no leader of the control instances is known")
-		case leader == s.PeerAddr:
-			r, err = s.commitEvacuation(attemptCtx, e)
-		default:
-			err = s.Calls.Call(attemptCtx, leader, evacuateMethod, e, &r)
+		if e.After == nil || r.Outdated {
+			if e.After, err = s.bindEvacuation(bindCtx); err != nil {
+				return r, err
+			}
 		}
-		cancelAttempt()
-		if reason == nil || ctx.Err() == nil {
+		r, err = s.sendEvacuation(ctx, e)
+		switch {
+		case err == nil && !r.Outdated:
+			return r, nil
+		case err == nil:
+			continue
+		case reason == nil || ctx.Err() == nil:
 			// An attempt that the end of the call cuts off says nothing.
 			reason = err
 		}
-		if err == nil || !timing.Sleep(ctx, retryInterval) {
-			break
+		if !timing.Sleep(ctx, retryInterval) {
+			return r, reason
 		}
 	}
+}
+
+// bindEvacuation returns the counter of the list that a call is made for, or nil if the leader doesn't tell it.
+func (s *Server) bindEvacuation(ctx context.Context) (after *uint64, err error) {
+	resp, err := s.readIndex(ctx)
 	if err != nil {
-		err = reason
+		return nil, err
 	}
-	result := "acknowledged"
-	if err != nil {
-		result = "refused"
+	return resp.Evacuations, s.checkFresh()
+}
+
+// checkFresh returns an error if a call that was just read may be an old one: this process was paused, and the call
+// may have waited meanwhile. Calls without a version or a number can't be ordered otherwise.
+func (s *Server) checkFresh() error {
+	s.pauses.Note()
+	if pauses, ended := s.pauses.Last(); pauses > 0 && ended < staleTime {
+		return verd.New(verd.NotRun, verd.Unavailable, "this control instance was paused until %s ago, and the call may be an old one", ended)
 	}
-	s.counter(meter.Label("hub.evacuation_calls", "result", result)).Inc(1)
-	s.Log.Info().Str("data_centre", e.DataCentre).Bool("evacuated", !e.Withdrawn).Bool("changed", r.Changed).Uint64("counter", r.Counter).
-		Err(err).Msg("evacuation call handled")
-	return err
+	return nil
+}
+
+// sendEvacuation has the leader commit a change, once.
+func (s *Server) sendEvacuation(ctx context.Context, e *reg.Evacuate) (r evacuateResponse, err error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	defer cancel()
+	switch leader, ok := s.replica().Leader(); {
+	case !ok:
+		err = verd.New(verd.NotRun, verd.Unavailable, "no leader of the control instances is known")
+	case leader == s.PeerAddr:
+		r, err = s.commitEvacuation(ctx, e)
+	default:
+		err = s.Calls.Call(ctx, leader, evacuateMethod, e, &r)
+	}
+	return r, err
 }
 
 // handleEvacuate answers evacuateMethod.
@@ -100,7 +155,12 @@
 	if err := s.checkVoters(); err != nil {
 		return evacuateResponse{}, err
 	}
-	if now := s.registry.Evacuations(); !e.Withdrawn && !now.Has(e.DataCentre) && len(now.DataCentres) >= reg.MaxEvacuations {
+	now := s.registry.Evacuations()
+	if e.IsOutdated(now) {
+		// Replicas of builds that ignore Evacuate.After must not get such a change.
+		return evacuateResponse{Counter: now.Counter, Outdated: true}, nil
+	}
+	if !e.Withdrawn && !now.Has(e.DataCentre) && len(now.DataCentres) >= reg.MaxEvacuations {
 		return evacuateResponse{}, verd.New(verd.NotRun, verd.Overloaded, "%d data centres are evacuated, limit is %d", len(now.DataCentres), reg.MaxEvacuations)
 	}
 	b, err := s.registry.EncodeCommand(reg.Command{Evacuate: e})
@@ -121,7 +181,7 @@
 	if err := s.checkVoters(); err != nil {
 		return evacuateResponse{}, verd.Wrap(err, verd.MayHaveRun, verd.Unavailable, "the voters changed meanwhile")
 	}
-	return evacuateResponse{Changed: r.Changed, Counter: s.registry.Evacuations().Counter}, nil
+	return evacuateResponse{Changed: r.Changed, Counter: s.registry.Evacuations().Counter, Outdated: r.Outdated}, nil
 }
 
 // checkVoters returns an error unless this instance leads, and all voters have announced that they
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -42,6 +42,8 @@
 // readIndexResponse carries the read index.
 type readIndexResponse struct {
 	Revision uint64 `cbor:"1,keyasint"`
+	// Evacuations is the counter of the evacuated data centres; nil from leaders of builds that don't send it.
+	Evacuations *uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // Publish replaces the tables and returns once the change is committed. Tables whose
@@ -63,19 +65,19 @@
 func (s *Server) TablesSource(ctx context.Context) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	minRevision, err := s.readIndex(ctx)
+	index, err := s.readIndex(ctx)
 	if err != nil {
 		return nil, err
 	}
 	for {
 		revision, changed := s.registry.Revision()
-		if revision >= minRevision {
+		if revision >= index.Revision {
 			break
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, verd.New(verd.NotRun, verd.Unavailable, "registry of this instance is at revision %d, the read needs %d", revision, minRevision)
+			return nil, verd.New(verd.NotRun, verd.Unavailable, "registry of this instance is at revision %d, the read needs %d", revision, index.Revision)
 		}
 	}
 	_, source := s.registry.Tables()
@@ -87,7 +89,7 @@
 
 // readIndex returns the read index, the lowest revision at which a read is linearizable. It
 // requests the index from the leader, and tries again until ctx ends.
-func (s *Server) readIndex(ctx context.Context) (uint64, error) {
+func (s *Server) readIndex(ctx context.Context) (readIndexResponse, error) {
 	n := s.replica()
 	for {
 		actx, cancel := context.WithTimeout(ctx, attemptTimeout)
@@ -103,10 +105,10 @@
 		}
 		cancel()
 		if err == nil {
-			return resp.Revision, nil
+			return resp, nil
 		}
 		if !timing.Sleep(ctx, retryInterval) {
-			return 0, err
+			return readIndexResponse{}, err
 		}
 	}
 }
@@ -118,7 +120,8 @@
 		return readIndexResponse{}, err
 	}
 	revision, _ := s.registry.Revision()
-	return readIndexResponse{Revision: revision}, nil
+	counter := s.registry.Evacuations().Counter
+	return readIndexResponse{Revision: revision, Evacuations: &counter}, nil
 }
 
 // handleReadIndex answers readIndexMethod.
@@ -254,6 +257,12 @@
 	if err := d.Check(); err != nil {
 		return verd.Wrap(err, verd.NotRun, verd.BadRequest, "invalid deregistration")
 	}
+	if startedMs == 0 {
+		// An old call could remove the next process under the ID.
+		if err := s.checkFresh(); err != nil {
+			return err
+		}
+	}
 	r, err := s.propose(ctx, reg.Command{Deregister: d, ReceivedMs: time.Now().UnixMilli()})
 	s.Log.Info().Str("target", id).Int64("born", startedMs).Bool("changed", r.Changed).Err(err).Msg("deregistration of target handled")
 	return err
--- a/internal/hub/server.go
+++ b/internal/hub/server.go
@@ -18,6 +18,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/store"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
 
@@ -52,7 +53,8 @@
 	// Fair is place.Core.Fair of the schedulers.
 	Fair bool
 	FS   store.FS
-	// Clock is the clock of the leader's lease; nil means the clock of the Go runtime.
+	// Clock is the clock of the leader's lease and of pauses of the process. It includes the time in which the
+	// host was suspended; nil means the clock of the Go runtime.
 	Clock func() time.Duration
 	// Seed seeds the jitter of elections; 0 means a random seed.
 	Seed uint64
@@ -72,6 +74,8 @@
 	loads     loadRelay
 	// evacuations are the evacuated data centres as last seen in the registry.
 	evacuations evacuationTracker
+	// pauses detects pauses of the process, in which calls wait unread.
+	pauses timing.PauseDetector
 
 	mu       sync.Mutex
 	node     *quorum.Node
@@ -118,6 +122,11 @@
 		Calls: s.Calls, Follower: &follower{s}, Suspended: s.isLeader, Log: s.Log,
 	}
 	s.client.SetSeeds(s.SeedAddrs)
+	s.pauses.Limit, s.pauses.Clock = pauseLimit, s.Clock
+	if s.pauses.Clock == nil {
+		began := time.Now()
+		s.pauses.Clock = func() time.Duration { return time.Since(began) }
+	}
 	s.node = s.newNode()
 	methods := []wire.Method{
 		{Name: readIndexMethod, New: func() any { return new(readIndexRequest) }, Run: s.handleReadIndex},
@@ -174,6 +183,11 @@
 	g.Go(func() error { return s.sweep(ctx) })
 	g.Go(func() error { return s.watchEvacuations(ctx) })
 	g.Go(func() error { return s.watchDemand(ctx) })
+	s.pauses.Start()
+	g.Go(func() error {
+		timing.Every(ctx, pauseNoteInterval, func() { s.pauses.Note() })
+		return nil
+	})
 	return g.Wait()
 }
 
--- a/internal/reg/evacuation.go
+++ b/internal/reg/evacuation.go
@@ -41,8 +41,14 @@
 	DataCentre string `cbor:"1,keyasint"`
 	// Withdrawn is set if the evacuation ends.
 	Withdrawn bool `cbor:"2,keyasint,omitempty"`
+	// After is the counter of the list that the change was made for: it is outdated if others have changed the
+	// list since. nil, which builds without this field send, is never outdated.
+	After *uint64 `cbor:"3,keyasint,omitempty"`
 }
 
+// IsOutdated reports whether the list has changed since the one that the change was made for.
+func (e *Evacuate) IsOutdated(now Evacuations) bool { return e.After != nil && *e.After != now.Counter }
+
 // Check rejects a data centre that can't be a name. The name need not be known: targets may
 // announce themselves there later.
 func (e *Evacuate) Check() error { return site.CheckName("data centre", e.DataCentre) }
@@ -50,6 +56,9 @@
 // evacuate changes the evacuated data centres and returns whether that changed them. The revision
 // stays: replicas of builds that don't know the command ignore it, and must keep the same one.
 func (s *State) evacuate(e *Evacuate) bool {
+	if e.IsOutdated(s.Evacuations) {
+		return false
+	}
 	old := s.Evacuations.DataCentres
 	i, found := slices.BinarySearch(old, e.DataCentre)
 	if found != e.Withdrawn {
--- a/internal/reg/evacuation_test.go
+++ b/internal/reg/evacuation_test.go
@@ -58,6 +58,19 @@
 	})
 }
 
+// TestOutdatedChangeHasNoEffect guards against a change that is applied after others that its sender didn't know of.
+func TestOutdatedChangeHasNoEffect(t *testing.T) {
+	var m Machine
+	after := func() *uint64 { n := m.Evacuations().Counter; return &n }
+	first := after()
+	quicktest.Assert(t, apply(t, &m, Command{Evacuate: &Evacuate{DataCentre: "a", After: first}}), quicktest.Equals, Result{Changed: true})
+	quicktest.Assert(t, apply(t, &m, Command{Evacuate: &Evacuate{DataCentre: "a", Withdrawn: true, After: first}}), quicktest.Equals, Result{Outdated: true})
+	quicktest.Assert(t, m.Evacuations().Has("a"), quicktest.IsTrue)
+	quicktest.Assert(t, apply(t, &m, Command{Evacuate: &Evacuate{DataCentre: "a", Withdrawn: true, After: after()}}), quicktest.Equals, Result{Changed: true})
+	// Builds without the field send no counter.
+	quicktest.Assert(t, apply(t, &m, Command{Evacuate: &Evacuate{DataCentre: "b"}}), quicktest.Equals, Result{Changed: true})
+}
+
 // TestEvacuationWakesReaders guards against a change that nobody sends on because it has no
 // revision of its own.
 func TestEvacuationWakesReaders(t *testing.T) {
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -92,6 +92,8 @@
 	Error string `cbor:"3,keyasint,omitempty"`
 	// HasLeft is set if the command announced a process that had left before.
 	HasLeft bool `cbor:"4,keyasint,omitempty"`
+	// Outdated is set for a change of the evacuations that came too late; see Evacuate.After.
+	Outdated bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Apply applies a command.
@@ -106,6 +108,7 @@
 	case c.Deregister != nil:
 		r.Changed = s.deregister(*c.Deregister, c.ReceivedMs)
 	case c.Evacuate != nil:
+		r.Outdated = c.Evacuate.IsOutdated(s.Evacuations)
 		r.Changed = s.evacuate(c.Evacuate)
 	}
 	r.Revision = s.Revision
--- a/internal/reg/unannounced_test.go
+++ b/internal/reg/unannounced_test.go
@@ -32,11 +32,7 @@
 					apply(t, &m, c)
 				}
 				apply(t, &m, Command{Deregister: &Deregister{ID: "i", StartedMs: startedMs}, ReceivedMs: receivedMs})
-				b, err := m.Snapshot()
-				quicktest.Assert(t, err, quicktest.IsNil)
-				var restored Machine
-				quicktest.Assert(t, restored.Restore(b), quicktest.IsNil)
-				for _, m := range []*Machine{&m, &restored} {
+				for _, m := range []*Machine{&m, restart(t, &m)} {
 					since, _ := m.Revision()
 					quicktest.Check(t, apply(t, m, announcement(5, 2, receivedMs+5000)).HasLeft, quicktest.IsTrue)
 					d, err := m.DeltaSince(since, false)
@@ -74,47 +70,52 @@
 	}
 }
 
+// drawCall draws a command for one of few processes, received at receivedMs, and adds the processes that have left
+// once it is applied.
+func drawCall(t *rapid.T, receivedMs int64, left map[process]bool) Command {
+	id, startedMs := string(rune('a'+rapid.IntRange(0, 2).Draw(t, "id"))), rapid.Int64Range(1, 3).Draw(t, "started")
+	c := Command{Deregister: &Deregister{ID: id, StartedMs: startedMs}, ReceivedMs: receivedMs}
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0:
+		left[process{id, startedMs}] = true
+	case 1:
+		c.Deregister.TimedOut = true
+	case 2:
+		c.Deregister.StartedMs = 0
+		for started := range int64(4) {
+			left[process{id, started}] = true
+		}
+	default:
+		x := target(id, fmt.Sprintf("10.0.0.%d:1", rapid.IntRange(1, 3).Draw(t, "address")), startedMs, rapid.Uint64Range(0, 9).Draw(t, "sequence"), site.Ready)
+		c.Announce, c.Deregister = &x, nil
+	}
+	return c
+}
+
+// restart replaces a machine by one that is restored from its snapshot.
+func restart(t testing.TB, m *Machine) *Machine {
+	t.Helper()
+	b, err := m.Snapshot()
+	quicktest.Assert(t, err, quicktest.IsNil)
+	restored := &Machine{}
+	quicktest.Assert(t, restored.Restore(b), quicktest.IsNil)
+	return restored
+}
+
 // TestDepartedProcessIsNeverUsed applies announcements and departures of few processes in any order, with
 // snapshots in between: once the departure of a process was acknowledged, no reader may get it as ready.
 func TestDepartedProcessIsNeverUsed(t *testing.T) {
-	rapid.Check(t, func(t *rapid.T) {
-		var m Machine
-		left := make(map[process]bool)
-		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
-			id, startedMs := string(rune('a'+rapid.IntRange(0, 2).Draw(t, "id"))), rapid.Int64Range(1, 3).Draw(t, "started")
-			c := Command{Deregister: &Deregister{ID: id, StartedMs: startedMs}, ReceivedMs: int64(10 + step)}
-			switch rapid.IntRange(0, 5).Draw(t, "kind") {
-			case 0:
-				left[process{id, startedMs}] = true
-			case 1:
-				c.Deregister.TimedOut = true
-			case 2:
-				c.Deregister.StartedMs = 0
-				for started := range int64(4) {
-					left[process{id, started}] = true
-				}
-			default:
-				x := target(id, fmt.Sprintf("10.0.0.%d:1", rapid.IntRange(1, 3).Draw(t, "address")), startedMs, rapid.Uint64Range(0, 9).Draw(t, "sequence"), site.Ready)
-				c.Announce, c.Deregister = &x, nil
-			}
-			b, err := m.EncodeCommand(c)
-			if err != nil {
-				t.Fatal(err)
-			}
-			m.Apply(0, b)
-			if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
-				b, err := m.Snapshot()
-				if err != nil {
-					t.Fatal(err)
-				}
-				m = Machine{}
-				if err := m.Restore(b); err != nil {
-					t.Fatal(err)
-				}
+	rapid.Check(t, func(r *rapid.T) {
+		m, left := &Machine{}, make(map[process]bool)
+		for step := range rapid.IntRange(1, 60).Draw(r, "steps") {
+			c := drawCall(r, int64(10+step), left)
+			apply(t, m, c)
+			if rapid.IntRange(0, 9).Draw(r, "restart") == 0 {
+				m = restart(t, m)
 			}
 			for _, x := range m.Targets() {
 				if left[process{x.ID, x.StartedMs}] {
-					t.Fatalf("%+v: process %s, %d has left and is %v", c, x.ID, x.StartedMs, x.State)
+					r.Fatalf("%+v: process %s, %d has left and is %v", c, x.ID, x.StartedMs, x.State)
 				}
 			}
 		}
