Tests rule out responses that are cut in their head

Here it can't happen: a head without its end is an error in the client of both layouts, which counts as "may have run". No change of the product.

--- a/internal/gate/resume_test.go
+++ b/internal/gate/resume_test.go
@@ -15,9 +15,9 @@
 const serviceStreamPath = "/service-stream/"
 
 // newServiceStreamTestbed returns a testbed with a resumable streaming route to plain services.
-func newServiceStreamTestbed(t *testing.T, plain ...script) *testbed {
+func newServiceStreamTestbed(t *testing.T, plain, engines []script) *testbed {
 	t.Helper()
-	s := newTestbed(t, plain, nil)
+	s := newTestbed(t, plain, engines)
 	s.tables.Version++
 	s.tables.Routes = append(s.tables.Routes, site.Route{
 		Name: serviceStreamPath, Host: "h", Prefix: serviceStreamPath, Kind: site.Streaming, Limit: 3 * time.Second, Aim: 300 * time.Millisecond,
@@ -56,7 +56,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newServiceStreamTestbed(t, c.service)
+				s := newServiceStreamTestbed(t, []script{c.service}, nil)
 				res := s.call(serviceStreamPath, "prompt", c.headers...)
 				quicktest.Assert(t, res.status, quicktest.Equals, 200, quicktest.Commentf("%s", res.body))
 				quicktest.Assert(t, res.body, quicktest.Equals, c.want)
@@ -78,7 +78,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newServiceStreamTestbed(t, first, streamEvents(9, 0))
+				s := newServiceStreamTestbed(t, []script{first, streamEvents(9, 0)}, nil)
 				// The second service has more requests in flight, so that the first one is tried first.
 				defer s.gate.health.track("t1")()
 				defer s.gate.health.track("t1")()
--- a/internal/httpx/engine_test.go
+++ b/internal/httpx/engine_test.go
@@ -128,3 +128,31 @@
 		resp.Body.Close()
 	})
 }
+
+// TestHeadCutAnywhere guards against a response that is taken for a whole one, or a request that is sent again or
+// called not run, after a target stopped in the head of its response and closed the connection.
+func TestHeadCutAnywhere(t *testing.T) {
+	for _, end := range []string{"Content-Length: 1234\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"} {
+		head := "HTTP/1.1 200 OK\r\n" + HeaderID + ": r1\r\n" + end + "\r\n"
+		for cut := range len(head) {
+			synctest.Test(t, func(t *testing.T) {
+				requests := 0
+				dial := startRawServer(t, &memnet.Network{}, func(c net.Conn, _ int) {
+					requests++
+					io.WriteString(c, head[:cut])
+					time.Sleep(time.Duration(cut%2) * time.Second)
+					c.Close()
+				})
+				pooled := PooledTransport(dial)
+				defer pooled.CloseIdleConnections()
+				e, s := &Engine{Pooled: pooled, Fresh: Fresh(dial)}, Services{Fresh: Fresh(dial)}
+				_, err := s.Call(t.Context(), serverAddr, idempotentPost(t), time.Time{})
+				for _, err := range []error{err, generate(t, e, "r1")} {
+					quicktest.Assert(t, err, quicktest.IsNotNil, quicktest.Commentf("%q", head[:cut]))
+					quicktest.Assert(t, verd.From(err).Verdict, quicktest.Equals, verd.MayHaveRun, quicktest.Commentf("%q: %v", head[:cut], err))
+				}
+				quicktest.Assert(t, requests, quicktest.Equals, 2)
+			})
+		}
+	}
+}
