gate: requests get a response at the end of a planned stop

What callers saw (reported of another system): in a planned stop of one entry, in calm, requests that it had taken and passed on were cut off without a response at the end of the grace, orders that may not be repeated among them (LOST). Cause: nothing ended the requests in progress when the drain was over; the HTTP servers waited for 0.3 s and closed the connections. Ruled out here: requests that come late in the grace, which are taken only if their time limit ends before the entry does. Change: at the end of the drain the requests in progress are ended and answered: 503 if they have not run, 502 if they may have. Only streams that have begun are truncated. While an entry drains, the time left of a request ends with the entry, so that targets are told no more and nothing is sent that can't be finished.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -90,6 +90,9 @@
 	noBudget   = "the retry budget is used up"
 )
 
+// shutdownReason is why requests end that are in progress at the end of a drain.
+const shutdownReason = "this instance is shutting down"
+
 // prepare validates the request and finds its route and pool. It returns false if it has
 // already responded.
 func (x *exchange) prepare() bool {
@@ -123,9 +126,9 @@
 		limit = defaultTimeout
 	}
 	x.deadline = x.start.Add(min(limit, route.Limit))
-	if d := s.drainingFor(); d > drainAcceptPeriod && x.timeLeft() > s.DrainTime-d {
+	if d := s.drainingFor(); d > drainAcceptPeriod && time.Until(x.deadline) > s.DrainTime-d {
 		// It could be cut off when this instance ends.
-		x.respondUnavailable("this instance is shutting down", 0)
+		x.respondUnavailable(shutdownReason, 0)
 		return false
 	}
 	pool, ok := x.view.index.Pool(route.PickPool(rand.Float64()))
@@ -263,6 +266,8 @@
 		x.abortConnection()
 	case !x.mayHaveRun:
 		x.respondUnavailable(reason, retry)
+	case x.server.serving.Err() != nil:
+		x.respondError(http.StatusBadGateway, shutdownReason+": "+reason)
 	case ctx.Err() != nil:
 		x.respondError(http.StatusGatewayTimeout, "the time limit was reached: "+reason)
 	default:
@@ -276,6 +281,8 @@
 	switch {
 	case x.r.Context().Err() != nil:
 		return "the caller disconnected"
+	case x.server.serving.Err() != nil:
+		return shutdownReason
 	case x.timeLeft() > 0:
 		return otherEngineReason
 	default:
@@ -295,8 +302,14 @@
 	return x.status == http.StatusServiceUnavailable && x.answeredBy == byEntry
 }
 
-// timeLeft returns the time until the request's deadline.
-func (x *exchange) timeLeft() time.Duration { return time.Until(x.deadline) }
+// timeLeft returns the time until the request's deadline, or until this instance ends if it drains.
+func (x *exchange) timeLeft() time.Duration {
+	left := time.Until(x.deadline)
+	if d := x.server.drainingFor(); d > 0 && x.server.DrainTime > 0 {
+		left = min(left, x.server.DrainTime-d)
+	}
+	return left
+}
 
 // logOutcome logs and measures the outcome, once.
 func (x *exchange) logOutcome() {
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -94,7 +94,10 @@
 	// drainStart is when the drain began, in nanoseconds since startedAt; 0 while the
 	// instance serves.
 	drainStart atomic.Int64
-	startedAt  time.Time
+	// serving ends with EndRequests.
+	serving     context.Context
+	stopServing context.CancelFunc
+	startedAt   time.Time
 
 	// inFlight is the number of requests in progress, and delay that of the timers; both are reported
 	// to the leader.
@@ -105,6 +108,7 @@
 // Setup initialises the server. It must be called before Run and ServeHTTP.
 func (s *Server) Setup() {
 	s.startedAt = time.Now()
+	s.serving, s.stopServing = context.WithCancel(context.Background())
 	s.views.setup()
 	s.placer.server = s
 	s.placer.setup()
@@ -145,6 +149,10 @@
 // Drain starts to drain the instance: callers are no longer sent here.
 func (s *Server) Drain() { s.drainStart.CompareAndSwap(0, int64(time.Since(s.startedAt))+1) }
 
+// EndRequests ends the requests in progress at the end of a drain. Their callers get a response, as long as they have no
+// part of one, which says whether the request may have run.
+func (s *Server) EndRequests() { s.stopServing() }
+
 // drainingFor returns how long the instance has been draining; 0 while it serves.
 func (s *Server) drainingFor() time.Duration {
 	at := s.drainStart.Load()
@@ -174,6 +182,7 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
+	defer context.AfterFunc(s.serving, cancel)()
 	if x.isBound() {
 		ctx = relay.Restrict(ctx, x.allowsRelay)
 	}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -268,6 +268,8 @@
 	p.gate.Drain()
 	inFlight := func() int64 { return p.gate.InFlight() + p.relay.Active() }
 	awaitDrained(time.Duration(p.Settings.Grace), inFlight, &p.callers)
+	// The servers wait for closeTimeout until the responses are written.
+	p.gate.EndRequests()
 	p.Log.Info().Int64("active", p.gate.InFlight()).Int("connections", p.callers.openCount()).Msg("drain finished")
 }
 
