relay: other entries confirm the end of targets that want a pause

Cause: a refused connection counts only if another entry is refused as well, and entries dial only for targets to which they serve tunnels. All were in a pause that the target had asked for, so none confirmed, and what isn't confirmed counts as alive. Change: a dial that only asks whether a target refuses connections is marked as a probe. Relays answer it for every target in their view, and open no tunnel for it. Relays of older builds treat a probe as a request for a tunnel, as before.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -12,6 +12,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
+	"github.com/bambooproxy/bambooproxy/internal/relay"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
@@ -33,7 +34,7 @@
 	// Many requests notice the end of one process at the same time.
 	key := t.ID + "/" + strconv.FormatInt(t.StartedMs, 10)
 	refused, _, _ := s.processChecks.Do(key, func() (any, error) {
-		return s.TargetClient.IsRefused(context.Background(), t.Address), nil
+		return s.TargetClient.IsRefused(relay.Probe(context.Background()), t.Address), nil
 	})
 	return refused.(bool)
 }
--- a/internal/gate/tunnel.go
+++ b/internal/gate/tunnel.go
@@ -21,6 +21,20 @@
 	return ok && s.views.isUsable() && s.drainingFor() == 0 && !s.health.isClosed(t)
 }
 
+// KnowsTarget reports whether the address is that of a target in the view, in any state.
+func (s *Server) KnowsTarget(address string) bool {
+	v := s.views.load()
+	if v == nil {
+		return false
+	}
+	for _, t := range v.targets {
+		if t.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // HandleTunnelNotice records what a target asked for through a tunnel.
 func (s *Server) HandleTunnelNotice(address string, n relay.Notice) {
 	if t, ok := s.readyTargetAt(address); ok {
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -225,7 +225,7 @@
 	}
 	stop := context.AfterFunc(ctx, st.Close)
 	var m downMessage
-	if err = st.Send(&upMessage{Address: target}); err == nil {
+	if err = st.Send(&upMessage{Address: target, Probe: isProbe(ctx)}); err == nil {
 		err = st.Receive(&m)
 	}
 	switch {
--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -32,9 +32,9 @@
 	relays  []*Server
 	peers   []Peer
 	notices []Notice
-	// accepts is what the relays decide about tunnels.
-	accepts bool
-	target  net.Listener
+	// accepts is what the relays decide about tunnels, and knows whether they know the target.
+	accepts, knows bool
+	target         net.Listener
 	// open are the connections that the end of the test closes.
 	open []net.Conn
 }
@@ -80,6 +80,7 @@
 }
 
 func (s *testbed) AcceptsTunnel(string) bool              { return s.accepts }
+func (s *testbed) KnowsTarget(string) bool                { return s.knows }
 func (s *testbed) HandleTunnelNotice(_ string, n Notice)  { s.notices = append(s.notices, n) }
 func (s *testbed) dial() (net.Conn, time.Duration, error) { return s.dialWithin(time.Second) }
 func (s *testbed) cutSelf()                               { s.net.Cut(selfHost, targetAddr) }
@@ -324,3 +325,33 @@
 		<-done
 	})
 }
+
+// TestProbeIsConfirmed guards against targets that have crashed and are taken for alive, because the relays
+// serve no tunnels to them: they are full, or drain. A probe opens no tunnel.
+func TestProbeIsConfirmed(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare     func(s *testbed)
+		wantRefused bool
+	}{
+		"nothing listens": {func(s *testbed) { s.target.Close() }, true},
+		"unknown target":  {func(s *testbed) { s.target.Close(); s.knows = false }, false},
+		"out of reach":    {func(s *testbed) { s.net.Refuse(selfHost, targetAddr) }, false},
+		"alive":           {func(*testbed) {}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runTestbed(t, func(s *testbed) {
+				s.accepts, s.knows = false, true
+				c.prepare(s)
+				ctx, cancel := context.WithTimeout(Probe(context.Background()), 300*time.Millisecond)
+				defer cancel()
+				conn, err := s.dialer.Dial(ctx, targetAddr)
+				if err == nil {
+					s.open = append(s.open, conn)
+				}
+				quicktest.Assert(t, errors.Is(err, syscall.ECONNREFUSED), quicktest.Equals, c.wantRefused, quicktest.Commentf("%v", err))
+				time.Sleep(time.Millisecond)
+				quicktest.Assert(t, s.relays[0].Active()+s.relays[1].Active(), quicktest.Equals, int64(0))
+			})
+		})
+	}
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -30,6 +30,9 @@
 	Data    []byte `cbor:"2,keyasint,omitempty"`
 	// Notice is what the target asked for in a response.
 	Notice *Notice `cbor:"3,keyasint,omitempty"`
+	// Probe is set in the first message if there is to be no tunnel. Relays of builds that don't know it
+	// treat it as a request for one.
+	Probe bool `cbor:"4,keyasint,omitempty"`
 }
 
 // Check rejects messages of sizes that no instance sends.
--- a/internal/relay/restriction.go
+++ b/internal/relay/restriction.go
@@ -25,3 +25,12 @@
 	}
 	return out
 }
+
+// probeKey is the key of the mark of probes in a context.
+type probeKey struct{}
+
+// Probe returns a context with which Dialer.Dial only finds out whether a target refuses connections. Relays confirm
+// that also for targets to which they serve no tunnels now. The connection is of no other use.
+func Probe(ctx context.Context) context.Context { return context.WithValue(ctx, probeKey{}, true) }
+
+func isProbe(ctx context.Context) bool { return ctx.Value(probeKey{}) != nil }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -25,6 +25,8 @@
 type Gate interface {
 	// AcceptsTunnel reports whether there may be a tunnel to a target now.
 	AcceptsTunnel(target string) bool
+	// KnowsTarget reports whether the address is that of a target, whatever its state.
+	KnowsTarget(target string) bool
 	// HandleTunnelNotice handles what a target asked for in a response through a tunnel.
 	HandleTunnelNotice(target string, n Notice)
 }
@@ -61,7 +63,8 @@
 		return err
 	}
 	target := first.Address
-	if !s.Gate.AcceptsTunnel(target) || s.IsSuspect(target) {
+	serves := s.Gate.AcceptsTunnel(target) || first.Probe && s.Gate.KnowsTarget(target)
+	if !serves || s.IsSuspect(target) {
 		return st.Send(&downMessage{Result: unavailable})
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, openTimeout)
@@ -76,7 +79,7 @@
 		return st.Send(&m)
 	}
 	defer conn.Close()
-	if err := st.Send(&downMessage{Result: opened}); err != nil {
+	if err := st.Send(&downMessage{Result: opened}); err != nil || first.Probe {
 		return err
 	}
 	go func() {
