gate: the end of a draining target breaks off its answers without a length

Cause: whether such an answer is complete was asked of the check that blames requests for crashes. That says no at once for a target that isn't ready, as its end is expected. Change: hasEnded tells whether the process of a target has ended, whatever its state, and hasCrashed whether that blames a request.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -31,6 +31,15 @@
 	if !ok || current.StartedMs != t.StartedMs || s.health.isLeaving(t) {
 		return false
 	}
+	return s.hasEnded(t)
+}
+
+// hasEnded reports whether the process of a target has ended, expectedly or not: nothing listens on its address any
+// more, or a later process has replaced it.
+func (s *Server) hasEnded(t site.Target) bool {
+	if current, ok := s.views.load().targets[t.ID]; s.blocklist.isReplaced(t) || ok && current.StartedMs > t.StartedMs {
+		return true
+	}
 	// Many requests notice the end of one process at the same time.
 	key := t.ID + "/" + strconv.FormatInt(t.StartedMs, 10)
 	refused, _, _ := s.processChecks.Do(key, func() (any, error) {
@@ -50,9 +59,9 @@
 }
 
 // endedWithProcess reports whether a response ended with its connection because the process of
-// the target ended, so that it may not be complete.
+// the target ended, so that it may not be complete. A target that drains may be taken away before it has answered.
 func (s *Server) endedWithProcess(t site.Target, resp *hop.Response) bool {
-	return resp.EndsWithConnection() && s.hasCrashed(t, io.EOF)
+	return resp.EndsWithConnection() && s.hasEnded(t)
 }
 
 // readBody reads the whole body of a response of a target.
--- a/internal/gate/crash_test.go
+++ b/internal/gate/crash_test.go
@@ -14,6 +14,8 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
+	"github.com/bambooproxy/bambooproxy/internal/reg"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // writeText returns a script that writes a text and closes the connection.
@@ -205,6 +207,22 @@
 	}
 }
 
+// unframedStates are changes of a target while it answers.
+func unframedStates() map[string]func(s *testbed, f *fakeTarget) {
+	return map[string]func(s *testbed, f *fakeTarget){
+		"ready": func(*testbed, *fakeTarget) {},
+		"draining": func(s *testbed, f *fakeTarget) {
+			f.State = site.Draining
+			s.publish(2)
+		},
+		"leaving":    func(s *testbed, f *fakeTarget) { s.gate.recordNotice(f.Target, true, 0) },
+		"wants none": func(s *testbed, f *fakeTarget) { s.gate.recordNotice(f.Target, false, 3*time.Second) },
+		"evacuated": func(s *testbed, _ *fakeTarget) {
+			s.gate.ApplyEvacuations(reg.Evacuations{Counter: 1, DataCentres: []string{"dc"}})
+		},
+	}
+}
+
 // TestUnframedAnswerOfCrashedTarget: an answer that has neither a length nor chunks is complete
 // when its connection ends, unless a stream ends within an event, or the process of the target
 // has ended, too: it may have had more to send.
@@ -221,29 +239,38 @@
 		"whole body":           {nonIdempotentPath, "done", false, true},
 		"body, crashed":        {nonIdempotentPath, "done", true, false},
 	} {
-		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				s := newPathTestbed(t, c.path, unframed(c.body, c.crash))
-				res := s.call(c.path, "body")
-				quicktest.Assert(t, !res.truncated && res.status == 200, quicktest.Equals, c.whole, quicktest.Commentf("%+v", res))
+		for state, change := range unframedStates() {
+			t.Run(name+"/"+state, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					var s *testbed
+					s = newPathTestbed(t, c.path, func(f *fakeTarget, conn net.Conn, q *http.Request) bool {
+						change(s, f)
+						synctest.Wait()
+						return unframed(c.body, c.crash)(f, conn, q)
+					})
+					res := s.call(c.path, "body")
+					quicktest.Assert(t, !res.truncated && res.status == 200, quicktest.Equals, c.whole, quicktest.Commentf("%+v", res))
+				})
 			})
-		})
+		}
 	}
-	t.Run("resumed", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			s := newTestbed(t, nil, []script{nil, nil})
-			for _, f := range s.targets {
-				f.script = func(f *fakeTarget, c net.Conn, q *http.Request) bool {
-					if s.requestCount() > 1 {
-						return streamEvents(5, 0)(f, c, q)
-					}
-					return unframed(eventText(1, 3), true)(f, c, q)
+}
+
+// TestUnframedStreamIsResumed: a stream without a length whose engine has ended goes on at another one.
+func TestUnframedStreamIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, nil, []script{nil, nil})
+		for _, f := range s.targets {
+			f.script = func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+				if s.requestCount() > 1 {
+					return streamEvents(5, 0)(f, c, q)
 				}
+				return unframed(eventText(1, 3), true)(f, c, q)
 			}
-			res := s.call(resumableStreamPath, "prompt")
-			quicktest.Assert(t, res.truncated, quicktest.IsFalse)
-			quicktest.Assert(t, res.body, quicktest.Equals, eventText(1, 5))
-		})
+		}
+		res := s.call(resumableStreamPath, "prompt")
+		quicktest.Assert(t, res.truncated, quicktest.IsFalse)
+		quicktest.Assert(t, res.body, quicktest.Equals, eventText(1, 5))
 	})
 }
 
