quorum: candidates repeat their requests for votes

What would be seen: a control instance loses its disk, and when it doesn't count as lost any more another one does: the group has no majority for good, as the first replica doesn't vote yet. Cause: followers have nothing to say to each other, so the first message between two of them in an election may go out on a connection to a former process. It is lost, and so was the election: requests for votes were not repeated, and the next one came 1 to 1.5 s later. Ruled out by a trace: a replica that catches up, asks to join or is promoted late. Change: a candidate repeats its requests in each heartbeat interval while its election lasts. Requests that ignore leases are not repeated, as the permission may have run out. Evidence: TestLostVoteRequestIsRepeated fails without the change (no leader after 1 s).

--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -131,8 +131,12 @@
 	// timerDue is when the next election or heartbeat is due.
 	timerDue time.Duration
 	votes    map[ID]bool
-	peers    map[ID]*progress
-	incoming incomingSnapshot
+	// repeatsVotes is set if the requests for votes of the last campaign may be repeated, and votesDue is
+	// when.
+	repeatsVotes bool
+	votesDue     time.Duration
+	peers        map[ID]*progress
+	incoming     incomingSnapshot
 
 	pending pendingOutput
 }
@@ -213,7 +217,9 @@
 	c.probeRestarts()
 	if now >= c.timerDue {
 		c.campaign(preVote)
+		return
 	}
+	c.repeatVoteRequests()
 }
 
 // Step handles a message from another replica.
--- a/internal/quorum/elect.go
+++ b/internal/quorum/elect.go
@@ -63,6 +63,22 @@
 	c.sendVoteRequests(term, VoteRequest{
 		PreVote: kind == preVote, LeadershipTransfer: kind == afterTransfer, Restarted: kind == afterRestart,
 	})
+	c.repeatsVotes, c.votesDue = kind == preVote || kind == afterPreVote, c.now+c.timing.HeartbeatInterval
+}
+
+// repeatVoteRequests sends the requests of the current campaign once more while it lasts: the first message to a
+// replica that has restarted may be lost with a connection to its former process. Requests that ignore leases
+// are not repeated, as the permission for them may have run out.
+func (c *Core) repeatVoteRequests() {
+	if !c.repeatsVotes || c.now < c.votesDue || c.role != preCandidate && c.role != candidate {
+		return
+	}
+	c.votesDue = c.now + c.timing.HeartbeatInterval
+	term := c.term
+	if c.role == preCandidate {
+		term++
+	}
+	c.sendVoteRequests(term, VoteRequest{PreVote: c.role == preCandidate})
 }
 
 // sendVoteRequests sends a request for votes in a term, completed with the end of the log, to all
--- a/internal/quorum/elect_test.go
+++ b/internal/quorum/elect_test.go
@@ -8,23 +8,32 @@
 	"github.com/frankban/quicktest"
 )
 
-// TestSimultaneousPreCandidates guards against a split vote: two of three replicas start
-// an election before either receives the other's request, while the third is down. Seen
-// after a power loss of all replicas: the votes were split, and another 1.2 s passed
-// without a leader.
-func TestSimultaneousPreCandidates(t *testing.T) {
+// testTiming is the timing of control instances.
+var testTiming = Timing{HeartbeatInterval: 150 * time.Millisecond, ElectionTimeout: time.Second}
+
+// newTwoOfThree returns two of the three voters of a group, without a leader.
+func newTwoOfThree(t *testing.T) map[ID]*Core {
+	t.Helper()
 	cfg := NewConfig(Replica{ID: 1}, Replica{ID: 2}, Replica{ID: 3})
-	timing := Timing{HeartbeatInterval: 150 * time.Millisecond, ElectionTimeout: time.Second}
 	cores := map[ID]*Core{}
 	for _, id := range []ID{1, 2} {
-		c, err := NewCore(id, timing, PersistentState{
+		c, err := NewCore(id, testTiming, PersistentState{
 			Snapshot: Snapshot{Index: 1, Term: 1, Config: cfg},
 		}, 0, rand.New(rand.NewPCG(1, uint64(id))))
 		quicktest.Assert(t, err, quicktest.IsNil)
 		cores[id] = c
 	}
+	return cores
+}
+
+// TestSimultaneousPreCandidates guards against a split vote: two of three replicas start
+// an election before either receives the other's request, while the third is down. Seen
+// after a power loss of all replicas: the votes were split, and another 1.2 s passed
+// without a leader.
+func TestSimultaneousPreCandidates(t *testing.T) {
+	cores := newTwoOfThree(t)
 	// Later than any election timeout with jitter.
-	now := 2 * timing.ElectionTimeout
+	now := 2 * testTiming.ElectionTimeout
 	for _, c := range cores {
 		c.Tick(now)
 	}
@@ -43,10 +52,44 @@
 			t.Fatal("no leader, and no messages left to deliver")
 		}
 		now += time.Millisecond
-		for _, m := range sent {
-			if c := cores[m.To]; c != nil {
-				c.Step(now, m)
+		deliver(cores, now, sent)
+	}
+}
+
+// TestLostVoteRequestIsRepeated guards against a group without a leader for another election timeout, because the first
+// messages from one voter to another are lost with a connection to a former process.
+func TestLostVoteRequestIsRepeated(t *testing.T) {
+	lostFor := callTimeoutHeartbeats * testTiming.HeartbeatInterval
+	for _, from := range []ID{1, 2} {
+		cores := newTwoOfThree(t)
+		start := 2 * testTiming.ElectionTimeout
+		for now := start; !cores[1].Status().IsLeader && !cores[2].Status().IsLeader; now += 10 * time.Millisecond {
+			if now >= start+testTiming.ElectionTimeout {
+				t.Fatalf("messages of replica %d lost for %s: no leader after %s", from, lostFor, now-start)
+			}
+			for _, id := range []ID{1, 2} {
+				sent := tick(cores[id], now)
+				if id != from || now >= start+lostFor {
+					deliver(cores, now, sent)
+				}
 			}
 		}
 	}
 }
+
+// tick advances the clock of a core and returns what it sends.
+func tick(c *Core, now time.Duration) []Message {
+	c.Tick(now)
+	o := c.Take()
+	c.Synced()
+	return append(o.Immediate, o.AfterSync...)
+}
+
+// deliver hands messages to those of their receivers that run.
+func deliver(cores map[ID]*Core, now time.Duration, messages []Message) {
+	for _, m := range messages {
+		if c := cores[m.To]; c != nil {
+			c.Step(now, m)
+		}
+	}
+}
