hub: a pause of half a second in an evacuation call is no panic

Found in reading the diff: while a call waits for 20 ms for its caller's end, a pause of the process of 0.5 to 0.9 s ends the shorter of its two time limits only, and the error of the longer one, which is none, was wrapped. The handler would have panicked, and net/http closed the connection: the operator would have seen no answer. The error of the limit that has ended is wrapped now. Not shown with a test: which of two timers that are due at once is seen first is up to the runtime.

--- a/internal/hub/evacuation.go
+++ b/internal/hub/evacuation.go
@@ -81,7 +81,7 @@
 	bindCtx, cancel := context.WithTimeout(ctx, freshTime)
 	defer cancel()
 	if !timing.Sleep(bindCtx, callerCheckTime) {
-		return r, verd.Wrap(ctx.Err(), verd.NotRun, verd.Unavailable, "the caller has left")
+		return r, verd.Wrap(bindCtx.Err(), verd.NotRun, verd.Unavailable, "the caller has left, or this instance was paused")
 	}
 	var reason error
 	for {
