gate: log how long an entry had been leaving when a request ended

The lines of requests that end in a planned stop don't tell whether the entry took them before its SIGTERM, and a stream whose target keeps to the end of the entry was logged with "the time limit was reached".

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -285,6 +285,8 @@
 		return shutdownReason
 	case x.timeLeft() > 0:
 		return otherEngineReason
+	case time.Until(x.deadline) > 0:
+		return shutdownReason
 	default:
 		return "the time limit was reached"
 	}
@@ -339,6 +341,9 @@
 	if x.truncated {
 		e.Bool("truncated", true)
 	}
+	if d := s.drainingFor(); d > 0 {
+		e.Dur("draining", d)
+	}
 	if x.noRetry != "" {
 		e.Str("no_retry", x.noRetry)
 	}
