Streams that a planned stop truncates: failing test

The test plays a stop beside kept connections with answers of 6.8 and 4 s, and with engines that are full.

--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -42,7 +43,18 @@
 	reached  map[string]int
 	statuses map[int]int
 	// cut are the requests that got neither a whole response nor a reset of an unread connection.
-	cut []string
+	cut     []string
+	results []stopResult
+	// prompt is the length of the prompts in tokens; 0 means 5,000.
+	prompt int
+}
+
+// stopResult is how a request ended. The status is 0 without a response.
+type stopResult struct {
+	id          string
+	sent, ended time.Time
+	status      int
+	err         error
 }
 
 // TestPlannedStopAnswersAll guards against requests that an entry takes during its grace period, passes on and cuts off
@@ -129,7 +141,7 @@
 	r := bufio.NewReader(conn)
 	for i := 0; ; i++ {
 		id := strconv.Itoa(number*1000 + i)
-		c := gate.CallInfo{ID: id, Key: "key", TimeLimit: limit, PromptTokens: 5000, MaxOutputTokens: 300}
+		c := gate.CallInfo{ID: id, Key: "key", TimeLimit: limit, PromptTokens: cmp.Or(p.prompt, 5000), MaxOutputTokens: 300}
 		q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, strings.NewReader("prompt of "+id))
 		quicktest.Assert(p.t, err, quicktest.IsNil)
 		q.Header = platform.EncodeCall(c)
@@ -157,6 +169,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.statuses[status]++
+	p.results = append(p.results, stopResult{id, sent, time.Now(), status, err})
 	const stopAt, lossSlack = time.Second, 200 * time.Millisecond
 	crossed := p.reached[id] == 0 && time.Since(sent) <= lossSlack
 	truncated := status == http.StatusOK && sent.Sub(p.start) <= stopAt+3*time.Second
--- /dev/null
+++ b/internal/node/stopstream_test.go
@@ -0,0 +1,116 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/gate"
+	"github.com/bambooproxy/bambooproxy/internal/red"
+	"github.com/bambooproxy/bambooproxy/internal/timing"
+)
+
+const (
+	// stopAfter is when the planned stop begins in a play.
+	stopAfter = time.Second
+	// promptRefusal is the longest time in which an instance that is leaving refuses a request.
+	promptRefusal = 250 * time.Millisecond
+	// endReserve is the part of the grace period that an instance may keep for its own end.
+	endReserve = 500 * time.Millisecond
+)
+
+// longAnswers are streams during a planned stop. Times are counted from the stop.
+type longAnswers struct {
+	// prompt is the length of the prompts in tokens.
+	prompt int
+	// hold is the time until the first event, and length that of the whole answer.
+	hold, length time.Duration
+	// engines is the number of engines. seen is how many answers the entry has passed on before.
+	engines, seen int
+}
+
+// TestPlannedStopTruncatesNoStreamInTime guards against streams that an entry truncates in a planned stop, although they
+// would end before its grace period, or although it took them, or sent them to an engine, when it was already too late.
+func TestPlannedStopTruncatesNoStreamInTime(t *testing.T) {
+	for name, c := range map[string]longAnswers{
+		"long":    {5_000, 300 * time.Millisecond, 6800 * time.Millisecond, 4, 2},
+		"medium":  {5_000, time.Second, 4 * time.Second, 4, 2},
+		"full":    {150_000, 1500 * time.Millisecond, 3 * time.Second, 4, 2},
+		"shorter": {150_000, 2 * time.Second, 2500 * time.Millisecond, 2, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { c.play(t) })
+		})
+	}
+}
+
+func (c longAnswers) play(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int), prompt: c.prompt}
+	sentAt := make(map[string]time.Time)
+	p.fleet = newFleet(ctx, t, 1, c.engines, 0, func(_ *testTarget, w http.ResponseWriter, i gate.CallInfo) {
+		p.mu.Lock()
+		p.reached[i.ID]++
+		sentAt[i.ID] = time.Now()
+		p.mu.Unlock()
+		if !timing.Sleep(w.(*silenceWriter).ctx, c.hold) {
+			return
+		}
+		writeHead(w, gate.ReplyInfo{RequestID: i.ID})
+		const events = 10
+		for n := int64(1); n <= events; n++ {
+			i.LastEventID = n - 1
+			writeStream(w, i, n)
+			if !timing.Sleep(w.(*silenceWriter).ctx, (c.length-c.hold)/events-eventPause) {
+				return
+			}
+		}
+	}, func(f *fleet) { f.bind = withLongLimits })
+	defer p.close(cancel)
+	var before sync.WaitGroup
+	for i := range c.seen {
+		before.Go(func() {
+			_, whole := p.call(ctx, 0, chatPath, gate.CallInfo{ID: fmt.Sprintf("b%d", i), PromptTokens: c.prompt})
+			quicktest.Check(t, whole, quicktest.IsTrue)
+		})
+	}
+	before.Wait()
+	p.play(ctx, chatPath, []time.Duration{10 * time.Second})
+
+	stop := p.start.Add(stopAfter)
+	// cut are streams that were truncated although they would have ended in the grace period, taken those
+	// that were sent to an engine too late for that, and late the refusals that took long.
+	var cut, taken, late []string
+	whole, refused := 0, 0
+	for _, r := range p.results {
+		line := fmt.Sprintf("request %s, sent %s and ended %s after the stop, status %d, error %v", r.id, r.sent.Sub(stop), r.ended.Sub(stop), r.status, r.err)
+		atTarget, wasSent := sentAt[r.id]
+		if wasSent {
+			line += fmt.Sprintf(", sent to an engine after %s", atTarget.Sub(stop))
+		}
+		switch {
+		case r.status == http.StatusOK && r.err == nil:
+			whole++
+		case r.status == http.StatusServiceUnavailable:
+			refused++
+			if r.sent.After(stop) && r.ended.Sub(r.sent) > promptRefusal {
+				late = append(late, line)
+			}
+		case wasSent && atTarget.Add(c.length).Before(stop.Add(stopGrace-endReserve)):
+			cut = append(cut, line)
+		case wasSent && atTarget.After(stop):
+			taken = append(taken, line)
+		}
+	}
+	for name, broken := range map[string][]string{"cut": cut, "taken": taken, "late": late} {
+		red.Check(t, name, len(broken) == 0, "%d of %d requests, %d whole, %d refused:\n%s", len(broken), len(p.results), whole, refused, strings.Join(broken, "\n"))
+	}
+	quicktest.Check(t, whole > 0 && refused > 0, quicktest.IsTrue, quicktest.Commentf("%d whole, %d refused", whole, refused))
+}
