node: streams go on until half a second before the end of the grace period

Cause: a tenth of the grace is kept for stopping the components, and since streams end with the drain and no longer with the closing of the servers. Change: half a second is kept, of which closing the servers takes 0.3 s at most; still a tenth of a grace below 5 s.

--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -17,8 +17,10 @@
 	drainQuietTime = 700 * time.Millisecond
 	// drainPollInterval is how often a draining entry checks whether it can end.
 	drainPollInterval = 50 * time.Millisecond
-	// shutdownDivisor divides the grace period: a tenth of it is kept for stopping the
-	// components after the drain.
+	// maxShutdownTime is the part of the grace period that is kept for the responses to requests that
+	// can't end in it, closeTimeout at most, and for stopping the components after the drain. Of a short
+	// one, it is the part that shutdownDivisor gives.
+	maxShutdownTime = closeTimeout + 200*time.Millisecond
 	shutdownDivisor = 10
 	// minDrainDivisor divides the grace period into the shortest drain if that is less than
 	// lookupLifetime.
@@ -64,7 +66,9 @@
 }
 
 // drainTime returns how long a drain may take at most within a grace period.
-func drainTime(grace time.Duration) time.Duration { return grace - grace/shutdownDivisor }
+func drainTime(grace time.Duration) time.Duration {
+	return grace - min(grace/shutdownDivisor, maxShutdownTime)
+}
 
 // awaitDrained waits until an entry that drains can end without cutting off a request:
 // callers no longer know its address, none of their requests is in flight, and none is about
