gate: an entry that is leaving takes no request that it can't finish

Cause: a draining entry took all requests for 2.5 s, whatever they would take, and the wait for engines didn't end with it. Change: what would have to wait for engines is refused at once, as another entry can still serve it; so is what takes longer than the entry has left, by the times that answers of its kind have taken there lately. What waits since before the stop is refused once it couldn't end in time, and a grant whose first event is predicted too late is given back. Requests that come after the end of the drain aren't sent any more.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -115,7 +115,11 @@
 func (s *stream) acquireGrant(ctx context.Context) (place.Grant, error) {
 	s.pauseCount = s.server.pauses.pauseCount()
 	req := s.placementRequest()
-	g, err := s.server.placer.acquire(ctx, &req)
+	acquire := s.server.placer.acquire
+	if s.sends == 0 && s.standby == nil {
+		acquire = s.acquireFirst
+	}
+	g, err := acquire(ctx, &req)
 	s.grantID = req.ID
 	s.queueTime += g.Waited
 	if err != nil && s.sends > 0 {
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -90,9 +90,6 @@
 	noBudget   = "the retry budget is used up"
 )
 
-// shutdownReason is why requests end that are in progress at the end of a drain.
-const shutdownReason = "this instance is shutting down"
-
 // prepare validates the request and finds its route and pool. It returns false if it has
 // already responded.
 func (x *exchange) prepare() bool {
@@ -126,8 +123,7 @@
 		limit = defaultTimeout
 	}
 	x.deadline = x.start.Add(min(limit, route.Limit))
-	if d := s.drainingFor(); d > drainAcceptPeriod && time.Until(x.deadline) > s.DrainTime-d {
-		// It could be cut off when this instance ends.
+	if x.outlastsInstance() {
 		x.respondUnavailable(shutdownReason, 0)
 		return false
 	}
@@ -307,8 +303,8 @@
 // timeLeft returns the time until the request's deadline, or until this instance ends if it drains.
 func (x *exchange) timeLeft() time.Duration {
 	left := time.Until(x.deadline)
-	if d := x.server.drainingFor(); d > 0 && x.server.DrainTime > 0 {
-		left = min(left, x.server.DrainTime-d)
+	if drain, ok := x.server.drainLeft(); ok {
+		left = min(left, drain)
 	}
 	return left
 }
@@ -321,6 +317,9 @@
 	took := time.Since(x.start)
 	x.start = time.Time{}
 	s := x.server
+	if x.answeredBy == byTarget && x.status/100 == 2 && x.reason == "" {
+		s.answers.add(kindOf(x.route), took-x.queueTime)
+	}
 	e := s.Log.Info()
 	if x.status >= http.StatusInternalServerError || x.status == 0 || x.truncated {
 		e = s.Log.Warn()
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -176,6 +176,10 @@
 			p.removePending(req.ID)
 			return place.Grant{}, &refusedError{r}
 		case <-w.queued:
+			if req.NoQueue {
+				p.withdraw(req.ID)
+				return place.Grant{}, errShuttingDown
+			}
 			timer.Stop()
 			continue
 		case <-timer.C:
@@ -261,6 +265,9 @@
 			c.Step(time.Now(), place.Withdraw{ID: req.ID})
 			p.mu.Unlock()
 		}
+		if req.NoQueue {
+			return place.Grant{}, errShuttingDown
+		}
 		timing.Sleep(ctx, localRetryInterval)
 	}
 	return place.Grant{}, errNoEngine
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -34,9 +34,6 @@
 	tablesWaitDivisor = 3
 	// noTablesRetryAfter is the Retry-After time if the instance has no tables.
 	noTablesRetryAfter = 800 * time.Millisecond
-	// drainAcceptPeriod is how long a draining instance still accepts requests that may
-	// last longer than itself: until most callers have looked up others.
-	drainAcceptPeriod = 2500 * time.Millisecond
 	// writeGrace is how long after the deadline of a request its caller may still read the
 	// response. After that the connection is closed, so that callers that read slowly or not at
 	// all hold neither buffers nor engines.
@@ -94,10 +91,12 @@
 	// drainStart is when the drain began, in nanoseconds since startedAt; 0 while the
 	// instance serves.
 	drainStart atomic.Int64
-	// serving ends with EndRequests.
-	serving     context.Context
-	stopServing context.CancelFunc
-	startedAt   time.Time
+	// draining ends with Drain, and serving with EndRequests.
+	draining, serving          context.Context
+	startDraining, stopServing context.CancelFunc
+	// answers are measured to tell what can't be answered during a drain.
+	answers   answerTimes
+	startedAt time.Time
 
 	// inFlight is the number of requests in progress, and delay that of the timers; both are reported
 	// to the leader.
@@ -108,6 +107,7 @@
 // Setup initialises the server. It must be called before Run and ServeHTTP.
 func (s *Server) Setup() {
 	s.startedAt = time.Now()
+	s.draining, s.startDraining = context.WithCancel(context.Background())
 	s.serving, s.stopServing = context.WithCancel(context.Background())
 	s.views.setup()
 	s.placer.server = s
@@ -146,22 +146,6 @@
 	return s.drainStart.Load() == 0 && s.views.isUsable()
 }
 
-// Drain starts to drain the instance: callers are no longer sent here.
-func (s *Server) Drain() { s.drainStart.CompareAndSwap(0, int64(time.Since(s.startedAt))+1) }
-
-// EndRequests ends the requests in progress at the end of a drain. Their callers get a response, as long as they have no
-// part of one, which says whether the request may have run.
-func (s *Server) EndRequests() { s.stopServing() }
-
-// drainingFor returns how long the instance has been draining; 0 while it serves.
-func (s *Server) drainingFor() time.Duration {
-	at := s.drainStart.Load()
-	if at == 0 {
-		return 0
-	}
-	return max(1, time.Since(s.startedAt)-time.Duration(at))
-}
-
 // InFlight returns the number of requests in progress.
 func (s *Server) InFlight() int64 { return s.inFlight.Load() }
 
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -48,6 +48,8 @@
 	Avoid []string `cbor:"11,keyasint,omitempty"`
 	// Regions are the regions to which the request is bound; empty means all regions.
 	Regions []string `cbor:"15,keyasint,omitempty"`
+	// NoQueue is set if the requesting instance takes a grant at once or none, as it is about to end.
+	NoQueue bool `cbor:"-"`
 	// Instance is the name of the requesting instance. The scheduler sets it.
 	Instance string `cbor:"-"`
 }
