node: the components of an entry end after its last requests

What callers saw: beside a busy machine, requests that waited for engines at the end of a planned stop got 502, may have run, instead of 503 (92 were placed locally after "drain finished" in one stop with 300 requests in progress, and 87 got 502). Cause: the link to the scheduler ended at the same time as the requests, and whoever noticed that first placed itself locally and was sent. Change: the process waits for its last requests, 0.2 s at most, before it ends the components. The log line of a request whose connection the entry itself closed gives the shutdown as its reason, and "drain finished" counts the requests that had not ended by themselves.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -284,10 +284,11 @@
 // the read from the target; that is no failure of the target.
 func (x *exchange) endReason() string {
 	switch {
-	case x.r.Context().Err() != nil:
-		return "the caller disconnected"
 	case x.server.serving.Err() != nil:
+		// This instance may have closed the connection.
 		return shutdownReason
+	case x.r.Context().Err() != nil:
+		return "the caller disconnected"
 	case x.timeLeft() > 0:
 		return otherEngineReason
 	case time.Until(x.deadline) > 0:
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -15,12 +15,15 @@
 	// connections ends. A caller's next request on a connection that is being closed would
 	// be cut off.
 	drainQuietTime = 700 * time.Millisecond
-	// drainPollInterval is how often a draining entry checks whether it can end.
+	// drainPollInterval is how often a draining entry checks whether it can end, and endPollInterval how
+	// often it checks whether the last requests have ended.
 	drainPollInterval = 50 * time.Millisecond
-	// maxShutdownTime is the part of the grace period that is kept for the responses to requests that
-	// can't end in it, closeTimeout at most, and for stopping the components after the drain. Of a short
-	// one, it is the part that shutdownDivisor gives.
-	maxShutdownTime = closeTimeout + 200*time.Millisecond
+	endPollInterval   = 5 * time.Millisecond
+	// endTimeout bounds the wait for the responses to requests that can't end in the grace period.
+	endTimeout = 200 * time.Millisecond
+	// maxShutdownTime is the part of the grace period that is kept for those, and for stopping the
+	// components after the drain. Of a short one, it is the part that shutdownDivisor gives.
+	maxShutdownTime = endTimeout + closeTimeout
 	shutdownDivisor = 10
 	// minDrainDivisor divides the grace period into the shortest drain if that is less than
 	// lookupLifetime.
@@ -84,3 +87,10 @@
 		time.Sleep(drainPollInterval)
 	}
 }
+
+// awaitEnded waits until no request is in flight, at most for a time.
+func awaitEnded(limit time.Duration, inFlight func() int64) {
+	for began := time.Now(); inFlight() > 0 && time.Since(began) < limit; {
+		time.Sleep(endPollInterval)
+	}
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -268,9 +268,11 @@
 	p.gate.Drain()
 	inFlight := func() int64 { return p.gate.InFlight() + p.relay.Active() }
 	awaitDrained(time.Duration(p.Settings.Grace), inFlight, &p.callers)
-	// The servers wait for closeTimeout until the responses are written.
+	active := p.gate.InFlight()
 	p.gate.EndRequests()
-	p.Log.Info().Int64("active", p.gate.InFlight()).Int("connections", p.callers.openCount()).Msg("drain finished")
+	// While requests end they still use the link: without it they would place themselves locally.
+	awaitEnded(endTimeout, p.gate.InFlight)
+	p.Log.Info().Int64("active", active).Int("connections", p.callers.openCount()).Msg("drain finished")
 }
 
 // watchSettings reads the settings file at intervals and applies changed seeds. An
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -130,6 +130,7 @@
 	time.Sleep(time.Second)
 	began := time.Now()
 	proc.drain()
+	quicktest.Check(p.t, g.InFlight(), quicktest.Equals, int64(0), quicktest.Commentf("requests in progress when the components end"))
 	stop()
 	quicktest.Check(p.t, group.Wait(), quicktest.IsNil)
 	quicktest.Check(p.t, time.Since(began) < stopGrace, quicktest.IsTrue, quicktest.Commentf("ended after %s", time.Since(began)))
