gate: broken streams don't wait for another engine at an entry that is leaving

Cause: only the first grant of a request was bound to what a draining entry has left. Change: all grants are, but for trials of another engine while one is only silent.

--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -144,11 +144,13 @@
 	return time.Duration(t.mean + deviationFactor*t.deviation)
 }
 
-// acquireFirst is placer.acquire for a request that was sent to no engine yet. While this instance drains, such a request
-// doesn't wait for engines, as it could wait at another instance, and it isn't sent any more once the answer wouldn't end
-// in time.
-func (s *stream) acquireFirst(ctx context.Context, req *place.Request) (place.Grant, error) {
-	need := s.expectedTime()
+// acquireInTime is placer.acquire for as long as the answer could end before this instance does. While it drains, a request
+// doesn't wait for engines, as its caller could go to another instance at once.
+func (s *stream) acquireInTime(ctx context.Context, req *place.Request) (place.Grant, error) {
+	need := time.Duration(0)
+	if !s.headSent {
+		need = s.expectedTime()
+	}
 	ctx, cancel := s.server.untilTooLate(ctx, need)
 	defer cancel()
 	req.NoQueue = s.server.drainingFor() > 0
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -116,8 +116,8 @@
 	s.pauseCount = s.server.pauses.pauseCount()
 	req := s.placementRequest()
 	acquire := s.server.placer.acquire
-	if s.sends == 0 && s.standby == nil {
-		acquire = s.acquireFirst
+	if s.standby == nil {
+		acquire = s.acquireInTime
 	}
 	g, err := acquire(ctx, &req)
 	s.grantID = req.ID
--- a/internal/node/stop_stream_test.go
+++ b/internal/node/stop_stream_test.go
@@ -115,3 +115,37 @@
 	}
 	p.record("slow", sent, status, err)
 }
+
+// TestPlannedStopEndsBrokenStreams guards against streams whose engine has broken off and that wait for another one until
+// their entry ends, although their callers could go on at another entry.
+func TestPlannedStopEndsBrokenStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		const breaksAfter, broken = 2500 * time.Millisecond, "0"
+		p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int)}
+		p.fleet = newFleet(ctx, t, 1, 1, 0, func(_ *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+			p.mu.Lock()
+			p.reached[c.ID]++
+			p.mu.Unlock()
+			writeHead(w, gate.ReplyInfo{RequestID: c.ID})
+			for i := range int64(100) {
+				fmt.Fprintf(w, "id: %d\ndata: e\n\n", c.LastEventID+i+1)
+				if http.NewResponseController(w).Flush() != nil || !timing.Sleep(w.(*silenceWriter).ctx, 400*time.Millisecond) {
+					return
+				}
+				if c.ID == broken && time.Since(p.start) > breaksAfter {
+					panic(http.ErrAbortHandler)
+				}
+			}
+		}, func(f *fleet) { f.bind = withLongLimits })
+		defer p.close(cancel)
+		p.play(ctx, 1, chatPath, []time.Duration{10 * time.Second})
+		for _, r := range p.results {
+			if r.id == broken {
+				ended := r.ended.Sub(p.start)
+				quicktest.Check(t, ended < breaksAfter+time.Second, quicktest.IsTrue, quicktest.Commentf("ended after %s, status %d, error %v, at %d engines", ended, r.status, r.err, p.reached[r.id]))
+				quicktest.Check(t, r.err, quicktest.IsNotNil)
+			}
+		}
+	})
+}
