gate: requests don't wait for engines until their entry ends

Cause: without a measure an answer was expected to take no time. Change: half of the drain is kept for such an answer.

--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"cmp"
 	"context"
 	"sync"
 	"time"
@@ -22,6 +23,8 @@
 	firstDeviation = 0.125
 	// deviationFactor times the mean deviation is added to the mean, so that most answers end in that time.
 	deviationFactor = 2
+	// unknownNeed is the part of the drain that is kept for an answer if no other of its kind tells what it takes.
+	unknownNeed = 0.5
 	// maxAnswerKinds bounds the kinds of requests whose answers are measured.
 	maxAnswerKinds = 1000
 )
@@ -59,12 +62,12 @@
 	return s.DrainTime - d, d > 0 && s.DrainTime > 0
 }
 
-// untilTooLate returns a context that ends, with errShuttingDown as its cause, when this instance drains and an answer that
-// takes the time need couldn't end before it does.
-func (s *Server) untilTooLate(ctx context.Context, need time.Duration) (context.Context, context.CancelFunc) {
+// untilDrained returns a context that ends, with errShuttingDown as its cause, once this instance has been draining for a
+// time.
+func (s *Server) untilDrained(ctx context.Context, after time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(s.draining, func() {
-		if left, ok := s.drainLeft(); ok && timing.Sleep(ctx, left-need) {
+		if s.DrainTime > 0 && timing.Sleep(ctx, after-s.drainingFor()) {
 			cancel(errShuttingDown)
 		}
 	})
@@ -147,11 +150,12 @@
 // acquireInTime is placer.acquire for as long as the answer could end before this instance does. While it drains, a request
 // doesn't wait for engines, as its caller could go to another instance at once.
 func (s *stream) acquireInTime(ctx context.Context, req *place.Request) (place.Grant, error) {
-	need := time.Duration(0)
+	need, longestWait := time.Duration(0), s.server.DrainTime
 	if !s.headSent {
 		need = s.expectedTime()
+		longestWait -= cmp.Or(need, time.Duration(unknownNeed*float64(longestWait)))
 	}
-	ctx, cancel := s.server.untilTooLate(ctx, need)
+	ctx, cancel := s.server.untilDrained(ctx, longestWait)
 	defer cancel()
 	req.NoQueue = s.server.drainingFor() > 0
 	g, err := s.server.placer.acquire(ctx, req)
--- a/internal/node/stop_stream_test.go
+++ b/internal/node/stop_stream_test.go
@@ -149,3 +149,35 @@
 		}
 	})
 }
+
+// TestPlannedStopReleasesWaiting guards against requests that wait for engines at an entry until it ends, although nothing
+// tells that they could still be answered there. Their callers need the time at another entry.
+func TestPlannedStopReleasesWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := &stopPlay{prompt: 190_000, reached: make(map[string]int), statuses: make(map[int]int)}
+		p.fleet = newFleet(ctx, t, 1, 1, 0, func(_ *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+			p.mu.Lock()
+			p.reached[c.ID]++
+			p.mu.Unlock()
+			timing.Sleep(w.(*silenceWriter).ctx, time.Hour)
+		}, func(f *fleet) {
+			f.bind = func(t *site.Tables) {
+				withLongLimits(t)
+				t.Routes[0].Limit, t.Routes[0].Aim, t.Pools[1].Engine.Pairs = 15*time.Second, 9*time.Second, 0
+			}
+		})
+		defer p.close(cancel)
+		p.play(ctx, 12, chatPath, []time.Duration{15 * time.Second})
+		waited := 0
+		for _, r := range p.results {
+			if p.reached[r.id] > 0 || r.sent.After(p.start.Add(stopAfter)) {
+				continue
+			}
+			waited++
+			quicktest.Check(t, r.status, quicktest.Equals, http.StatusServiceUnavailable)
+			quicktest.Check(t, r.ended.Before(p.start.Add(stopAfter+stopGrace/2)), quicktest.IsTrue, quicktest.Commentf("request %s ended %s after the start", r.id, r.ended.Sub(p.start)))
+		}
+		quicktest.Check(t, waited > 0, quicktest.IsTrue)
+	})
+}
