--- /dev/null
+++ b/internal/crowd/doc.go
@@ -0,0 +1,2 @@
+// Package crowd tests the program's own processes against crowds of clients that don't behave.
+package crowd
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -38,7 +38,7 @@
 		{"internal/entry"},
 		{"internal/admin", "internal/load"},
 		{"internal/inst"},
-		{"internal/demo", "internal/slope", "internal/soak"},
+		{"internal/demo", "internal/slope", "internal/soak", "internal/crowd"},
 		{"internal/cmds"},
 		{"cmd/bamboo"},
 	}
