guard: stalled bodies of requests make room

Callers with bodies over 4 kB were refused while other callers held the memory for bodies and sent nothing: a body kept its share until the deadline of its request. And what was counted was half of what was held, as io.ReadAll copies a body into ever larger buffers.

guard.Bodies counts the buffers themselves, old and new while a body moves. Where there is no room, the body in progress that has made no progress for longest, and for a second at least, ends with 503, and its memory goes to the other one. A complete body keeps its memory. The limit stays a quarter of the memory of the process.

--- a/internal/gate/body_test.go
+++ b/internal/gate/body_test.go
@@ -6,13 +6,11 @@
 	"fmt"
 	"io"
 	"net/http"
-	"slices"
 	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/frankban/quicktest"
 )
 
@@ -37,7 +35,7 @@
 func TestRequestBodiesAreBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := newTestbed(t, []script{neverRespond, neverRespond}, nil)
-		s.gate.requestBuffers.limit = 1 << 20
+		s.gate.requestBodies.Limit = 1 << 20
 		s.tables.Version, s.tables.Bounds.Body = 2, 1<<20
 		s.publish(2)
 		large := strings.Repeat("x", 300<<10)
@@ -60,32 +58,10 @@
 			f.script = respond(200, "done", sealHeader)
 		}
 		quicktest.Assert(t, s.call(nonIdempotentPath, large).status, quicktest.Equals, 200)
-		quicktest.Assert(t, s.gate.requestBuffers.used.Load(), quicktest.Equals, int64(0))
+		quicktest.Assert(t, s.gate.requestBodies.Used(), quicktest.Equals, int64(0))
 	})
 }
 
-// TestRequestBodiesThatGrowTogether: bodies that fill the memory in step must not all be refused
-// while one after the other would fit.
-func TestRequestBodiesThatGrowTogether(t *testing.T) {
-	const size, bodies = 300 << 10, 8
-	buffers := bodyBuffers{limit: 1 << 20}
-	readers := make([]*requestReader, bodies)
-	for i := range readers {
-		readers[i] = &requestReader{Reader: strings.NewReader(strings.Repeat("x", size)), buffers: &buffers}
-	}
-	complete, piece := 0, make([]byte, 16<<10)
-	for len(readers) > 0 {
-		readers = slices.DeleteFunc(readers, func(r *requestReader) bool {
-			_, err := r.Read(piece)
-			if errors.Is(err, io.EOF) {
-				complete++
-			}
-			return err != nil
-		})
-	}
-	quicktest.Assert(t, complete >= 2 && complete <= 3, quicktest.IsTrue, quicktest.Commentf("%d complete", complete))
-}
-
 // TestStalledRequestBody: a caller that doesn't finish its request must get an answer at its time
 // limit, and not hold a place and memory for as long as it likes.
 func TestStalledRequestBody(t *testing.T) {
--- a/internal/gate/buffer.go
+++ b/internal/gate/buffer.go
@@ -23,11 +23,11 @@
 // errResponseTooLarge and errBuffersFull report that a response can't be buffered.
 var (
 	errResponseTooLarge = errors.New("response exceeds 32 MiB")
-	errBuffersFull      = errors.New("buffered bodies exceed the memory for them")
+	errBuffersFull      = errors.New("buffered responses exceed the memory for them")
 )
 
-// bodyBuffers bounds the memory of all buffered responses, or requests, so that targets that
-// send without end, or many callers together, can't exhaust it.
+// bodyBuffers bounds the memory of all buffered responses, so that targets that send without end
+// can't exhaust it.
 type bodyBuffers struct {
 	limit int64
 	used  atomic.Int64
@@ -96,31 +96,3 @@
 		chunk = make([]byte, 0, chunkBytes)
 	}
 }
-
-// requestReader reads the body of a request and counts it in the buffers.
-type requestReader struct {
-	io.Reader
-	buffers *bodyBuffers
-	read    int64
-	// counted is how many bytes are counted in the buffers.
-	counted int64
-}
-
-// Read reads from the body. It returns errBuffersFull if there is no memory for more.
-func (r *requestReader) Read(p []byte) (int, error) {
-	n, err := r.Reader.Read(p)
-	r.read += int64(n)
-	for r.read-firstChunkBytes > r.counted {
-		if !r.buffers.acquire(&r.counted) {
-			return 0, errBuffersFull
-		}
-	}
-	return n, err
-}
-
-// release returns the memory of the body. A nil reader has none.
-func (r *requestReader) release() {
-	if r != nil {
-		r.buffers.used.Add(-r.counted)
-	}
-}
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -13,6 +13,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 	"github.com/bambooproxy/bambooproxy/internal/httpx"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
@@ -37,9 +38,9 @@
 	body    []byte
 	// digest is the value of requestDigest once it has been computed.
 	digest string
-	// bodyReader is what the body was read from; nil before that.
-	bodyReader *requestReader
-	deadline   time.Time
+	// buffered is the buffer of the body; nil before it is read.
+	buffered *guard.Body
+	deadline time.Time
 
 	// sends is the number of targets that the request was sent to. mayHaveRun reports
 	// that one of them may have executed it.
@@ -201,11 +202,11 @@
 	conn := http.NewResponseController(x.w)
 	_ = conn.SetReadDeadline(x.deadline)
 	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
-	x.bodyReader = &requestReader{Reader: limited, buffers: &x.server.requestBuffers}
-	b, err := io.ReadAll(x.bodyReader)
+	x.buffered = x.server.requestBodies.New(x.r.ContentLength, limit, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
+	_, err := x.buffered.ReadFrom(limited)
 	if err == nil {
 		_ = conn.SetReadDeadline(time.Time{})
-		x.body = b
+		x.body = x.buffered.Data
 		return true
 	}
 	// The rest of the body is not read, so it must not be taken for another request.
@@ -214,7 +215,7 @@
 	switch {
 	case errors.As(err, &large):
 		x.respondError(http.StatusRequestEntityTooLarge, "the request body is too large")
-	case errors.Is(err, errBuffersFull):
+	case errors.Is(err, guard.ErrBodiesFull):
 		x.refuseUnread(limited)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		x.respondError(http.StatusRequestTimeout, "the request body was not received in time")
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -10,6 +10,7 @@
 	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/singleflight"
 
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/relay"
@@ -78,9 +79,9 @@
 	blocklist blocklist
 	// buffers holds the responses of plain services until they are complete.
 	buffers bodyBuffers
-	// requestBuffers holds the bodies of requests.
-	requestBuffers bodyBuffers
-	pauses         pauseGuard
+	// requestBodies holds the bodies of requests.
+	requestBodies guard.Bodies
+	pauses        pauseGuard
 	// processChecks joins concurrent checks of the same target process.
 	processChecks singleflight.Group
 	// entries are the ready instances that are listed for callers.
@@ -122,7 +123,7 @@
 	if s.buffers.limit = s.BufferBytes; s.buffers.limit == 0 {
 		s.buffers.limit = defaultBufferBytes
 	}
-	s.requestBuffers.limit = s.buffers.limit
+	s.requestBodies.Limit = s.buffers.limit
 }
 
 // Run closes expired idle connections and notes pauses of the process until ctx ends.
@@ -171,7 +172,7 @@
 	defer s.inFlight.Add(-1)
 	x := &exchange{server: s, w: w, r: r, start: time.Now()}
 	defer x.logOutcome()
-	defer func() { x.bodyReader.release() }()
+	defer func() { x.buffered.Release() }()
 	s.pauses.await(r.Context())
 	x.view = s.views.load()
 	if s.drainingFor() > 0 {
--- a/internal/gate/slow_test.go
+++ b/internal/gate/slow_test.go
@@ -164,7 +164,7 @@
 		res := s.call(nonIdempotentPath, strings.Repeat("x", 3<<20))
 		quicktest.Assert(t, res.status, quicktest.Equals, 504)
 		quicktest.Assert(t, res.took, quicktest.Equals, 2*time.Second)
-		quicktest.Assert(t, s.gate.requestBuffers.used.Load(), quicktest.Equals, int64(0))
+		quicktest.Assert(t, s.gate.requestBodies.Used(), quicktest.Equals, int64(0))
 		quicktest.Assert(t, s.gate.InFlight(), quicktest.Equals, int64(0))
 	})
 }
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -27,6 +27,7 @@
 	return [][]string{
 		{"internal/seed", "internal/timing"},
 		{"pkg/verd", "pkg/table", "internal/lease", "internal/certs", "internal/memnet", "internal/meter", "internal/mutate", "internal/red", "internal/store", "internal/trail", "internal/rules"},
+		{"internal/guard"},
 		{"internal/site"},
 		{"pkg/engine", "pkg/caller", "internal/member", "internal/auth", "internal/trace", "internal/wire", "internal/prompt"},
 		{"internal/conf", "internal/policy", "internal/ledger", "internal/quorum", "internal/quota", "internal/httpx", "internal/plan", "internal/hop", "internal/place", "internal/poison", "internal/relay"},
