platform: configurations and heartbeats in progress share a bound

Bodies of requests to a control instance take a quarter of the memory together, where each byte counts as four for its decoding.

--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bambooproxy/bambooproxy/internal/conf"
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/hub"
 	"github.com/bambooproxy/bambooproxy/internal/node"
@@ -61,7 +62,7 @@
 	p := &node.Process{
 		Settings: s, Path: path, HeaderCodec: platform.HeaderCodec{}, Log: nodeLog,
 		Handlers: node.Handlers{
-			Control:    func(h *hub.Server) http.Handler { return platform.ControlHandler(h) },
+			Control:    func(h *hub.Server, b *guard.Bodies) http.Handler { return platform.ControlHandler(h, b) },
 			Directory:  platform.DirectoryHandler,
 			Ready:      platform.ReadyHandler,
 			LoadSource: func(c *hop.Client) hub.LoadReader { return platform.LoadClient{Client: c} },
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -18,6 +18,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/conf"
 	"github.com/bambooproxy/bambooproxy/internal/gate"
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/httpx"
 	"github.com/bambooproxy/bambooproxy/internal/hub"
@@ -46,8 +47,11 @@
 	// heapLimitShare is the share of Settings.Memory that the Go runtime may use before
 	// it collects garbage more often.
 	heapLimitShare = 0.6
-	// bufferDivisor divides Settings.Memory into the part for buffered responses.
+	// bufferDivisor divides Settings.Memory into the part for buffered responses, that for requests, and
+	// that for configurations.
 	bufferDivisor = 4
+	// configWeight is the memory for a byte of a configuration while it is decoded.
+	configWeight = 4
 	// closeTimeout bounds the wait for in-flight requests when the HTTP servers close.
 	closeTimeout = 300 * time.Millisecond
 	// controlDrainTime is how long a control instance that shuts down keeps answering
@@ -59,7 +63,7 @@
 // provides them.
 type Handlers struct {
 	// Control serves operators and targets.
-	Control func(*hub.Server) http.Handler
+	Control func(*hub.Server, *guard.Bodies) http.Handler
 	// Directory serves lookups of instances.
 	Directory func(link.EntryLister) http.Handler
 	// Ready serves the readiness probe.
@@ -88,6 +92,8 @@
 	link       *link.Client
 	hub        *hub.Server
 	callers    callerConns
+	// controlBodies holds the bodies of requests to the control instance.
+	controlBodies guard.Bodies
 }
 
 // Run serves until ctx ends, then drains and shuts down. It returns an error if a
@@ -128,6 +134,7 @@
 	s := p.Settings
 	p.network.bind = s.Bind
 	p.metrics = metrics.NewRegistry()
+	p.controlBodies = guard.Bodies{Limit: s.Memory << 20 / bufferDivisor, Weight: configWeight}
 	p.peerServer = &wire.Server{OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") }}
 	p.peerPool = &wire.Pool{Dial: p.network.dial, Self: s.Peers, Local: p.peerServer}
 	if s.Control != "" {
@@ -204,7 +211,7 @@
 		addr    string
 		handler func() http.Handler
 	}{
-		{s.Control, func() http.Handler { return p.Handlers.Control(p.hub) }},
+		{s.Control, func() http.Handler { return p.Handlers.Control(p.hub, &p.controlBodies) }},
 		{s.Directory, func() http.Handler { return p.Handlers.Directory(p.instanceLister()) }},
 		{s.Ready, func() http.Handler { return p.Handlers.Ready(p.isReady) }},
 		{s.Metrics, p.metricsHandler},
