guard: deadlines for bodies and responses on all ports

A caller that stopped short within a body that nobody reads held its connection for good: net/http discards up to 256 kB of what a handler leaves unread, without a deadline. That was so at paths without a route, for refused requests, and at the ports for readiness, look-ups, control and metrics. Responses of these ports had no deadline either.

Each request now has 10 s for its body and 30 s for its response, unless the entry sets the deadlines of the request itself, as it does where there is a route. Without the handler, TestUnreadBodyEnds waits without end.

--- /dev/null
+++ b/internal/guard/handler.go
@@ -0,0 +1,58 @@
+package guard
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// bodyTimeout bounds the time for the body of a request, if the handler sets no other. It also bounds how long
+	// the rest of a body is discarded that the handler left unread.
+	bodyTimeout = 10 * time.Second
+	// responseTimeout bounds the time for a request and its response, if the handler sets no other.
+	responseTimeout = 30 * time.Second
+)
+
+// Handler returns a handler that sets the deadlines of each request before next handles it.
+func Handler(next http.Handler) http.Handler { return &handler{next} }
+
+type handler struct{ next http.Handler }
+
+// ServeHTTP handles a request.
+func (h *handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	rc := http.NewResponseController(w)
+	now := time.Now()
+	// These fail only on a closed connection.
+	_ = rc.SetWriteDeadline(now.Add(responseTimeout))
+	if r.ContentLength == 0 {
+		h.next.ServeHTTP(w, r)
+		return
+	}
+	_ = rc.SetReadDeadline(now.Add(bodyTimeout))
+	b := &trackedBody{ReadCloser: r.Body, rc: rc}
+	// net/http looks at the type of the body of its own request.
+	copied := *r
+	copied.Body = b
+	h.next.ServeHTTP(w, &copied)
+}
+
+// trackedBody notes the end of a body.
+type trackedBody struct {
+	io.ReadCloser
+	rc     *http.ResponseController
+	isDone bool
+}
+
+// Read reads from the body.
+func (b *trackedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if errors.Is(err, io.EOF) && !b.isDone {
+		b.isDone = true
+		// Only the body is bounded by this deadline: it would also end the request later.
+		_ = b.rc.SetReadDeadline(time.Time{})
+	}
+	return n, err
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -249,7 +249,7 @@
 // connState, which may be nil, gets the changes of connections.
 func newHTTPServer(h http.Handler, idle time.Duration, connState func(net.Conn, http.ConnState)) *http.Server {
 	return &http.Server{
-		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idle, MaxHeaderBytes: maxHeaderBytes, ConnState: connState,
+		Handler: guard.Handler(h), ReadHeaderTimeout: headerTimeout, IdleTimeout: idle, MaxHeaderBytes: maxHeaderBytes, ConnState: connState,
 	}
 }
 
