gate, node: an entry ends in its grace beside callers that hold it up

What callers see: an entry that is stopped while one caller doesn't read its answer, or doesn't end its body, reached the end of its grace of 8 s, where it is killed with all connections that are left. Cause: the end of a drain ended neither writes nor reads that a caller holds up, and the parts of the shutdown added up to more than what is kept for it, of a short grace even more. Change: 0.1 s after the end of a drain, writes to callers end, and unfinished bodies end at once, with 503. The waits add up to less than the half second that is kept, which is half of a grace below 1 s.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -207,6 +207,7 @@
 	conn := http.NewResponseController(x.w)
 	_ = conn.SetReadDeadline(x.deadline)
 	limited := http.MaxBytesReader(x.w, x.r.Body, limit)
+	defer context.AfterFunc(x.server.serving, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })()
 	x.buffered = x.server.requestBodies.New(x.r.ContentLength, limit, func() { _ = conn.SetReadDeadline(time.Unix(1, 0)) })
 	_, err := x.buffered.ReadFrom(limited)
 	if err == nil {
@@ -218,6 +219,8 @@
 	x.w.Header().Set("Connection", "close")
 	var large *http.MaxBytesError
 	switch {
+	case x.server.serving.Err() != nil:
+		x.respondUnavailable(shutdownReason, 0)
 	case errors.As(err, &large):
 		x.respondError(http.StatusRequestEntityTooLarge, "the request body is too large")
 	case errors.Is(err, guard.ErrBodiesFull):
@@ -328,9 +331,6 @@
 	took := time.Since(x.start)
 	x.start = time.Time{}
 	s := x.server
-	if x.answeredBy == byTarget && x.status/100 == 2 && x.reason == "" {
-		s.answers.add(kindOf(x.route), took-x.queueTime)
-	}
 	e := s.Log.Info()
 	if x.status >= http.StatusInternalServerError || x.status == 0 || x.truncated {
 		e = s.Log.Warn()
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -39,6 +39,8 @@
 	// response. After that the connection is closed, so that callers that read slowly or not at
 	// all hold neither buffers nor engines.
 	writeGrace = time.Second
+	// lastWriteTime is how long after EndRequests the last bytes of responses may take.
+	lastWriteTime = 100 * time.Millisecond
 	// idleSweepInterval is how often expired idle connections are closed.
 	idleSweepInterval = time.Second
 )
@@ -173,6 +175,7 @@
 	}
 	// This fails only on a closed connection, and then writes fail, too.
 	_ = http.NewResponseController(w).SetWriteDeadline(x.deadline.Add(writeGrace))
+	defer s.endWithServer(w)()
 	s.Budget.recordRequest(x.pool.Name)
 	if x.pool.Engine != nil {
 		x.serveEngine(ctx)
@@ -180,3 +183,12 @@
 	}
 	x.servePlain(ctx)
 }
+
+// endWithServer has the reads and writes of a request end soon after EndRequests, also those that its caller holds up. The
+// returned function ends that.
+func (s *Server) endWithServer(w http.ResponseWriter) (stop func() bool) {
+	return context.AfterFunc(s.serving, func() {
+		// This fails only on a closed connection.
+		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(lastWriteTime))
+	})
+}
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -20,11 +20,11 @@
 	drainPollInterval = 50 * time.Millisecond
 	endPollInterval   = 5 * time.Millisecond
 	// endTimeout bounds the wait for the responses to requests that can't end in the grace period.
-	endTimeout = 200 * time.Millisecond
-	// maxShutdownTime is the part of the grace period that is kept for those, and for stopping the
-	// components after the drain. Of a short one, it is the part that shutdownDivisor gives.
-	maxShutdownTime = endTimeout + closeTimeout
-	shutdownDivisor = 10
+	endTimeout = 150 * time.Millisecond
+	// maxShutdownTime is the part of the grace period that remains after the drain: for those responses, for closing
+	// the servers, and to spare. Of a short grace period, it is the part that shutdownDivisor gives.
+	maxShutdownTime = endTimeout + closeTimeout + 50*time.Millisecond
+	shutdownDivisor = 2
 	// minDrainDivisor divides the grace period into the shortest drain if that is less than
 	// lookupLifetime.
 	minDrainDivisor = 2
@@ -84,7 +84,7 @@
 		if inFlight() == 0 && now.After(earliest) && conns.isQuiet(now) {
 			return
 		}
-		time.Sleep(drainPollInterval)
+		time.Sleep(min(drainPollInterval, time.Until(deadline)))
 	}
 }
 
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -55,3 +55,11 @@
 	}, &conns)
 	return time.Since(began)
 }
+
+// TestShutdownFitsGrace guards against a grace period whose parts add up to more than it.
+func TestShutdownFitsGrace(t *testing.T) {
+	for _, grace := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 30 * time.Second} {
+		longest := drainTime(grace) + endTimeout + endPollInterval + closeTimeout
+		quicktest.Check(t, longest < grace, quicktest.IsTrue, quicktest.Commentf("%s of %s", longest, grace))
+	}
+}
