gate: what a draining entry expects of answers is measured at their targets

Half of the drain bounds only the wait of requests that came before it. Orders are checked once more behind their turn. Trials of another engine don't wait in a drain either. A request that is queued has 0.1 s for a grant.

--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -1,15 +1,12 @@
 package gate
 
 import (
-	"cmp"
 	"context"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooproxy/bambooproxy/internal/place"
-	"github.com/bambooproxy/bambooproxy/internal/site"
 	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
@@ -17,16 +14,11 @@
 	// drainAcceptPeriod is how long a draining instance still accepts requests that may
 	// last longer than itself: until most callers have looked up others.
 	drainAcceptPeriod = 2500 * time.Millisecond
-	// durationWeight is the weight of the last answer in the means over answers.
-	durationWeight = 0.2
-	// firstDeviation is the deviation that is assumed after one answer, as a part of its time.
-	firstDeviation = 0.125
-	// deviationFactor times the mean deviation is added to the mean, so that most answers end in that time.
-	deviationFactor = 2
 	// unknownNeed is the part of the drain that is kept for an answer if no other of its kind tells what it takes.
 	unknownNeed = 0.5
-	// maxAnswerKinds bounds the kinds of requests whose answers are measured.
-	maxAnswerKinds = 1000
+	// turnTime is how long a request waits for a grant after the notice that it is queued if it takes one at once or none:
+	// the scheduler queues some for its next round only.
+	turnTime = 100 * time.Millisecond
 )
 
 // shutdownReason is why requests end that are in progress at the end of a drain, and why a draining
@@ -62,9 +54,9 @@
 	return s.DrainTime - d, d > 0 && s.DrainTime > 0
 }
 
-// untilDrained returns a context that ends, with errShuttingDown as its cause, once this instance has been draining for a
-// time.
-func (s *Server) untilDrained(ctx context.Context, after time.Duration) (context.Context, context.CancelFunc) {
+// untilDrainedFor returns a context that ends, with errShuttingDown as its cause, once this instance has been draining for
+// a time.
+func (s *Server) untilDrainedFor(ctx context.Context, after time.Duration) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	stop := context.AfterFunc(s.draining, func() {
 		if s.DrainTime > 0 && timing.Sleep(ctx, after-s.drainingFor()) {
@@ -89,80 +81,45 @@
 	if !ok || s.drainingFor() > drainAcceptPeriod {
 		return s.drainingFor() > drainAcceptPeriod && limit > left
 	}
-	need := x.expectedTime()
-	return min(limit, cmp.Or(need, limit)) > left
-}
-
-// expectedTime returns the time that the answer to a request is expected to take once it is sent to a target; 0 if there
-// is nothing to go by.
-func (x *exchange) expectedTime() time.Duration { return x.server.answers.expected(kindOf(x.route)) }
-
-// answerKind is a kind of requests whose answers take like times.
-type answerKind struct {
-	pool string
-	kind site.Kind
-	aim  time.Duration
-}
-
-func kindOf(r *site.Route) answerKind {
-	k := answerKind{kind: r.Kind, aim: r.Aim}
-	if len(r.Split) > 0 {
-		k.pool = r.Split[0].Pool
+	if _, known := x.expectedTime(); known {
+		return limit > left && x.takesTooLong()
 	}
-	return k
+	return limit > left
 }
 
-// answerTimes are the times that complete answers have taken from when targets were free for them.
-type answerTimes struct {
-	mu     sync.Mutex
-	byKind map[answerKind]*answerTime
+// takesTooLong reports whether an answer is expected to end later than this instance.
+func (x *exchange) takesTooLong() bool {
+	need, known := x.expectedTime()
+	left, ok := x.server.drainLeft()
+	return known && ok && need > left
 }
 
-// answerTime is a mean with the mean deviation from it.
-type answerTime struct{ mean, deviation float64 }
-
-// add adds the time that an answer has taken.
-func (a *answerTimes) add(k answerKind, took time.Duration) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	t := a.byKind[k]
-	switch {
-	case t != nil:
-		off := float64(took) - t.mean
-		t.deviation += durationWeight * (max(off, -off) - t.deviation)
-		t.mean += durationWeight * off
-		return
-	case a.byKind == nil || len(a.byKind) >= maxAnswerKinds:
-		a.byKind = make(map[answerKind]*answerTime)
-	}
-	a.byKind[k] = &answerTime{float64(took), firstDeviation * float64(took)}
-}
-
-// expected returns the time in which most answers of a kind end; 0 if there was none.
-func (a *answerTimes) expected(k answerKind) time.Duration {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	t := a.byKind[k]
-	if t == nil {
-		return 0
-	}
-	return time.Duration(t.mean + deviationFactor*t.deviation)
+// expectedTime returns the time that the answer to a request is expected to take once it is sent to a target. It returns
+// false if there is nothing to go by.
+func (x *exchange) expectedTime() (need time.Duration, known bool) {
+	return x.server.answers.expected(kindOf(x.route))
 }
 
 // acquireInTime is placer.acquire for as long as the answer could end before this instance does. While it drains, a request
 // doesn't wait for engines, as its caller could go to another instance at once.
 func (s *stream) acquireInTime(ctx context.Context, req *place.Request) (place.Grant, error) {
-	need, longestWait := time.Duration(0), s.server.DrainTime
-	if !s.headSent {
-		need = s.expectedTime()
-		longestWait -= cmp.Or(need, time.Duration(unknownNeed*float64(longestWait)))
+	need, known := s.expectedTime()
+	if s.headSent {
+		// A part of the answer is there.
+		need, known = 0, false
+	}
+	longestWait := s.server.DrainTime
+	if req.NoQueue = s.server.drainingFor() > 0; !req.NoQueue {
+		if !known {
+			need = time.Duration(unknownNeed * float64(longestWait))
+		}
+		longestWait -= need
 	}
-	ctx, cancel := s.server.untilDrained(ctx, longestWait)
+	ctx, cancel := s.server.untilDrainedFor(ctx, longestWait)
 	defer cancel()
-	req.NoQueue = s.server.drainingFor() > 0
 	g, err := s.server.placer.acquire(ctx, req)
 	if err == nil {
-		if left, ok := s.server.drainLeft(); ok && max(need, g.PredictedTTFT) > left {
+		if left, ok := s.server.drainLeft(); ok && (known && need > left || g.PredictedTTFT > left) {
 			s.server.placer.release(place.End{ID: g.ID})
 			err = errShuttingDown
 		}
--- /dev/null
+++ b/internal/gate/drain_test.go
@@ -0,0 +1,118 @@
+package gate
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+// TestShortAnswersDoNotRaiseExpectation guards against an expected time that grows although each further answer is short.
+func TestShortAnswersDoNotRaiseExpectation(t *testing.T) {
+	var a answerTimes
+	k := answerKind{pool: "engines", kind: site.Streaming}
+	a.add(k, 8*time.Second)
+	last, _ := a.expected(k)
+	longest := time.Duration(0)
+	for range 8 {
+		a.add(k, 300*time.Millisecond)
+		expected, _ := a.expected(k)
+		longest = max(longest, expected)
+	}
+	quicktest.Check(t, longest <= last, quicktest.IsTrue, quicktest.Commentf("%s, before the short answers %s", longest, last))
+}
+
+// TestSlowCallersDoNotCloseDrainingInstance guards against a draining instance that refuses short requests, because
+// callers that send or read slowly made answers look long.
+func TestSlowCallersDoNotCloseDrainingInstance(t *testing.T) {
+	for name, c := range map[string]struct{ send, read time.Duration }{
+		"slow body":   {6 * time.Second, 0},
+		"slow reader": {0, 6 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				big := true
+				s := newTestbed(t, []script{func(f *fakeTarget, conn net.Conn, q *http.Request) bool {
+					n := 10
+					if big {
+						n = 1 << 20
+					}
+					return respond(200, strings.Repeat("x", n), sealHeader)(f, conn, q)
+				}}, nil)
+				for i := range s.tables.Routes {
+					s.tables.Routes[i].Limit = 20 * time.Second
+				}
+				s.tables.Version = 2
+				s.publish(2)
+				s.gate.DrainTime = 7500 * time.Millisecond
+				conn, err := s.net.Dialer("10.0.9.9")(t.Context(), gateAddress)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				fmt.Fprintf(conn, "POST %sx HTTP/1.1\r\nHost: h\r\nId: a1\r\nKey: key\r\nLeft: 19000\r\nContent-Length: 1\r\nConnection: close\r\n\r\n", idempotentPath)
+				time.Sleep(c.send)
+				io.WriteString(conn, "x")
+				time.Sleep(c.read)
+				_, err = io.Copy(io.Discard, conn)
+				quicktest.Assert(t, err, quicktest.IsNil)
+				conn.Close()
+				big = false
+				s.gate.Drain()
+				res := s.call(idempotentPath, "body", "Left", "9000")
+				quicktest.Check(t, res.status, quicktest.Equals, 200)
+			})
+		})
+	}
+}
+
+// TestDrainRefusesWaitingOrdersInTime guards against orders that wait for their turn at a full pool, are sent when the answer
+// can't come any more before the instance ends, and get 502.
+func TestDrainRefusesWaitingOrdersInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestbed(t, []script{func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+			time.Sleep(time.Second)
+			return respond(200, "ok", sealHeader)(f, c, q)
+		}}, nil)
+		for i := range s.tables.Routes {
+			s.tables.Routes[i].Limit, s.tables.Routes[i].Aim = 10*time.Second, 4*time.Second
+		}
+		s.tables.Version = 2
+		s.publish(2)
+		s.gate.DrainTime = 2700 * time.Millisecond
+		for range 2 {
+			quicktest.Assert(t, s.call(nonIdempotentPath, "x", "Left", "9000").status, quicktest.Equals, 200)
+		}
+		now := time.Now()
+		s.gate.services.mu.Lock()
+		p := s.gate.services.pool("plain")
+		p.advance(now)
+		p.full, p.shortAt, p.cutAt, p.rate, p.turns = true, now, now, minRate, 0
+		s.gate.services.mu.Unlock()
+		var wg sync.WaitGroup
+		var mu sync.Mutex
+		statuses := map[int]int{}
+		for i := range 8 {
+			wg.Go(func() {
+				res := s.call(nonIdempotentPath, fmt.Sprint(i), "Left", "9000", "Id", fmt.Sprint(i))
+				mu.Lock()
+				defer mu.Unlock()
+				t.Logf("%d: status %d after %s %q", i, res.status, res.took, res.body)
+				statuses[res.status]++
+			})
+		}
+		time.Sleep(10 * time.Millisecond)
+		s.gate.Drain()
+		time.Sleep(s.gate.DrainTime)
+		s.gate.EndRequests()
+		wg.Wait()
+		quicktest.Check(t, statuses[502], quicktest.Equals, 0, quicktest.Commentf("%v", statuses))
+		quicktest.Check(t, statuses[200] > 0, quicktest.IsTrue)
+	})
+}
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -115,11 +115,7 @@
 func (s *stream) acquireGrant(ctx context.Context) (place.Grant, error) {
 	s.pauseCount = s.server.pauses.pauseCount()
 	req := s.placementRequest()
-	acquire := s.server.placer.acquire
-	if s.standby == nil {
-		acquire = s.acquireInTime
-	}
-	g, err := acquire(ctx, &req)
+	g, err := s.acquireInTime(ctx, &req)
 	s.grantID = req.ID
 	s.queueTime += g.Waited
 	if err != nil && s.sends > 0 {
@@ -262,6 +258,7 @@
 		s.server.blocklist.recordSurvival(s.exchange, att.firstEventAt)
 	}
 	reuse = true
+	s.server.answers.add(kindOf(s.route), time.Since(att.sentAt)-att.blocked)
 	s.server.health.recordSuccess(lead.ID)
 	return true, ""
 }
@@ -395,8 +392,8 @@
 	written time.Duration
 	// survived is set once the engine has written for poison.SurvivalTime.
 	survived bool
-	// maxBlocked is the longest time for which a write to the caller has blocked.
-	maxBlocked time.Duration
+	// maxBlocked is the longest time for which a write to the caller has blocked, and blocked the sum of all.
+	maxBlocked, blocked time.Duration
 }
 
 // relayEvents relays the events of a response to the caller. It returns "" after the last
@@ -426,7 +423,8 @@
 		if reason := s.relayEvent(resp, ev); reason != "" {
 			return reason, nil
 		}
-		att.maxBlocked = max(att.maxBlocked, time.Since(began))
+		blocked := time.Since(began)
+		att.maxBlocked, att.blocked = max(att.maxBlocked, blocked), att.blocked+blocked
 		if ctx.Err() != nil {
 			return s.endReason(), nil
 		}
--- a/internal/gate/placer.go
+++ b/internal/gate/placer.go
@@ -167,6 +167,7 @@
 	}
 	timer := time.NewTimer(schedulerTimeout)
 	defer timer.Stop()
+	isQueued := false
 	for {
 		select {
 		case g := <-w.granted:
@@ -176,21 +177,25 @@
 			p.removePending(req.ID)
 			return place.Grant{}, &refusedError{r}
 		case <-w.queued:
-			if req.NoQueue {
-				p.withdraw(req.ID)
-				return place.Grant{}, errShuttingDown
+			if isQueued = true; req.NoQueue {
+				timer.Reset(turnTime)
+			} else {
+				timer.Stop()
 			}
-			timer.Stop()
 			continue
 		case <-timer.C:
 		case <-w.lost:
 		case <-ctx.Done():
 		}
 		p.withdraw(req.ID)
-		if ctx.Err() != nil {
+		switch {
+		case ctx.Err() != nil:
 			return place.Grant{}, errNoEngine
+		case isQueued && req.NoQueue:
+			return place.Grant{}, errShuttingDown
+		default:
+			return place.Grant{}, errSchedulerUnavailable
 		}
-		return place.Grant{}, errSchedulerUnavailable
 	}
 }
 
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -120,6 +120,10 @@
 				break
 			}
 		}
+		if x.takesTooLong() {
+			a.reason, a.retry = shutdownReason, 0
+			break
+		}
 		if t, ok := x.pickTarget(); ok {
 			return t, x.sends == 0 || x.acquireRetry()
 		}
@@ -335,6 +339,7 @@
 		return nil, mayHaveRun{"the response of a target ended early"}
 	}
 	reuse = true
+	s.answers.add(kindOf(x.route), time.Since(sentAt))
 	s.blocklist.recordSurvival(x, sentAt)
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -36,6 +37,8 @@
 	t     *testing.T
 	net   memnet.Network
 	serve serveFunc
+	// slots is the number of slots of each target; 0 means 16.
+	slots int
 	// regions are in the settings of all instances, and targetDC returns the data centre of a target;
 	// nil means dc. bind changes the tables before they are published; nil leaves them.
 	regions  site.Regions
@@ -203,7 +206,7 @@
 	fleetCtx := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	e := &testTarget{fleet: f, number: n, stop: cancel, Target: site.Target{
-		ID: fmt.Sprintf("%s-%03d", pool, n), Pool: pool, Address: address, DataCentre: "dc", Slots: 16, State: site.Ready, StartedMs: int64(n),
+		ID: fmt.Sprintf("%s-%03d", pool, n), Pool: pool, Address: address, DataCentre: "dc", Slots: cmp.Or(f.slots, 16), State: site.Ready, StartedMs: int64(n),
 	}}
 	if f.targetDC != nil {
 		e.DataCentre = f.targetDC(n)
