--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -54,6 +54,8 @@
 	configWeight = 4
 	// closeTimeout bounds the wait for in-flight requests when the HTTP servers close.
 	closeTimeout = 300 * time.Millisecond
+	// controlCloseTimeout is closeTimeout of a control instance, whose calls end within 0.9 s.
+	controlCloseTimeout = time.Second
 	// controlDrainTime is how long a control instance that shuts down keeps answering
 	// calls before its components are stopped.
 	controlDrainTime = 300 * time.Millisecond
@@ -263,7 +265,11 @@
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
 	port := &guard.Port{Name: name, MaxConns: maxConns, Log: p.Log, Metrics: p.metrics}
-	httpx.Serve(ctx, g, srv, port.Protect(srv, ln), closeTimeout)
+	closing := closeTimeout
+	if p.gate == nil {
+		closing = controlCloseTimeout
+	}
+	httpx.Serve(ctx, g, srv, port.Protect(srv, ln), closing)
 	return nil
 }
 
