wire: frames that no instance sends end a connection

Anybody who can connect to the port for peers could make an instance hold memory with single frames. drpc collects a frame in a buffer that grows to twice its size and stays as long as the connection; it takes frames of 4 MiB, although it sends none above 64 KiB, names of methods of 4 MiB, which the answer repeats quoted, and metadata, which no instance sends.

A connection now checks the frames that it reads and passes them to drpc in pieces of 4,000 bytes: frames above 64 KiB, names above 256 bytes, messages above drpc's 4 MiB, metadata, other kinds (HTTP, say), calls without a message and runs of other packets end the connection before their data is read.

internal/crowd plays the crowds against real processes with 96 MB and 256 descriptors.

--- /dev/null
+++ b/internal/crowd/peers_test.go
@@ -0,0 +1,229 @@
+package crowd
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/frankban/quicktest"
+	"github.com/fxamacker/cbor/v2"
+	"storj.io/drpc/drpcwire"
+
+	"github.com/bambooproxy/bambooproxy/internal/quorum"
+	"github.com/bambooproxy/bambooproxy/internal/wire"
+	"github.com/bambooproxy/bambooproxy/pkg/verd"
+)
+
+const (
+	// maxMessage is the size of the longest message that instances accept, and maxFrame that of the
+	// longest frame that they send.
+	maxMessage = 4 << 20
+	maxFrame   = 64 << 10
+	stepMethod = "quorum.step"
+)
+
+// peerCrowd holds the connections of a crowd to the ports for peers of both processes.
+type peerCrowd struct {
+	site  *testSite
+	wait  sync.WaitGroup
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// newPeerCrowd returns a crowd that ends with the test.
+func newPeerCrowd(s *testSite) *peerCrowd {
+	c := &peerCrowd{site: s}
+	s.t.Cleanup(func() {
+		c.mu.Lock()
+		for _, conn := range c.conns {
+			conn.Close()
+		}
+		c.mu.Unlock()
+		c.wait.Wait()
+	})
+	return c
+}
+
+// connect opens n connections to each process. On each of them, serve runs on a goroutine of its own,
+// and what is received meanwhile is dropped if reads is set.
+func (c *peerCrowd) connect(n int, reads bool, serve func(w io.Writer)) {
+	for range n {
+		for _, p := range []*process{c.site.control, c.site.entry} {
+			conn, err := net.DialTimeout("tcp4", p.settings.Peers, patience)
+			if err != nil {
+				continue // The process may refuse a crowd.
+			}
+			c.mu.Lock()
+			c.conns = append(c.conns, conn)
+			c.mu.Unlock()
+			if reads {
+				c.wait.Go(func() { _, _ = io.Copy(io.Discard, conn) }) // Ends with the connection.
+			}
+			c.wait.Go(func() {
+				_ = conn.SetWriteDeadline(time.Now().Add(patience))
+				serve(conn)
+			})
+		}
+	}
+}
+
+// settle waits until the writes of the crowd end or block, as far as patience allows.
+func (c *peerCrowd) settle() { time.Sleep(3 * time.Second) }
+
+// check checks that both processes live within their limits, and serve callers and peers.
+func (c *peerCrowd) check() {
+	s := c.site
+	s.t.Helper()
+	s.check()
+	s.await("an ordinary call to the control instance is answered", func() error {
+		var r quorum.Report
+		err := callPeer(s.control, &r)
+		if err == nil && !r.IsLeader {
+			return errRefused
+		}
+		return err
+	})
+	s.await("an ordinary call to the entry is answered", func() error {
+		err := callPeer(s.entry, &quorum.Report{})
+		if err != nil && strings.Contains(err.Error(), "unknown method") {
+			return nil
+		}
+		return err
+	})
+	s.entry.check(s.t)
+	s.control.check(s.t)
+}
+
+// callPeer calls a process as another instance. An error without an answer is errRefused.
+func callPeer(p *process, out *quorum.Report) error {
+	pool := &wire.Pool{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp4", addr)
+	}}
+	defer pool.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	err := pool.Call(ctx, p.settings.Peers, "quorum.report", &quorum.ReportRequest{}, out)
+	if err == nil {
+		return nil
+	}
+	if e := verd.From(err); e.Reason == verd.Unreached || e.Reason == verd.Overloaded {
+		return errors.Mark(err, errRefused)
+	}
+	return err
+}
+
+// frames returns a packet in frames of at most size bytes, without its last byte if it is unfinished.
+func frames(kind drpcwire.Kind, stream, message uint64, data []byte, size int, unfinished bool) []byte {
+	var out []byte
+	for first := true; first || len(data) > 0; first = false {
+		n := min(size, len(data))
+		out = drpcwire.AppendFrame(out, drpcwire.Frame{
+			Data: data[:n], ID: drpcwire.ID{Stream: stream, Message: message}, Kind: kind, Done: n == len(data),
+		})
+		data = data[n:]
+	}
+	if unfinished {
+		return out[:len(out)-1]
+	}
+	return out
+}
+
+// invoke returns the frame that begins a call.
+func invoke(stream uint64, method string) []byte {
+	return frames(drpcwire.KindInvoke, stream, 1, []byte(method), maxFrame, false)
+}
+
+// encode returns v as CBOR, and encodeCall the message of a call with that input.
+func encode(t *testing.T, v any) []byte {
+	t.Helper()
+	b, err := cbor.Marshal(v)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	return b
+}
+
+func encodeCall(t *testing.T, body []byte) []byte {
+	t.Helper()
+	return encode(t, map[int]any{2: cbor.RawMessage(body)})
+}
+
+// send writes all parts, as far as the peer takes them.
+func send(w io.Writer, parts ...[]byte) bool {
+	for _, b := range parts {
+		if _, err := w.Write(b); err != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// TestPeersUnfinishedFrames guards against frames that announce a huge size and stop short of it.
+func TestPeersUnfinishedFrames(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	message := frames(drpcwire.KindMessage, 1, 2, make([]byte, maxMessage-64), maxMessage, true)
+	c.connect(48, true, func(w io.Writer) { send(w, invoke(1, stepMethod), message) })
+	c.settle()
+	c.check()
+}
+
+// TestPeersUnreadAnswers guards against very many calls whose answers nobody reads.
+func TestPeersUnreadAnswers(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	message := encodeCall(t, []byte{0xa0})
+	name := strings.Repeat("\x01", 1<<20)
+	c.connect(32, false, func(w io.Writer) {
+		for i := range uint64(64) {
+			if !send(w, invoke(i+1, name), frames(drpcwire.KindMessage, i+1, 2, message, maxFrame, false)) {
+				return
+			}
+		}
+	})
+	c.connect(32, false, func(w io.Writer) {
+		for i := range uint64(50_000) {
+			if !send(w, invoke(i+1, "quorum.report"), frames(drpcwire.KindMessage, i+1, 2, message, maxFrame, false)) {
+				return
+			}
+		}
+	})
+	c.settle()
+	c.check()
+}
+
+// TestPeersEndlessFrames guards against metadata and calls without a message that come without end.
+func TestPeersEndlessFrames(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	metadata := bytes.Repeat([]byte{0x0a, 0x04, 0x0a, 0x00, 0x12, 0x00}, (maxMessage-64)/6)
+	c.connect(24, true, func(w io.Writer) {
+		for i := range uint64(32) {
+			if !send(w, frames(drpcwire.KindInvokeMetadata, i+1, 1, metadata, maxFrame, false)) {
+				return
+			}
+		}
+	})
+	c.connect(24, true, func(w io.Writer) {
+		for i := range uint64(100_000) {
+			if !send(w, invoke(i+1, stepMethod)) {
+				return
+			}
+		}
+	})
+	c.settle()
+	c.check()
+}
+
+// TestPeersForeignBytes guards against clients that speak another protocol.
+func TestPeersForeignBytes(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	c.connect(24, true, func(w io.Writer) {
+		send(w, []byte("POST /config HTTP/1.1\r\nHost: crowd.example\r\nContent-Length: 4000000\r\n\r\n"), make([]byte, maxMessage-100))
+	})
+	c.connect(24, true, func(w io.Writer) { send(w, bytes.Repeat([]byte{0xff}, maxMessage)) })
+	c.connect(24, true, func(w io.Writer) { send(w, bytes.Repeat([]byte{0x16, 0x03, 0x01}, maxMessage/3)) })
+	c.settle()
+	c.check()
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -77,7 +77,7 @@
 		}
 		wg.Go(func() {
 			// A broken connection ends only its own calls.
-			_ = srv.ServeOne(ctx, conn)
+			_ = srv.ServeOne(ctx, newPeerConn(conn))
 			conn.Close()
 		})
 	}
