wire: connections of peers that wait make room

Connections to the port for peers that sent nothing, or stopped half-way, stayed open for ever. A crowd of them took all descriptors of a process: callers, targets and instances were no longer served.

A server now knows of each connection whether it ever carried a message, has begun one, or serves a call or a stream. Connections are closed after 10 s without a first message or within one, and after 2 minutes without a call (callers reuse them for one). Times are counted in checks, so that a pause of the process ends none, and not while the server itself is slow to receive. At the limit (three in eight descriptors, and one for each 128 KiB of memory) a new connection takes the room of the one that has been waiting longest, first of those that never carried a call; one that serves a call or a stream is never closed for that. Streams take seven in eight of all, so that calls find room. A peer that doesn't read the reply to a call for 10 s loses its connection. peers.closed counts what the limits close, and a log line tells when that begins and ends.

--- a/internal/crowd/peers_test.go
+++ b/internal/crowd/peers_test.go
@@ -15,7 +15,9 @@
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc/drpcwire"
 
+	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/quorum"
+	"github.com/bambooproxy/bambooproxy/internal/relay"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
@@ -171,6 +173,24 @@
 	c.check()
 }
 
+// TestPeersSilentConnections guards against connections that send nothing, or a part of a frame.
+func TestPeersSilentConnections(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	c.connect(200, true, func(io.Writer) {})
+	c.connect(200, true, func(w io.Writer) { send(w, invoke(1, stepMethod)[:5]) })
+	c.settle()
+	c.check()
+}
+
+// TestPeersIdleConnections guards against connections that stay open after a call.
+func TestPeersIdleConnections(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	message := frames(drpcwire.KindMessage, 1, 2, encodeCall(t, []byte{0xa0}), maxFrame, false)
+	c.connect(400, true, func(w io.Writer) { send(w, invoke(1, "quorum.report"), message) })
+	c.settle()
+	c.check()
+}
+
 // TestPeersUnreadAnswers guards against very many calls whose answers nobody reads.
 func TestPeersUnreadAnswers(t *testing.T) {
 	c := newPeerCrowd(newSite(t))
@@ -227,3 +247,17 @@
 	c.settle()
 	c.check()
 }
+
+// TestPeersStreams guards against links and tunnels that are opened and then silent, or read nothing.
+func TestPeersStreams(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	c.connect(60, false, func(w io.Writer) { send(w, invoke(1, link.Method)) })
+	c.connect(60, false, func(w io.Writer) {
+		send(w, invoke(1, relay.Method), frames(drpcwire.KindMessage, 1, 2, encode(t, map[int]any{1: c.site.target.announced.Address}), maxFrame, false))
+	})
+	c.connect(60, false, func(w io.Writer) {
+		send(w, invoke(1, relay.Method), frames(drpcwire.KindMessage, 1, 2, encode(t, map[int]any{1: "127.0.0.1:9"}), maxFrame, false))
+	})
+	c.settle()
+	c.check()
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -128,7 +128,10 @@
 	s := p.Settings
 	p.network.bind = s.Bind
 	p.metrics = metrics.NewRegistry()
-	p.peerServer = &wire.Server{OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") }}
+	p.peerServer = &wire.Server{
+		OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") },
+		Memory:        s.Memory << 20, OnPressure: p.logPeerPressure, Closed: metrics.GetOrRegisterCounter("peers.closed", p.metrics),
+	}
 	p.peerPool = &wire.Pool{Dial: p.network.dial, Self: s.Peers, Local: p.peerServer}
 	if s.Control != "" {
 		p.hub = &hub.Server{
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -1,5 +1,12 @@
 package wire
 
+import (
+	"math"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
 const (
 	// maxMessageBytes bounds one message: the default of drpc, which older builds have on both sides.
 	maxMessageBytes = 4 << 20
@@ -11,4 +18,49 @@
 	// maxControlPackets how many of them may come without a message.
 	maxControlBytes   = 16 << 10
 	maxControlPackets = 16
+
+	// checkInterval is how often connections are checked. The times below are counted in checks, so
+	// that a pause of the process doesn't end the connections of others.
+	checkInterval = time.Second
+	// messageTimeout bounds the wait for the first message of a connection, and the time from the first
+	// byte of a message to the last.
+	messageTimeout = 10 * time.Second
+	// idleTimeout is how long a connection without a call stays open. Callers stop using it at
+	// maxConnAge.
+	idleTimeout = 2 * maxConnAge
+	// replyTimeout bounds each write of a reply to a call.
+	replyTimeout = 10 * time.Second
+
+	// defaultMemory is Server.Memory if it is 0, in bytes.
+	defaultMemory = 256 << 20
+	// memoryPerConn is the memory of the process for each connection, of which it uses a part.
+	memoryPerConn = 128 << 10
+	// minConns bounds the connections of processes with very little memory.
+	minConns = 64
 )
+
+// limits bounds what all connections of a server hold together.
+type limits struct {
+	// conns bounds the open connections, and streams those that carry a stream, so that calls find room.
+	conns, streams int
+}
+
+// newLimits derives the limits of a server from the memory of the process in bytes and the number of its
+// file descriptors, of which peers may use three in eight.
+func newLimits(memory int64, descriptors uint64) limits {
+	if memory <= 0 {
+		memory = defaultMemory
+	}
+	conns := max(minConns, int(min(memory/memoryPerConn, int64(min(descriptors, math.MaxInt32))*3/8)))
+	return limits{conns: conns, streams: conns * 7 / 8}
+}
+
+// maxDescriptors returns the limit of the open file descriptors of this process. If it can't be read,
+// only the memory bounds the connections.
+func maxDescriptors() uint64 {
+	var r unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &r); err != nil {
+		return math.MaxUint64
+	}
+	return r.Cur
+}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -9,7 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/bambooproxy/bambooproxy/internal/timing"
@@ -34,6 +36,14 @@
 	// OnAcceptError is called with the first of several errors in a row that pass, such as a
 	// lack of file descriptors; nil ignores them.
 	OnAcceptError func(err error)
+	// Memory is the memory of the process in bytes, from which the limits of what peers may send follow;
+	// 0 means defaultMemory.
+	Memory int64
+	// OnPressure is called when the server begins to close connections because of its limits, and when
+	// it has closed none for a while; nil ignores it.
+	OnPressure func(p Pressure)
+	// Closed counts the connections that are closed because of the limits; nil counts nothing.
+	Closed metrics.Counter
 }
 
 // request is the encoded form of a call.
@@ -57,6 +67,8 @@
 	defer wg.Wait()
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
+	t := s.newTable()
+	wg.Go(func() { timing.Every(ctx, checkInterval, t.check) })
 	srv := drpcserver.New(s)
 	for failures := 0; ; {
 		conn, err := ln.Accept()
@@ -75,14 +87,29 @@
 		default:
 			return errors.Wrap(err, "accept connection from peer")
 		}
+		c := newPeerConn(conn, t)
+		if !t.add(c) {
+			c.Close()
+			continue
+		}
 		wg.Go(func() {
 			// A broken connection ends only its own calls.
-			_ = srv.ServeOne(ctx, newPeerConn(conn))
-			conn.Close()
+			_ = srv.ServeOne(ctx, c)
+			c.Close()
+			t.remove(c)
 		})
 	}
 }
 
+// newTable returns a table without connections.
+func (s *Server) newTable() *connTable {
+	t := &connTable{limits: newLimits(s.Memory, maxDescriptors()), closed: s.Closed, onPressure: s.OnPressure, conns: make(map[*peerConn]connState)}
+	if t.closed == nil {
+		t.closed = metrics.NilCounter{}
+	}
+	return t
+}
+
 const (
 	// minAcceptPause is the pause after a failed accept. It doubles with each failure in a row, at
 	// most maxAcceptDoublings times, up to maxAcceptPause.
@@ -99,11 +126,18 @@
 
 // HandleRPC handles one call; it implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
-	if ok, err := s.serveStream(stream, rpc); ok {
+	c, err := peerConnOf(stream.Context())
+	if err != nil {
+		return err
+	}
+	defer c.table.endCall(c)
+	if ok, err := s.serveStream(c, stream, rpc); ok {
 		return err
 	}
 	var req request
-	if err := stream.MsgRecv(&req, codec{}); err != nil {
+	err = stream.MsgRecv(&req, codec{})
+	c.table.change(c, func(s *connState) { s.active, s.checks = true, 0 })
+	if err != nil {
 		return err
 	}
 	ctx := withTraceParent(stream.Context(), req.Trace)
@@ -112,8 +146,24 @@
 		ctx, cancel = context.WithTimeout(ctx, req.Timeout)
 		defer cancel()
 	}
-	resp := s.dispatch(ctx, rpc, req.Body)
-	if err := stream.MsgSend(&resp, codec{}); err != nil {
+	return sendReply(c, stream, s.dispatch(ctx, rpc, req.Body))
+}
+
+// peerConnOf returns the connection of a call.
+func peerConnOf(ctx context.Context) (*peerConn, error) {
+	tr, _ := drpcctx.Transport(ctx)
+	c, ok := tr.(*peerConn)
+	if !ok {
+		return nil, errors.New("call without a connection") // Not reachable: Serve adds it.
+	}
+	return c, nil
+}
+
+// sendReply ends a call. A peer that doesn't read loses its connection.
+func sendReply(c *peerConn, stream drpc.Stream, r reply) error {
+	timer := time.AfterFunc(replyTimeout, func() { c.Close() })
+	defer timer.Stop()
+	if err := stream.MsgSend(&r, codec{}); err != nil {
 		return err
 	}
 	return stream.CloseSend()
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -21,13 +21,23 @@
 type Stream struct {
 	stream    drpc.Stream
 	closeConn func()
+	// conn is nil on the side that opened the stream.
+	conn *peerConn
 }
 
 // Send sends one message.
 func (s *Stream) Send(v any) error { return s.stream.MsgSend(v, codec{}) }
 
 // Receive waits for the next message and decodes it into v.
-func (s *Stream) Receive(v any) error { return s.stream.MsgRecv(v, codec{}) }
+func (s *Stream) Receive(v any) error {
+	if s.conn == nil {
+		return s.stream.MsgRecv(v, codec{})
+	}
+	if err := s.stream.MsgRecv(v, codec{}); err != nil {
+		return err
+	}
+	return s.conn.table.openStream(s.conn)
+}
 
 // Close closes the stream and its connection without waiting for the other side.
 func (s *Stream) Close() { s.closeConn() }
@@ -57,10 +67,10 @@
 }
 
 // serveStream runs the named stream method. ok is false if there is none of that name.
-func (s *Server) serveStream(stream drpc.Stream, name string) (ok bool, err error) {
+func (s *Server) serveStream(c *peerConn, stream drpc.Stream, name string) (ok bool, err error) {
 	for _, m := range s.Streams {
 		if m.Name == name {
-			return true, m.Run(stream.Context(), &Stream{stream: stream, closeConn: func() { stream.Close() }})
+			return true, m.Run(stream.Context(), &Stream{stream: stream, closeConn: func() { stream.Close() }, conn: c})
 		}
 	}
 	return false, nil
