wire: messages that peers don't end share a part of the memory

A message of up to 4 MiB is collected before anything looks at it, and drpc keeps the buffer of a long one until eleven small ones in a row have come. A crowd whose messages stopped short of their end, came in frames of a byte, or were complete and followed by silence, took the process out of its memory.

A server now accounts for both: twice the size of a message that grows, and five quarters of a buffer that is kept, from 32 KiB on (messages of tunnels and most of links are smaller). Together they may take an eighth of the memory, and 8 MiB at least, which one message of the largest size needs. Beyond that, the connection that has held its part longest is closed; one that serves a call only if there is no other.

--- a/internal/crowd/peers_test.go
+++ b/internal/crowd/peers_test.go
@@ -164,6 +164,15 @@
 	return true
 }
 
+// TestPeersUnfinishedMessages guards against messages of legal size that stop short of their end.
+func TestPeersUnfinishedMessages(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	message := frames(drpcwire.KindMessage, 1, 2, make([]byte, maxMessage-64), maxFrame, true)
+	c.connect(48, true, func(w io.Writer) { send(w, invoke(1, stepMethod), message) })
+	c.settle()
+	c.check()
+}
+
 // TestPeersUnfinishedFrames guards against frames that announce a huge size and stop short of it.
 func TestPeersUnfinishedFrames(t *testing.T) {
 	c := newPeerCrowd(newSite(t))
@@ -173,6 +182,35 @@
 	c.check()
 }
 
+// TestPeersTinyFrames guards against messages of very many frames of a byte that never end.
+func TestPeersTinyFrames(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	frame := drpcwire.AppendFrame(nil, drpcwire.Frame{Data: []byte{0}, ID: drpcwire.ID{Stream: 1, Message: 2}, Kind: drpcwire.KindMessage})
+	part := bytes.Repeat(frame, 1<<14)
+	c.connect(24, true, func(w io.Writer) {
+		send(w, invoke(1, stepMethod))
+		for range (maxMessage - 64) / (1 << 14) {
+			if !send(w, part) {
+				return
+			}
+		}
+	})
+	c.settle()
+	c.check()
+}
+
+// TestPeersKeptBuffers guards against calls of legal size on connections that stay open and silent.
+func TestPeersKeptBuffers(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	call := encodeCall(t, encode(t, map[int]any{9: make([]byte, maxMessage-256)}))
+	for _, size := range []int{maxFrame, maxMessage} {
+		message := frames(drpcwire.KindMessage, 1, 2, call, size, false)
+		c.connect(24, true, func(w io.Writer) { send(w, invoke(1, stepMethod), message) })
+	}
+	c.settle()
+	c.check()
+}
+
 // TestPeersSilentConnections guards against connections that send nothing, or a part of a frame.
 func TestPeersSilentConnections(t *testing.T) {
 	c := newPeerCrowd(newSite(t))
--- a/internal/wire/conns.go
+++ b/internal/wire/conns.go
@@ -17,7 +17,7 @@
 
 // Pressure tells that a server closes connections because they exceed its limits.
 type Pressure struct {
-	// Cause is why the last one was closed: "connections", "silence" or "frames".
+	// Cause is why the last one was closed: "connections", "memory", "silence" or "frames".
 	Cause string
 	// Closed is the number of those closed since the pressure began.
 	Closed int64
@@ -27,6 +27,7 @@
 
 const (
 	causeConns   = "connections"
+	causeMemory  = "memory"
 	causeSilence = "silence"
 	causeFrames  = "frames"
 	// pressureChecks is how many checks without a closed connection end the pressure.
@@ -37,12 +38,16 @@
 type connState struct {
 	// since is when the last message was complete, or when the connection was opened.
 	since time.Time
+	// changed is when the last message was begun or complete, whatever came later.
+	changed time.Time
 	// checks counts the checks since the connection last changed its state.
 	checks int
 	// called is set once there was a complete message, and begun while one is being received.
 	called, begun bool
 	// active is set while a call or a stream is served, and stream if it is a stream.
 	active, stream bool
+	// held is the memory of the message that is being received, or of the kept buffer of an earlier one.
+	held int64
 }
 
 // isOverdue reports whether a connection has been waiting too long for its peer.
@@ -89,6 +94,20 @@
 	return victim, ok
 }
 
+// chooseForMemory returns the connection to close when messages exceed their memory: of those that hold
+// some, the one that has held it longest. One with a call is chosen only if there is no other; streams
+// are like connections without one, as they drop a buffer that they don't need.
+func chooseForMemory[K comparable](conns map[K]connState) (victim K, ok bool) {
+	hasCall := func(c connState) bool { return c.active && !c.stream }
+	for k, c := range conns {
+		o := conns[victim]
+		if c.held > 0 && (!ok || hasCall(c) == hasCall(o) && c.changed.Before(o.changed) || !hasCall(c) && hasCall(o)) {
+			victim, ok = k, true
+		}
+	}
+	return victim, ok
+}
+
 // connTable holds the open connections of a server.
 type connTable struct {
 	limits limits
@@ -99,6 +118,7 @@
 	mu      sync.Mutex
 	conns   map[*peerConn]connState
 	streams int
+	held    int64
 	// pressure is the pressure at present, and quiet counts the checks since a connection was closed.
 	pressure Pressure
 	quiet    int
@@ -116,7 +136,8 @@
 		}
 		t.closeLocked(victim, causeConns)
 	}
-	t.conns[c] = connState{since: time.Now()}
+	now := time.Now()
+	t.conns[c] = connState{since: now, changed: now}
 	return true
 }
 
@@ -132,6 +153,7 @@
 	if !ok {
 		return
 	}
+	t.held -= s.held
 	if s.stream {
 		t.streams--
 	}
@@ -209,6 +231,31 @@
 	t.conns[c] = s
 }
 
+// hold sets the memory that a connection holds for messages, and closes others that have been waiting
+// longer while all exceed their share. It returns errNoRoom if the connection was closed.
+func (t *connTable) hold(c *peerConn, bytes int64) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s, ok := t.conns[c]
+	if !ok {
+		return errNoRoom
+	}
+	t.held += bytes - s.held
+	s.held = bytes
+	t.conns[c] = s
+	for t.held > t.limits.messageBytes {
+		victim, ok := chooseForMemory(t.conns)
+		if !ok {
+			return errNoRoom // Not reachable: c holds some.
+		}
+		t.closeLocked(victim, causeMemory)
+		if victim == c {
+			return errNoRoom
+		}
+	}
+	return nil
+}
+
 // check closes the connections that are overdue.
 func (t *connTable) check() {
 	t.mu.Lock()
--- a/internal/wire/conns_test.go
+++ b/internal/wire/conns_test.go
@@ -27,11 +27,11 @@
 		descriptors uint64
 		want        limits
 	}{
-		{280 << 20, 4096, limits{conns: 1536, streams: 1344}},
-		{0, 1 << 20, limits{conns: 2048, streams: 1792}},
-		{96 << 20, 256, limits{conns: 96, streams: 84}},
-		{1 << 20, 16, limits{conns: 64, streams: 56}},
-		{1 << 40, 1 << 63, limits{conns: 1 << 23, streams: 7 << 20}},
+		{280 << 20, 4096, limits{conns: 1536, streams: 1344, messageBytes: 35 << 20}},
+		{0, 1 << 20, limits{conns: 2048, streams: 1792, messageBytes: 32 << 20}},
+		{96 << 20, 256, limits{conns: 96, streams: 84, messageBytes: 12 << 20}},
+		{1 << 20, 16, limits{conns: 64, streams: 56, messageBytes: 8 << 20}},
+		{1 << 40, 1 << 63, limits{conns: 1 << 23, streams: 7 << 20, messageBytes: 1 << 37}},
 	} {
 		quicktest.Check(t, newLimits(c.memory, c.descriptors), quicktest.Equals, c.want)
 	}
@@ -61,21 +61,54 @@
 	quicktest.Check(t, order, quicktest.DeepEquals, []string{"longer", "silent", "just opened", "older idle", "idle"})
 }
 
+// TestChooseForMemory checks which connection is closed when messages exceed their memory.
+func TestChooseForMemory(t *testing.T) {
+	now := time.Now()
+	conns := map[string]connState{
+		"no memory":     {changed: now.Add(-time.Hour)},
+		"stream":        {changed: now.Add(-time.Minute), called: true, active: true, stream: true, held: 1},
+		"call":          {changed: now.Add(-time.Hour), called: true, active: true, held: 1},
+		"kept":          {changed: now.Add(-3 * time.Second), called: true, held: 1},
+		"begun":         {changed: now.Add(-time.Second), since: now.Add(-time.Hour), called: true, begun: true, held: 1},
+		"begun earlier": {changed: now.Add(-2 * time.Second), begun: true, held: 1},
+	}
+	var order []string
+	for {
+		k, ok := chooseForMemory(conns)
+		if !ok {
+			break
+		}
+		order = append(order, k)
+		delete(conns, k)
+	}
+	quicktest.Check(t, order, quicktest.DeepEquals, []string{"stream", "kept", "begun earlier", "begun", "call"})
+}
+
 // TestRoomIsNeverThatOfACall checks that no connection with a call makes room while another one could.
 func TestRoomIsNeverThatOfACall(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Now()
 		conns := make(map[int]connState)
+		anyHeld, onlyActiveHeld := false, true
 		for i := range rapid.IntRange(0, 20).Draw(t, "conns") {
 			c := connState{
-				since:  now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Second),
-				called: rapid.Bool().Draw(t, "called"), active: rapid.Bool().Draw(t, "active"),
+				since: now.Add(-time.Duration(rapid.IntRange(0, 100).Draw(t, "age")) * time.Second), changed: now,
+				called: rapid.Bool().Draw(t, "called"), active: rapid.Bool().Draw(t, "active"), held: int64(rapid.IntRange(0, 1).Draw(t, "held")),
 			}
 			conns[i] = c
+			anyHeld = anyHeld || c.held > 0
+			onlyActiveHeld = onlyActiveHeld && (c.active || c.held == 0)
 		}
 		if k, ok := chooseForRoom(conns); ok && conns[k].active {
 			t.Errorf("room is that of a call")
 		}
+		k, ok := chooseForMemory(conns)
+		if ok != anyHeld {
+			t.Fatalf("chosen: %v, want %v", ok, anyHeld)
+		}
+		if ok && (conns[k].held == 0 || conns[k].active && !onlyActiveHeld) {
+			t.Errorf("memory is that of %+v", conns[k])
+		}
 	})
 }
 
@@ -320,6 +353,63 @@
 	})
 }
 
+// TestUnfinishedMessagesEnd guards against a crowd whose messages stop short of their end: of those in
+// memory, the ones that have waited longest end.
+func TestUnfinishedMessagesEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, 1)
+		message := call(t, "echo", make([]byte, maxMessageBytes/4))
+		var crowd []*rawConn
+		for range 20 {
+			c := s.dial()
+			c.send(t, message[:len(message)-1])
+			synctest.Wait()
+			crowd = append(crowd, c)
+			time.Sleep(time.Millisecond)
+		}
+		open := 0
+		for _, c := range crowd {
+			if c.isOpen() {
+				open++
+			}
+		}
+		quicktest.Check(t, open > 0 && crowd[len(crowd)-open].isOpen(), quicktest.IsTrue, quicktest.Commentf("the last ones are open"))
+		quicktest.Check(t, open*maxMessageBytes/4 <= minMessageMemory, quicktest.IsTrue, quicktest.Commentf("%d open", open))
+		s.checkServes()
+	})
+}
+
+// TestKeptBuffersEnd guards against connections that keep the buffer of a long message, and checks that
+// those that go on with small ones don't count.
+func TestKeptBuffersEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, 1)
+		message := call(t, "pipe", make([]byte, maxMessageBytes/2))
+		busy := s.dial()
+		busy.send(t, message)
+		for i := range uint64(keptPackets) {
+			busy.send(t, splitPacket(drpcwire.Packet{ID: drpcwire.ID{Stream: 1, Message: 3 + i}, Kind: drpcwire.KindMessage, Data: []byte{1}}))
+		}
+		var silent []*rawConn
+		for range 8 {
+			time.Sleep(time.Millisecond)
+			c := s.dial()
+			c.send(t, message)
+			synctest.Wait()
+			silent = append(silent, c)
+		}
+		open := 0
+		for _, c := range silent {
+			if c.isOpen() {
+				open++
+			}
+		}
+		quicktest.Check(t, open > 0 && open*maxMessageBytes/2 <= minMessageMemory, quicktest.IsTrue, quicktest.Commentf("%d open", open))
+		quicktest.Check(t, busy.isOpen(), quicktest.IsTrue)
+		s.checkServes()
+	})
+}
+
 // TestLargestMessagesPass checks that a server with little memory answers calls of the largest size, one
 // after the other on one connection.
 func TestLargestMessagesPass(t *testing.T) {
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -35,6 +35,11 @@
 	defaultMemory = 256 << 20
 	// memoryPerConn is the memory of the process for each connection, of which it uses a part.
 	memoryPerConn = 128 << 10
+	// messageDivisor divides the memory into the part for messages that are not complete, or whose
+	// buffers are kept.
+	messageDivisor = 8
+	// minMessageMemory holds one message of maxMessageBytes.
+	minMessageMemory = 2 * maxMessageBytes
 	// minConns bounds the connections of processes with very little memory.
 	minConns = 64
 )
@@ -43,6 +48,8 @@
 type limits struct {
 	// conns bounds the open connections, and streams those that carry a stream, so that calls find room.
 	conns, streams int
+	// messageBytes bounds the memory of messages before they are decoded.
+	messageBytes int64
 }
 
 // newLimits derives the limits of a server from the memory of the process in bytes and the number of its
@@ -52,7 +59,10 @@
 		memory = defaultMemory
 	}
 	conns := max(minConns, int(min(memory/memoryPerConn, int64(min(descriptors, math.MaxInt32))*3/8)))
-	return limits{conns: conns, streams: conns * 7 / 8}
+	return limits{
+		conns: conns, streams: conns * 7 / 8,
+		messageBytes: max(minMessageMemory, memory/messageDivisor),
+	}
 }
 
 // maxDescriptors returns the limit of the open file descriptors of this process. If it can't be read,
