wire: messages that are costly to decode wait or are refused

CBOR of legal size can take many times as much when decoded: in a list of empty maps, a byte stands for a whole struct. A message of a link may hold twelve lists of 131,072 elements, and many connections could send such messages at once.

Small messages, up to 64 KiB by that measure, are decoded at once. Others share an eighth of the memory (16 MiB at least) with those that are being handled: they wait for up to 5 s and are refused as not run after that, and at once if they take more than all of it.

--- a/internal/crowd/peers_test.go
+++ b/internal/crowd/peers_test.go
@@ -27,7 +27,9 @@
 	// longest frame that they send.
 	maxMessage = 4 << 20
 	maxFrame   = 64 << 10
-	stepMethod = "quorum.step"
+	// maxElements is the length of the longest list that they accept.
+	maxElements = 131_072
+	stepMethod  = "quorum.step"
 )
 
 // peerCrowd holds the connections of a crowd to the ports for peers of both processes.
@@ -164,6 +166,11 @@
 	return true
 }
 
+// emptyMaps returns a CBOR list of n empty maps, one byte each.
+func emptyMaps(n int) []byte {
+	return append([]byte{0x9a, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}, bytes.Repeat([]byte{0xa0}, n)...)
+}
+
 // TestPeersUnfinishedMessages guards against messages of legal size that stop short of their end.
 func TestPeersUnfinishedMessages(t *testing.T) {
 	c := newPeerCrowd(newSite(t))
@@ -229,6 +236,30 @@
 	c.check()
 }
 
+// TestPeersCostlyMessages guards against messages of legal size that take many times as much memory
+// when they are decoded.
+func TestPeersCostlyMessages(t *testing.T) {
+	c := newPeerCrowd(newSite(t))
+	hello := encode(t, link.FollowerMessage{Hello: &link.Hello{Name: "crowd", PeerAddr: "127.0.0.1:1", DataCentre: dataCentre, Revision: link.NoUpdates}})
+	lists := map[int]any{}
+	for _, key := range []int{2, 5, 7, 8, 9, 10, 11, 12, 13, 14, 15, 21} {
+		lists[key] = cbor.RawMessage(emptyMaps(maxElements))
+	}
+	message := frames(drpcwire.KindMessage, 1, 3, encode(t, lists), maxFrame, false)
+	begin := append(invoke(1, link.Method), frames(drpcwire.KindMessage, 1, 2, hello, maxFrame, false)...)
+	c.connect(16, true, func(w io.Writer) { send(w, begin, message) })
+	batch := encode(t, map[int]any{3: []any{map[int]any{4: 3, 5: map[int]any{3: cbor.RawMessage(emptyMaps(maxElements))}}}})
+	call := frames(drpcwire.KindMessage, 1, 2, encodeCall(t, batch), maxFrame, false)
+	c.connect(32, true, func(w io.Writer) { send(w, invoke(1, stepMethod), call) })
+	deep := bytes.Repeat([]byte{0x81}, maxMessage-256)
+	nested := frames(drpcwire.KindMessage, 1, 2, append([]byte{0xa1, 0x02}, deep...), maxFrame, false)
+	c.connect(8, true, func(w io.Writer) { send(w, invoke(1, stepMethod), nested) })
+	huge := frames(drpcwire.KindMessage, 1, 2, []byte{0xa1, 0x02, 0x9b, 0x7f, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}, maxFrame, false)
+	c.connect(8, true, func(w io.Writer) { send(w, invoke(1, stepMethod), huge) })
+	c.settle()
+	c.check()
+}
+
 // TestPeersUnreadAnswers guards against very many calls whose answers nobody reads.
 func TestPeersUnreadAnswers(t *testing.T) {
 	c := newPeerCrowd(newSite(t))
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -4,6 +4,8 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 	"storj.io/drpc"
+
+	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
 // codec is a drpc encoding of domain types as CBOR.
@@ -19,6 +21,24 @@
 	return decode(buf, msg)
 }
 
+// serverCodec is a codec for the messages of a connection that a server has accepted.
+type serverCodec struct {
+	codec
+	conn *peerConn
+}
+
+// Unmarshal decodes buf within the limits of the server.
+func (c serverCodec) Unmarshal(buf []byte, msg drpc.Message) error {
+	n, err := decodedBytes(buf)
+	if err != nil {
+		return verd.Wrap(err, verd.NotRun, verd.BadRequest, "message of %d bytes", len(buf))
+	}
+	if err := c.conn.acquire(n); err != nil {
+		return err
+	}
+	return decode(buf, msg)
+}
+
 // Checker is a domain type that validates itself after it has been decoded.
 type Checker interface{ Check() error }
 
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -2,11 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/semaphore"
 	"storj.io/drpc/drpcwire"
+
+	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
 const (
@@ -14,6 +19,8 @@
 	minHeldBytes = 32 << 10
 	// keptPackets is how many packets in a row of less than a quarter of its size a buffer of drpc outlasts.
 	keptPackets = 11
+	// smallMessage is the size up to which messages are decoded at once, in bytes when decoded.
+	smallMessage = 64 << 10
 )
 
 // peerConn is a connection of a peer, within the limits of a server.
@@ -21,15 +28,26 @@
 	net.Conn
 	table  *connTable
 	frames frameReader
+	// decoding is shared by all connections of the server.
+	decoding *semaphore.Weighted
+	// ctx ends when the connection is closed.
+	ctx    context.Context
+	cancel context.CancelFunc
+
 	// begun is set from the first byte of a message, or of the name of its method, to the last.
 	begun bool
 	// kept is the size of the buffer that drpc keeps for messages, and small counts the packets in a row
 	// that are much smaller. Only the goroutine that reads uses these.
 	kept, small int
+
+	mu sync.Mutex
+	// decoded is what the connection has acquired of decoding.
+	decoded int64
 }
 
-func newPeerConn(c net.Conn, t *connTable) *peerConn {
-	p := &peerConn{Conn: c, table: t}
+func newPeerConn(ctx context.Context, c net.Conn, t *connTable, decoding *semaphore.Weighted) *peerConn {
+	p := &peerConn{Conn: c, table: t, decoding: decoding}
+	p.ctx, p.cancel = context.WithCancel(ctx)
 	p.frames = frameReader{in: bufio.NewReaderSize(c, readBufferBytes), onBegin: p.begin, onData: p.grow, onPacket: p.finish}
 	return p
 }
@@ -43,6 +61,12 @@
 	return n, err
 }
 
+// Close closes the connection.
+func (c *peerConn) Close() error {
+	c.cancel()
+	return c.Conn.Close()
+}
+
 // begin notes that a message has begun.
 func (c *peerConn) begin() {
 	if c.begun {
@@ -91,3 +115,33 @@
 		}
 	})
 }
+
+// acquire waits for the memory to decode a message. Any that was acquired before is released.
+func (c *peerConn) acquire(bytes int64) error {
+	c.release()
+	if bytes <= smallMessage {
+		return nil
+	}
+	if bytes > c.table.limits.decodeBytes {
+		return verd.New(verd.NotRun, verd.TooLarge, "message takes %d bytes when decoded, limit is %d", bytes, c.table.limits.decodeBytes)
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, decodeTimeout)
+	defer cancel()
+	if err := c.decoding.Acquire(ctx, bytes); err != nil {
+		return verd.Wrap(err, verd.NotRun, verd.Overloaded, "no memory to decode a message of %d bytes", bytes)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.decoded = bytes
+	return nil
+}
+
+// release releases what acquire has acquired.
+func (c *peerConn) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.decoded > 0 {
+		c.decoding.Release(c.decoded)
+		c.decoded = 0
+	}
+}
--- a/internal/wire/conns_test.go
+++ b/internal/wire/conns_test.go
@@ -27,11 +27,11 @@
 		descriptors uint64
 		want        limits
 	}{
-		{280 << 20, 4096, limits{conns: 1536, streams: 1344, messageBytes: 35 << 20}},
-		{0, 1 << 20, limits{conns: 2048, streams: 1792, messageBytes: 32 << 20}},
-		{96 << 20, 256, limits{conns: 96, streams: 84, messageBytes: 12 << 20}},
-		{1 << 20, 16, limits{conns: 64, streams: 56, messageBytes: 8 << 20}},
-		{1 << 40, 1 << 63, limits{conns: 1 << 23, streams: 7 << 20, messageBytes: 1 << 37}},
+		{280 << 20, 4096, limits{conns: 1536, streams: 1344, messageBytes: 35 << 20, decodeBytes: 35 << 20}},
+		{0, 1 << 20, limits{conns: 2048, streams: 1792, messageBytes: 32 << 20, decodeBytes: 32 << 20}},
+		{96 << 20, 256, limits{conns: 96, streams: 84, messageBytes: 12 << 20, decodeBytes: 16 << 20}},
+		{1 << 20, 16, limits{conns: 64, streams: 56, messageBytes: 8 << 20, decodeBytes: 16 << 20}},
+		{1 << 40, 1 << 63, limits{conns: 1 << 23, streams: 7 << 20, messageBytes: 1 << 37, decodeBytes: 1 << 37}},
 	} {
 		quicktest.Check(t, newLimits(c.memory, c.descriptors), quicktest.Equals, c.want)
 	}
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -30,16 +30,20 @@
 	idleTimeout = 2 * maxConnAge
 	// replyTimeout bounds each write of a reply to a call.
 	replyTimeout = 10 * time.Second
+	// decodeTimeout bounds the wait for memory to decode a message.
+	decodeTimeout = 5 * time.Second
 
 	// defaultMemory is Server.Memory if it is 0, in bytes.
 	defaultMemory = 256 << 20
 	// memoryPerConn is the memory of the process for each connection, of which it uses a part.
 	memoryPerConn = 128 << 10
 	// messageDivisor divides the memory into the part for messages that are not complete, or whose
-	// buffers are kept.
+	// buffers are kept, and decodeDivisor into that for messages that are decoded.
 	messageDivisor = 8
-	// minMessageMemory holds one message of maxMessageBytes.
+	decodeDivisor  = 8
+	// minMessageMemory and minDecodeMemory hold one message of maxMessageBytes.
 	minMessageMemory = 2 * maxMessageBytes
+	minDecodeMemory  = 4 * maxMessageBytes
 	// minConns bounds the connections of processes with very little memory.
 	minConns = 64
 )
@@ -48,8 +52,8 @@
 type limits struct {
 	// conns bounds the open connections, and streams those that carry a stream, so that calls find room.
 	conns, streams int
-	// messageBytes bounds the memory of messages before they are decoded.
-	messageBytes int64
+	// messageBytes and decodeBytes bound the memory of messages before and while they are decoded.
+	messageBytes, decodeBytes int64
 }
 
 // newLimits derives the limits of a server from the memory of the process in bytes and the number of its
@@ -62,6 +66,7 @@
 	return limits{
 		conns: conns, streams: conns * 7 / 8,
 		messageBytes: max(minMessageMemory, memory/messageDivisor),
+		decodeBytes:  max(minDecodeMemory, memory/decodeDivisor),
 	}
 }
 
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcserver"
@@ -68,6 +69,7 @@
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	t := s.newTable()
+	decoding := semaphore.NewWeighted(t.limits.decodeBytes)
 	wg.Go(func() { timing.Every(ctx, checkInterval, t.check) })
 	srv := drpcserver.New(s)
 	for failures := 0; ; {
@@ -87,7 +89,7 @@
 		default:
 			return errors.Wrap(err, "accept connection from peer")
 		}
-		c := newPeerConn(conn, t)
+		c := newPeerConn(ctx, conn, t, decoding)
 		if !t.add(c) {
 			c.Close()
 			continue
@@ -96,6 +98,7 @@
 			// A broken connection ends only its own calls.
 			_ = srv.ServeOne(ctx, c)
 			c.Close()
+			c.release()
 			t.remove(c)
 		})
 	}
@@ -130,13 +133,18 @@
 	if err != nil {
 		return err
 	}
+	defer c.release()
 	defer c.table.endCall(c)
 	if ok, err := s.serveStream(c, stream, rpc); ok {
 		return err
 	}
 	var req request
-	err = stream.MsgRecv(&req, codec{})
+	err = stream.MsgRecv(&req, serverCodec{conn: c})
 	c.table.change(c, func(s *connState) { s.active, s.checks = true, 0 })
+	var refused *verd.Error
+	if errors.As(err, &refused) {
+		return sendReply(c, stream, reply{Error: refused})
+	}
 	if err != nil {
 		return err
 	}
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -33,7 +33,8 @@
 	if s.conn == nil {
 		return s.stream.MsgRecv(v, codec{})
 	}
-	if err := s.stream.MsgRecv(v, codec{}); err != nil {
+	s.conn.release()
+	if err := s.stream.MsgRecv(v, serverCodec{conn: s.conn}); err != nil {
 		return err
 	}
 	return s.conn.table.openStream(s.conn)
