hub: what linked strangers report is bounded

Anybody who can connect may open a link. A control instance kept the heartbeats and cold times of targets that nobody knows, limits of such targets until the registry changed, lists of ready instances of any length, and any number of requests and grants of one link.

Now it keeps things of at most 65,536 targets that are not registered (a target that announces itself is registered soon) with names of up to 256 bytes, and drops heartbeats that no longer count; limits only of registered processes, as at every change of the registry before; of ready instances one of an instance that is no control instance, which reports itself, and 4,096 of others; and 16,384 requests of one link, grants only of registered targets. Registered targets are always kept.

--- a/internal/crowd/peers_test.go
+++ b/internal/crowd/peers_test.go
@@ -3,10 +3,12 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -330,3 +332,40 @@
 	c.settle()
 	c.check()
 }
+
+// TestPeersLinkedStrangers guards against links of unknown instances that report without end on targets
+// and requests that nobody knows.
+func TestPeersLinkedStrangers(t *testing.T) {
+	const links, messages, listed = 8, 60, 10_000
+	c := newPeerCrowd(newSite(t))
+	var count atomic.Int64
+	c.connect(links, true, func(w io.Writer) {
+		name := fmt.Sprintf("stranger-%d", count.Add(1))
+		hello := encode(t, link.FollowerMessage{Hello: &link.Hello{Name: name, PeerAddr: "127.0.0.1:1", DataCentre: dataCentre, Revision: link.NoUpdates}})
+		if !send(w, invoke(1, link.Method), frames(drpcwire.KindMessage, 1, 2, hello, maxFrame, false)) {
+			return
+		}
+		number := uint64(2)
+		for i := range messages {
+			var ids, cold, limits, requests, grants, entries []any
+			for j := range listed {
+				id := fmt.Sprintf("%s-%d-%d", name, i, j)
+				ids = append(ids, id)
+				cold = append(cold, map[int]any{1: id, 2: 1, 3: int64(time.Hour)})
+				limits = append(limits, map[int]any{1: id, 2: 1, 3: 1.5, 4: true})
+				requests = append(requests, map[int]any{1: id, 2: pool, 8: int64(time.Hour), 5: int64(time.Hour)})
+				grants = append(grants, map[int]any{1: map[int]any{1: id, 2: pool, 8: int64(time.Hour)}, 2: id})
+				entries = append(entries, map[int]any{1: id, 2: dataCentre, 3: "127.0.0.1:1"})
+			}
+			for key, v := range map[int]any{4: ids, 6: ids, 15: cold, 14: limits, 5: requests, 9: grants, 2: entries} {
+				number++
+				part := map[int]any{key: v, 3: key == 2}
+				if !send(w, frames(drpcwire.KindMessage, 1, number, encode(t, part), maxFrame, false)) {
+					return
+				}
+			}
+		}
+	})
+	c.settle()
+	c.check()
+}
--- a/internal/hub/cold.go
+++ b/internal/hub/cold.go
@@ -130,6 +130,9 @@
 	var cold []place.Cold
 	for _, c := range list {
 		h := s.heardCold[c.Target]
+		if h == nil && !s.mayKeep(c.Target, len(s.heardCold)) {
+			continue
+		}
 		if h != nil && h.StartedMs == c.StartedMs && h.Sequence >= c.Sequence && c.Sequence > 0 {
 			continue
 		}
--- a/internal/hub/limits.go
+++ b/internal/hub/limits.go
@@ -13,7 +13,7 @@
 func (s *scheduler) setLimits(reported []place.Limit) {
 	var changed []place.Limit
 	for _, l := range reported {
-		if old, ok := s.limits[l.Target]; old == l || !ok && !l.Named {
+		if old, ok := s.limits[l.Target]; old == l || !ok && !l.Named || !s.isCurrent(l) {
 			continue
 		}
 		s.limits[l.Target] = l
@@ -32,11 +32,17 @@
 	}
 }
 
+// isCurrent reports whether a limit is that of a registered process.
+func (s *scheduler) isCurrent(l place.Limit) bool {
+	t, ok := s.server.registry.Target(l.Target)
+	return ok && t.State != site.Gone && t.StartedMs == l.StartedMs
+}
+
 // syncLimits drops the limits of processes that are gone, and passes the others to the cores,
 // which may be new. The caller holds mu.
 func (s *scheduler) syncLimits() {
 	for id, l := range s.limits {
-		if t, ok := s.server.registry.Target(id); !ok || t.State == site.Gone || t.StartedMs != l.StartedMs {
+		if !s.isCurrent(l) {
 			delete(s.limits, id)
 			continue
 		}
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -36,6 +36,8 @@
 	pools    map[string]string
 	// lastSeen is the time of the last heartbeat, by target ID.
 	lastSeen map[string]time.Time
+	// prunedAt is when lastSeen was last searched for those that no longer count.
+	prunedAt time.Time
 	// limits holds the limits that targets have named, by target ID.
 	limits map[string]place.Limit
 	// cold holds what is known of how long targets are cold, by target ID.
@@ -77,6 +79,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active = false
+	for _, sess := range s.sessions {
+		sess.requests = 0
+	}
 	s.cores, s.sessions, s.pools, s.lastSeen, s.limits, s.cold = nil, nil, nil, nil, nil, nil
 	if s.timer != nil {
 		s.timer.Stop()
@@ -158,12 +163,7 @@
 	s.syncFleets()
 	s.setLimits(msg.Limits)
 	s.setCold(msg.Cold)
-	for _, g := range msg.ActiveGrants {
-		g.Request.Instance = sess.hello.Name
-		if c := s.assign(sess, g.Request); c != nil {
-			s.step(c, place.Adopt{Grant: g})
-		}
-	}
+	s.adopt(sess, msg.ActiveGrants)
 	for _, e := range msg.Started {
 		s.stepRequest(e.ID, e)
 	}
@@ -182,7 +182,7 @@
 		c := s.assign(sess, r)
 		if c == nil {
 			sess.Enqueue(func(m *link.ControlMessage) {
-				m.Refusals = append(m.Refusals, place.Refuse{ID: r.ID, Reason: "unknown pool"})
+				m.Refusals = append(m.Refusals, place.Refuse{ID: r.ID, Reason: "unknown pool, or too many requests of this instance"})
 			})
 			continue
 		}
@@ -194,19 +194,37 @@
 	}
 }
 
+// adopt passes on grants of targets that are registered.
+func (s *scheduler) adopt(sess *session, grants []place.ActiveGrant) {
+	for _, g := range grants {
+		if _, ok := s.server.registry.Target(g.Lead); !ok {
+			continue
+		}
+		g.Request.Instance = sess.hello.Name
+		if c := s.assign(sess, g.Request); c != nil {
+			s.step(c, place.Adopt{Grant: g})
+		}
+	}
+}
+
 // assign records the session and the pool of a request and returns the core of the pool,
-// or nil if the pool is unknown.
+// or nil if the pool is unknown or the session has too many requests.
 func (s *scheduler) assign(sess *session, r place.Request) *place.Core {
 	c := s.cores[r.Pool]
-	if c == nil {
+	if c == nil || sess.requests >= maxLinkRequests && s.sessions[r.ID] != sess {
 		return nil
 	}
+	s.forget(r.ID)
 	s.sessions[r.ID], s.pools[r.ID] = sess, r.Pool
+	sess.requests++
 	return c
 }
 
 // forget removes the session and the pool of a request.
 func (s *scheduler) forget(id string) {
+	if sess := s.sessions[id]; sess != nil {
+		sess.requests--
+	}
 	delete(s.sessions, id)
 	delete(s.pools, id)
 }
@@ -286,7 +304,12 @@
 		return
 	}
 	s.syncFleetsSoon()
-	s.lastSeen[id] = time.Now()
+	now := time.Now()
+	s.pruneSeen(now)
+	if _, ok := s.lastSeen[id]; !ok && !s.server.mayKeep(id, len(s.lastSeen)) {
+		return
+	}
+	s.lastSeen[id] = now
 	for _, c := range s.cores {
 		c.Step(time.Now(), place.Heartbeat{Target: id})
 	}
--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -35,6 +35,8 @@
 	// loadsDue is when it may be sent the loads of the pools again. Only fill uses it, and only the
 	// goroutine that sends calls that.
 	loadsDue time.Time
+	// requests is the number of its requests at the scheduler, whose mu guards it.
+	requests int
 }
 
 // helloTimeout bounds the wait for the first message of a link, which carries the Hello.
@@ -215,9 +217,9 @@
 
 // handle processes a message from another instance.
 func (s *Server) handle(sess *session, msg *link.FollowerMessage) {
-	if msg.HasEntries && !slices.Equal(msg.Entries, sess.entries) {
+	if entries := boundEntries(sess.hello, msg.Entries); msg.HasEntries && !slices.Equal(entries, sess.entries) {
 		s.mu.Lock()
-		sess.entries = msg.Entries
+		sess.entries = slices.Clone(entries)
 		s.changeEntriesLocked()
 		s.mu.Unlock()
 	}
@@ -251,5 +253,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pendingHeartbeats[id] = true
+	if s.pendingHeartbeats[id] || s.mayKeep(id, len(s.pendingHeartbeats)) {
+		s.pendingHeartbeats[id] = true
+	}
 }
--- /dev/null
+++ b/internal/hub/strangers_test.go
@@ -0,0 +1,109 @@
+package hub
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/site"
+)
+
+// newStranger returns the session of an instance that nobody knows.
+func newStranger(h link.Hello) *session {
+	return &session{Session: link.NewSession[link.FollowerMessage, link.ControlMessage](nil), hello: h}
+}
+
+// TestStrangersReportTargets guards against links that report without end on targets that nobody knows: what
+// control instances keep of them is bounded, and a new target still registers and stays.
+func TestStrangersReportTargets(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		const reported = maxUnregistered + 1000
+		cl.publishCold(1, 17)
+		lead, other := cl.leader(), cl.follower()
+		var m link.FollowerMessage
+		for i := range reported {
+			id := fmt.Sprint("stranger-", i)
+			m.Heartbeats = append(m.Heartbeats, id)
+			m.Cold = append(m.Cold, place.Cold{Target: id, StartedMs: 1, For: time.Hour})
+			m.Limits = append(m.Limits, place.Limit{Target: id, StartedMs: 1, PerSecond: 1, Named: true})
+		}
+		m.Heartbeats = append(m.Heartbeats, strings.Repeat("x", 2*maxNameBytes))
+		lead.handle(newStranger(link.Hello{Name: "a"}), &m)
+		other.handle(newStranger(link.Hello{Name: "b"}), &m)
+		other.mu.Lock()
+		quicktest.Check(t, len(other.pendingHeartbeats) <= maxUnregistered, quicktest.IsTrue, quicktest.Commentf("%d heartbeats", len(other.pendingHeartbeats)))
+		quicktest.Check(t, len(other.heardCold) <= maxUnregistered, quicktest.IsTrue, quicktest.Commentf("%d cold targets", len(other.heardCold)))
+		other.mu.Unlock()
+		s := &lead.scheduler
+		s.mu.Lock()
+		quicktest.Check(t, len(s.lastSeen) <= maxUnregistered, quicktest.IsTrue, quicktest.Commentf("%d heartbeats", len(s.lastSeen)))
+		quicktest.Check(t, s.limits, quicktest.HasLen, 0)
+		s.mu.Unlock()
+
+		quicktest.Assert(t, cl.announce("1", 1, site.Ready), quicktest.IsNil)
+		for range int(silenceTimeout/time.Second) + 5 {
+			other.recordHeartbeat("1")
+			time.Sleep(time.Second)
+		}
+		_, ok := lead.registry.Target("1")
+		quicktest.Check(t, ok, quicktest.IsTrue)
+		lead.recordHeartbeat("1")
+		s.mu.Lock()
+		quicktest.Check(t, len(s.lastSeen) < 10, quicktest.IsTrue, quicktest.Commentf("%d heartbeats after their time", len(s.lastSeen)))
+		s.mu.Unlock()
+	})
+}
+
+// TestStrangersReportEntries guards against links that report very many ready instances: one that is no
+// control instance reports itself.
+func TestStrangersReportEntries(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		var m link.FollowerMessage
+		for i := range 3 * maxListedEntries {
+			m.Entries = append(m.Entries, link.Entry{Name: fmt.Sprint("stranger-", i), DataCentre: "dc", Address: "10.0.9.9:80"})
+		}
+		m.HasEntries = true
+		for isControl, want := range map[bool]int{false: 1, true: maxListedEntries} {
+			sess := newStranger(link.Hello{Name: "a", IsControl: isControl})
+			cl.leader().handle(sess, &m)
+			quicktest.Check(t, sess.entries, quicktest.HasLen, want)
+		}
+	})
+}
+
+// TestStrangersAsk guards against links with very many requests and grants: the scheduler keeps so many of one
+// instance, and none after its link.
+func TestStrangersAsk(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		cl.publish(1)
+		quicktest.Assert(t, cl.announce("1", 1, site.Ready), quicktest.IsNil)
+		lead := cl.leader()
+		sess := newStranger(link.Hello{Name: "a"})
+		var m link.FollowerMessage
+		for i := range maxLinkRequests + 100 {
+			r := place.Request{ID: fmt.Sprint("r-", i), Pool: "p", Prompt: 10, Output: 10, TimeLeft: time.Hour}
+			m.ActiveGrants = append(m.ActiveGrants, place.ActiveGrant{Request: r, Lead: "1", Started: true})
+			r.ID = fmt.Sprint("q-", i)
+			m.ActiveGrants = append(m.ActiveGrants, place.ActiveGrant{Request: r, Lead: "nobody"})
+		}
+		lead.handle(sess, &m)
+		s := &lead.scheduler
+		count := func() int {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return len(s.sessions)
+		}
+		quicktest.Check(t, count(), quicktest.Equals, maxLinkRequests)
+		lead.handle(sess, &link.FollowerMessage{Ended: []place.End{{ID: "r-0"}}})
+		lead.handle(sess, &link.FollowerMessage{ActiveGrants: m.ActiveGrants[len(m.ActiveGrants)-2:]})
+		quicktest.Check(t, count(), quicktest.Equals, maxLinkRequests)
+		s.dropSession(sess)
+		quicktest.Check(t, count(), quicktest.Equals, 0)
+		quicktest.Check(t, sess.requests, quicktest.Equals, 0)
+	})
+}
