--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -139,7 +139,10 @@
 	p.metrics = metrics.NewRegistry()
 	p.limits = newConnLimits(s.Memory<<20, maxDescriptors())
 	p.controlBodies = guard.Bodies{Limit: s.Memory << 20 / bufferDivisor, Weight: configWeight}
-	p.peerServer = &wire.Server{OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") }}
+	p.peerServer = &wire.Server{
+		OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") },
+		Memory:        s.Memory << 20, OnPressure: p.logPeerPressure, Closed: metrics.GetOrRegisterCounter("peers.closed", p.metrics),
+	}
 	p.peerPool = &wire.Pool{Dial: p.network.dial, Self: s.Peers, Local: p.peerServer}
 	if s.Control != "" {
 		p.hub = &hub.Server{
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -9,7 +9,10 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sync/semaphore"
 	"storj.io/drpc"
+	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcserver"
 
 	"github.com/bambooproxy/bambooproxy/internal/timing"
@@ -34,6 +37,14 @@
 	// OnAcceptError is called with the first of several errors in a row that pass, such as a
 	// lack of file descriptors; nil ignores them.
 	OnAcceptError func(err error)
+	// Memory is the memory of the process in bytes, from which the limits of what peers may send follow;
+	// 0 means defaultMemory.
+	Memory int64
+	// OnPressure is called when the server begins to close connections because of its limits, and when
+	// it has closed none for a while; nil ignores it.
+	OnPressure func(p Pressure)
+	// Closed counts the connections that are closed because of the limits; nil counts nothing.
+	Closed metrics.Counter
 }
 
 // request is the encoded form of a call.
@@ -57,6 +68,9 @@
 	defer wg.Wait()
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
+	t := s.newTable()
+	decoding := semaphore.NewWeighted(t.limits.decodeBytes)
+	wg.Go(func() { timing.Every(ctx, checkInterval, t.check) })
 	srv := drpcserver.New(s)
 	for failures := 0; ; {
 		conn, err := ln.Accept()
@@ -75,14 +89,30 @@
 		default:
 			return errors.Wrap(err, "accept connection from peer")
 		}
+		c := newPeerConn(ctx, conn, t, decoding)
+		if !t.add(c) {
+			c.Close()
+			continue
+		}
 		wg.Go(func() {
 			// A broken connection ends only its own calls.
-			_ = srv.ServeOne(ctx, conn)
-			conn.Close()
+			_ = srv.ServeOne(ctx, c)
+			c.Close()
+			c.release()
+			t.remove(c)
 		})
 	}
 }
 
+// newTable returns a table without connections.
+func (s *Server) newTable() *connTable {
+	t := &connTable{limits: newLimits(s.Memory, maxDescriptors()), closed: s.Closed, onPressure: s.OnPressure, conns: make(map[*peerConn]connState)}
+	if t.closed == nil {
+		t.closed = metrics.NilCounter{}
+	}
+	return t
+}
+
 const (
 	// minAcceptPause is the pause after a failed accept. It doubles with each failure in a row, at
 	// most maxAcceptDoublings times, up to maxAcceptPause.
@@ -99,11 +129,23 @@
 
 // HandleRPC handles one call; it implements drpc.Handler.
 func (s *Server) HandleRPC(stream drpc.Stream, rpc string) error {
-	if ok, err := s.serveStream(stream, rpc); ok {
+	c, err := peerConnOf(stream.Context())
+	if err != nil {
+		return err
+	}
+	defer c.release()
+	defer c.table.endCall(c)
+	if ok, err := s.serveStream(c, stream, rpc); ok {
 		return err
 	}
 	var req request
-	if err := stream.MsgRecv(&req, codec{}); err != nil {
+	err = stream.MsgRecv(&req, serverCodec{conn: c})
+	c.table.change(c, func(s *connState) { s.active, s.checks = true, 0 })
+	var refused *verd.Error
+	if errors.As(err, &refused) {
+		return sendReply(c, stream, reply{Error: refused})
+	}
+	if err != nil {
 		return err
 	}
 	ctx := withTraceParent(stream.Context(), req.Trace)
@@ -112,8 +154,24 @@
 		ctx, cancel = context.WithTimeout(ctx, req.Timeout)
 		defer cancel()
 	}
-	resp := s.dispatch(ctx, rpc, req.Body)
-	if err := stream.MsgSend(&resp, codec{}); err != nil {
+	return sendReply(c, stream, s.dispatch(ctx, rpc, req.Body))
+}
+
+// peerConnOf returns the connection of a call.
+func peerConnOf(ctx context.Context) (*peerConn, error) {
+	tr, _ := drpcctx.Transport(ctx)
+	c, ok := tr.(*peerConn)
+	if !ok {
+		return nil, errors.New("call without a connection") // Not reachable: Serve adds it.
+	}
+	return c, nil
+}
+
+// sendReply ends a call. A peer that doesn't read loses its connection.
+func sendReply(c *peerConn, stream drpc.Stream, r reply) error {
+	timer := time.AfterFunc(replyTimeout, func() { c.Close() })
+	defer timer.Stop()
+	if err := stream.MsgSend(&r, codec{}); err != nil {
 		return err
 	}
 	return stream.CloseSend()
