memnet: a connection that closes takes no more writes before its reader learns of it

TestIdlestConnectionMakesRoom failed in 3 of 20 runs: two connections were of the same age, and on one that was being closed net/http still wrote status 400, between the two steps of Close, which no real connection allows. Close now ends writes first, and the ages differ.

--- a/internal/guard/port_test.go
+++ b/internal/guard/port_test.go
@@ -29,13 +29,14 @@
 		half.send("GET / HT")
 		time.Sleep(freshTime)
 		body.send("POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+		time.Sleep(time.Millisecond)
 		silent := s.dial()
 		time.Sleep(freshTime)
-		for _, idlest := range []*client{half, body, silent} {
+		for i, idlest := range []*client{half, body, silent} {
 			c := s.dial()
 			c.send(fmt.Sprintf(get, "/"))
 			quicktest.Check(t, c.status(), quicktest.Equals, http.StatusOK)
-			quicktest.Check(t, idlest.isClosed(), quicktest.IsTrue)
+			quicktest.Check(t, idlest.isClosed(), quicktest.IsTrue, quicktest.Commentf("connection %d", i))
 		}
 		close(s.release)
 		quicktest.Check(t, inProgress.status(), quicktest.Equals, http.StatusOK)
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -35,8 +35,9 @@
 
 // Close closes both directions.
 func (c *Conn) Close() error {
-	c.in.closeRead()
+	// A reader that learns of it can write no more.
 	c.out.closeWrite()
+	c.in.closeRead()
 	return nil
 }
 
