guard: a connection is refused once its request comes

A new connection that was refused got its 503 at once. A client that has sent nothing takes this for an error: Go's reports an unsolicited response. And beyond a few refusals at once, the connection was closed with its request unread, so that the client may see a reset and no answer.

The refusal now waits for the request, for 0.5 s at most. Where an eighth of the limit of connections is being refused, others wait to be accepted until there is a place. TestRequestsInProgressAreNotCutOff failed before: the answer came without a request.

--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -15,10 +15,12 @@
 )
 
 const (
-	// refusalTime is how long a client that is refused has to read the answer, and refusalsDivisor divides MaxConns
-	// into the number of clients that have it at once.
+	// refusalTime is how long a client that is refused has to send a request and to read the answer, and
+	// refusalsDivisor divides MaxConns into the number of clients that are being refused. Others wait to be accepted
+	// meanwhile, and look for a place every acceptInterval.
 	refusalTime     = 500 * time.Millisecond
-	refusalsDivisor = 16
+	refusalsDivisor = 8
+	acceptInterval  = 10 * time.Millisecond
 	// logInterval is the shortest time between two log lines of a port.
 	logInterval = 10 * time.Second
 	// relaxedShare of MaxConns is the number of connections below which the limit counts as left.
@@ -84,21 +86,30 @@
 
 // admit adds a connection, or refuses it and returns nil if no other one can make room.
 func (p *Port) admit(nc net.Conn) *conn {
+	for {
+		if c, done := p.tryAdmit(nc); done {
+			return c
+		}
+		time.Sleep(acceptInterval)
+	}
+}
+
+// tryAdmit is like admit, but returns false if neither is possible now.
+func (p *Port) tryAdmit(nc net.Conn) (c *conn, done bool) {
 	now := time.Now()
-	c := &conn{Conn: nc, port: p, since: now}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if len(p.conns) >= p.MaxConns {
 		p.noteFull(now)
 		idlest, ok := pickIdlest(p.states, now)
 		if !ok {
-			p.refuse(nc)
-			return nil
+			return nil, p.refuse(nc)
 		}
 		p.evict(idlest)
 	}
+	c = &conn{Conn: nc, port: p, since: now}
 	p.conns[c] = struct{}{}
-	return c
+	return c, true
 }
 
 // states iterates over the connections. The caller holds p.mu.
@@ -123,28 +134,30 @@
 	delete(p.conns, c)
 }
 
-// refuse answers and closes a connection. The caller holds p.mu.
-func (p *Port) refuse(nc net.Conn) {
-	p.count("guard.refused")
+// refuse answers and closes a connection. It returns false if too many are being refused. The caller holds p.mu.
+func (p *Port) refuse(nc net.Conn) bool {
 	if p.refusals > p.MaxConns/refusalsDivisor {
-		// The buffers of a new connection have room for it.
-		_, _ = io.WriteString(nc, refusal)
-		nc.Close()
-		return
+		return false
 	}
+	p.count("guard.refused")
 	p.refusals++
 	go func() {
-		refuse(nc)
+		defer nc.Close()
+		// Clients take an answer for an error that comes before they have sent anything.
+		_ = nc.SetDeadline(time.Now().Add(refusalTime))
+		if _, err := nc.Read(make([]byte, 1)); err == nil {
+			answerRefused(nc)
+		}
 		p.mu.Lock()
 		defer p.mu.Unlock()
 		p.refusals--
 	}()
+	return true
 }
 
-// refuse answers a connection, and closes it after the client had time to read the answer: one closed with unread
-// bytes is reset.
-func refuse(nc net.Conn) {
-	defer nc.Close()
+// answerRefused refuses the request that comes on a connection. The client has time to read the answer: a connection
+// closed with unread bytes is reset.
+func answerRefused(nc net.Conn) {
 	// A client that is gone needs no answer.
 	_ = nc.SetDeadline(time.Now().Add(refusalTime))
 	if _, err := io.WriteString(nc, refusal); err != nil {
--- a/internal/guard/port_test.go
+++ b/internal/guard/port_test.go
@@ -4,10 +4,12 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/frankban/quicktest"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
@@ -54,6 +56,11 @@
 		b.send("POST /body HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
 		time.Sleep(responseTimeout / 2)
 		c := s.dial()
+		quicktest.Check(t, c.SetReadDeadline(time.Now().Add(time.Millisecond)), quicktest.IsNil)
+		_, err := c.r.Peek(1)
+		quicktest.Check(t, errors.Is(err, os.ErrDeadlineExceeded), quicktest.IsTrue, quicktest.Commentf("an answer without a request"))
+		quicktest.Check(t, c.SetReadDeadline(time.Time{}), quicktest.IsNil)
+		c.send(fmt.Sprintf(get, "/"))
 		resp, err := http.ReadResponse(c.r, nil)
 		quicktest.Assert(t, err, quicktest.IsNil)
 		quicktest.Check(t, resp.StatusCode, quicktest.Equals, http.StatusServiceUnavailable)
