quorum: strangers fill neither queue nor address book

quorum.step takes messages from anybody. A replica kept the address of each sender that a message named, started a goroutine for each address that it answered, and queued up to 8,192 batches of any size while its disk was slow.

Now it keeps 256 addresses of replicas that are not in the configuration, starts no sender for such a replica once there are 256, and queues messages of 32 MiB; others are lost, as on the network. Members of the configuration are always answered.

--- a/internal/quorum/event.go
+++ b/internal/quorum/event.go
@@ -10,6 +10,10 @@
 // maxQueuedEvents bounds the events that wait for the goroutine that owns the Core.
 const maxQueuedEvents = 8192
 
+// maxQueuedBytes bounds the estimated size of the messages from other replicas among them. Those beyond it are
+// lost, as on the network.
+const maxQueuedBytes = 32 << 20
+
 // event is a request or a batch of messages for the goroutine that owns the Core.
 type event interface {
 	// reject answers the event's sender with err if the event was not queued.
@@ -46,6 +50,8 @@
 type eventQueue struct {
 	mu     sync.Mutex
 	events []event
+	// bytes is the estimated size of the queued messages from other replicas.
+	bytes  int
 	closed bool
 	wake   chan struct{}
 }
@@ -54,6 +60,13 @@
 func (q *eventQueue) push(e event) {
 	q.mu.Lock()
 	rejected := q.closed || len(q.events) >= maxQueuedEvents
+	if step, ok := e.(stepEvent); ok && !rejected {
+		size := step.batch.size()
+		rejected = q.bytes > 0 && q.bytes+size > maxQueuedBytes
+		if !rejected {
+			q.bytes += size
+		}
+	}
 	if !rejected {
 		q.events = append(q.events, e)
 	}
@@ -74,7 +87,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	out := q.events
-	q.events = nil
+	q.events, q.bytes = nil, 0
 	return out
 }
 
--- a/internal/quorum/node.go
+++ b/internal/quorum/node.go
@@ -257,11 +257,22 @@
 		n.contact.Store(&e.batch.Addr)
 	}
 	for _, m := range e.batch.Messages {
-		n.learnedAddrs[m.From] = e.batch.Addr
+		n.learnAddr(m.From, e.batch.Addr)
 		n.core.Step(n.now(), m)
 	}
 }
 
+// learnAddr notes the address of a replica. If there are too many, it forgets that of any other one.
+func (n *Node) learnAddr(id ID, addr string) {
+	if _, ok := n.learnedAddrs[id]; !ok && len(n.learnedAddrs) >= maxLearned {
+		for other := range n.learnedAddrs {
+			delete(n.learnedAddrs, other)
+			break
+		}
+	}
+	n.learnedAddrs[id] = addr
+}
+
 func (n *Node) handlePropose(e proposeEvent) {
 	index, term, ok := n.core.Propose(e.cmd)
 	if !ok {
--- a/internal/quorum/transport.go
+++ b/internal/quorum/transport.go
@@ -11,6 +11,10 @@
 const (
 	// maxQueuedMessages bounds the messages that wait to be sent to one replica.
 	maxQueuedMessages = 512
+	// maxLearned bounds the addresses of replicas that are not in the configuration, and maxSenders the
+	// senders from which on none is started for such a replica.
+	maxLearned = 256
+	maxSenders = 256
 	// maxBatchBytes is the size after which a batch is closed, below the frame limit of
 	// package wire.
 	maxBatchBytes = 1 << 20
@@ -53,15 +57,24 @@
 func (n *Node) send(ms []Message) {
 	group := n.core.Status().Config.GroupID
 	for _, m := range ms {
-		if addr := n.replicaAddr(m.To); addr != "" {
-			n.transport.sender(addr).enqueue(m, group)
+		addr := n.replicaAddr(m.To)
+		if addr == "" {
+			continue
+		}
+		_, isMember := n.core.Status().Config.Find(m.To)
+		if s := n.transport.sender(addr, isMember); s != nil {
+			s.enqueue(m, group)
 		}
 	}
 }
 
-// sender returns the sender for an address, and starts it if there is none.
-func (t *transport) sender(addr string) *sender {
+// sender returns the sender for an address, and starts it if there is none. It returns nil if there are too
+// many for one to an address that anybody may have named.
+func (t *transport) sender(addr string, isMember bool) *sender {
 	s := t.senders[addr]
+	if s == nil && !isMember && len(t.senders) >= maxSenders {
+		return nil
+	}
 	if s == nil {
 		s = &sender{wake: make(chan struct{}, 1)}
 		t.senders[addr] = s
@@ -138,6 +151,15 @@
 	return len(s.queue) == 0 && !s.inFlight
 }
 
+// size estimates the encoded size of a batch in bytes.
+func (b *Batch) size() int {
+	size := 0
+	for _, m := range b.Messages {
+		size += messageSize(m)
+	}
+	return size
+}
+
 // messageSize estimates the encoded size of a message in bytes.
 func messageSize(m Message) int {
 	size := entryOverheadBytes
