link: a link ends when the other side takes no message in 10 s

An instance that went on sending heartbeats but read slowly, or nothing, kept its link: the message for it grew by every change until the system gave the connection up, which a few bytes read now and then prevent. The welcome was sent without any limit. Closing the stream didn't help on the side that accepted it: drpc waits for the blocked send first.

A message of a link, the welcome too, may now take 10 s. Closing an accepted stream while a send is in progress closes its connection.

Before, the link of TestLinkedInstanceReadsNothing was still there after 20 s of virtual time.

--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -56,7 +56,7 @@
 	sess.hello = *first.Hello
 	sess.sentRevision = sess.hello.Revision
 	leading := s.isLeader()
-	if err := st.Send(s.newWelcome(sess, leading)); err != nil {
+	if err := st.SendWithin(link.SendTimeout, s.newWelcome(sess, leading)); err != nil {
 		return err
 	}
 	sess.OnMessage = func(_ context.Context, m *link.FollowerMessage) error {
--- a/internal/link/message.go
+++ b/internal/link/message.go
@@ -32,6 +32,9 @@
 	// ReceiveTimeout is how long a side waits for a message before it ends the link: three
 	// times HeartbeatInterval plus 250 ms for the delay of a busy process.
 	ReceiveTimeout = time.Second
+	// SendTimeout is how long the other side of a link may take to read one message. Meanwhile the next one
+	// grows.
+	SendTimeout = 10 * time.Second
 	// MaxEntriesAge is how long look-ups use a list of ready instances without a message of the
 	// leader. Callers keep an address for up to 3 s more, and must not use that of an instance
 	// that ended more than 7 s ago.
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -34,8 +34,8 @@
 // wait for the stream.
 func (s *Session[In, Out]) Enqueue(change func(m *Out)) { s.outbox.add(change) }
 
-// Run sends and receives messages until ctx ends, the peer sends nothing for ReceiveTimeout,
-// or the connection or a handler fails.
+// Run sends and receives messages until ctx ends, the peer sends nothing for ReceiveTimeout or
+// reads no whole message for SendTimeout, or the connection or a handler fails.
 func (s *Session[In, Out]) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	// Closing the stream is the only way to end a blocked send or receive.
@@ -68,7 +68,7 @@
 		if heartbeat && s.FillHeartbeat != nil {
 			s.FillHeartbeat(&m)
 		}
-		if err := s.Stream.Send(&m); err != nil {
+		if err := s.Stream.SendWithin(SendTimeout, &m); err != nil {
 			return errors.Wrap(err, "send to link peer")
 		}
 	}
--- a/internal/link/session_test.go
+++ b/internal/link/session_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,3 +48,55 @@
 		quicktest.Check(t, <-served, quicktest.IsNil)
 	})
 }
+
+// TestLinkedInstanceReadsNothing guards against an instance that goes on sending but doesn't read: its link must
+// end although a message to it can't be sent, and with it all that waits to be sent.
+func TestLinkedInstanceReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var network memnet.Network
+		ln, err := network.Listen("10.0.0.2:7")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		serve := wire.StreamMethod{Name: Method, Run: func(ctx context.Context, st *wire.Stream) error {
+			s := NewSession[FollowerMessage, ControlMessage](st)
+			s.OnMessage = func(context.Context, *FollowerMessage) error { return nil }
+			s.Enqueue(func(m *ControlMessage) { m.Queued = []string{strings.Repeat("x", 1<<20)} })
+			ended <- s.Run(ctx)
+			return nil
+		}}
+		served := make(chan error, 1)
+		go func() { served <- (&wire.Server{Streams: []wire.StreamMethod{serve}}).Serve(ctx, ln) }()
+		pool := &wire.Pool{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			c, err := network.Dialer("10.0.0.1:7")(ctx, addr)
+			return &blindConn{Conn: c, closed: make(chan struct{})}, err
+		}}
+		st, err := pool.Open(ctx, "10.0.0.2:7", Method)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		for range 2 * SendTimeout / HeartbeatInterval {
+			_ = st.Send(&FollowerMessage{}) // Fails once the link has ended.
+			time.Sleep(HeartbeatInterval)
+		}
+		quicktest.Check(t, ended, quicktest.HasLen, 1)
+		st.Close()
+		cancel()
+		quicktest.Check(t, <-served, quicktest.IsNil)
+	})
+}
+
+// blindConn is a connection that reads nothing until it is closed.
+type blindConn struct {
+	net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func (c *blindConn) Read([]byte) (int, error) {
+	<-c.closed
+	return 0, io.EOF
+}
+
+func (c *blindConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -30,6 +30,8 @@
 	idleTimeout = 2 * maxConnAge
 	// replyTimeout bounds each write of a reply to a call.
 	replyTimeout = 10 * time.Second
+	// closeTimeout bounds the wait for a blocked send when a stream is closed.
+	closeTimeout = time.Second
 	// decodeTimeout bounds the wait for memory to decode a message.
 	decodeTimeout = 5 * time.Second
 
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync/atomic"
+	"time"
 
 	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
@@ -23,10 +25,16 @@
 	closeConn func()
 	// conn is nil on the side that opened the stream.
 	conn *peerConn
+	// sending is the number of sends in progress.
+	sending atomic.Int32
 }
 
 // Send sends one message.
-func (s *Stream) Send(v any) error { return s.stream.MsgSend(v, codec{}) }
+func (s *Stream) Send(v any) error {
+	s.sending.Add(1)
+	defer s.sending.Add(-1)
+	return s.stream.MsgSend(v, codec{})
+}
 
 // Receive waits for the next message and decodes it into v.
 func (s *Stream) Receive(v any) error {
@@ -40,6 +48,13 @@
 	return s.conn.table.openStream(s.conn)
 }
 
+// SendWithin is Send, and closes the stream if the other side doesn't take the message in time.
+func (s *Stream) SendWithin(timeout time.Duration, v any) error {
+	timer := time.AfterFunc(timeout, s.Close)
+	defer timer.Stop()
+	return s.Send(v)
+}
+
 // Close closes the stream and its connection without waiting for the other side.
 func (s *Stream) Close() { s.closeConn() }
 
@@ -67,11 +82,25 @@
 	return &Stream{stream: st, closeConn: func() { c.Close() }}, nil
 }
 
+// closeAccepted closes a stream that was accepted. drpc first waits for a send in progress, which may be
+// blocked until the connection is closed.
+func (s *Stream) closeAccepted() {
+	if s.sending.Load() > 0 {
+		s.conn.Close()
+		return
+	}
+	timer := time.AfterFunc(closeTimeout, func() { s.conn.Close() })
+	defer timer.Stop()
+	s.stream.Close()
+}
+
 // serveStream runs the named stream method. ok is false if there is none of that name.
 func (s *Server) serveStream(c *peerConn, stream drpc.Stream, name string) (ok bool, err error) {
 	for _, m := range s.Streams {
 		if m.Name == name {
-			return true, m.Run(stream.Context(), &Stream{stream: stream, closeConn: func() { stream.Close() }, conn: c})
+			st := &Stream{stream: stream, conn: c}
+			st.closeConn = st.closeAccepted
+			return true, m.Run(stream.Context(), st)
 		}
 	}
 	return false, nil
