wire: a server without descriptors closes a connection that waits

The ports of a process share its descriptors. While other ports have taken them, the port for peers accepted nobody, although connections waited on it that never carried a call.

Each accept that fails for lack of descriptors or memory now closes the connection that has been waiting longest without a call. TestLackOfDescriptorsMakesRoom fails without that.

--- a/internal/wire/conns.go
+++ b/internal/wire/conns.go
@@ -141,6 +141,15 @@
 	return true
 }
 
+// makeRoom closes the connection that has been waiting longest without a call, if there is one.
+func (t *connTable) makeRoom() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if victim, ok := chooseForRoom(t.conns); ok {
+		t.closeLocked(victim, causeConns)
+	}
+}
+
 // remove removes a connection.
 func (t *connTable) remove(c *peerConn) {
 	t.mu.Lock()
--- a/internal/wire/conns_test.go
+++ b/internal/wire/conns_test.go
@@ -4,9 +4,11 @@
 	"context"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -187,6 +189,11 @@
 	s.t.Helper()
 	c, err := s.net.Dialer(clientAddr)(s.t.Context(), serverAddr)
 	quicktest.Assert(s.t, err, quicktest.IsNil)
+	return s.watch(c)
+}
+
+// watch drops what is received on a connection, and notes when it ends.
+func (s *testServer) watch(c net.Conn) *rawConn {
 	r := &rawConn{Conn: c, ended: make(chan struct{})}
 	go func() {
 		_, _ = io.Copy(io.Discard, c) // Any error means that it ended.
@@ -340,6 +347,61 @@
 	})
 }
 
+// fullListener fails the next accepts for lack of file descriptors.
+type fullListener struct {
+	net.Listener
+	failures atomic.Int32
+}
+
+func (l *fullListener) Accept() (net.Conn, error) {
+	if l.failures.Add(-1) >= 0 {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestLackOfDescriptorsMakesRoom guards against connections that wait while the process has no descriptors for
+// others, which its other ports may have taken: one of them ends each time that accepting fails.
+func TestLackOfDescriptorsMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var network memnet.Network
+		ln, err := network.Listen(serverAddr)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		full := &fullListener{Listener: ln}
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 1)
+		srv := &Server{Streams: []StreamMethod{{Name: "pipe", Run: func(_ context.Context, st *Stream) error {
+			for {
+				var v any
+				if err := st.Receive(&v); err != nil {
+					return err
+				}
+			}
+		}}}}
+		go func() { done <- srv.Serve(ctx, full) }()
+		s := &testServer{t: t}
+		dial := func() *rawConn {
+			c, err := network.Dialer(clientAddr)(ctx, serverAddr)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			time.Sleep(time.Millisecond)
+			return s.watch(c)
+		}
+		stream := dial()
+		stream.send(t, call(t, "pipe", 1))
+		first, second, third := dial(), dial(), dial()
+		full.failures.Store(2)
+		last := dial() // Accepted by the call that waits; the next two fail.
+		time.Sleep(time.Second)
+		quicktest.Check(t, first.isOpen(), quicktest.IsFalse)
+		quicktest.Check(t, second.isOpen(), quicktest.IsFalse)
+		for _, c := range []*rawConn{third, last, stream} {
+			quicktest.Check(t, c.isOpen(), quicktest.IsTrue)
+		}
+		cancel()
+		quicktest.Check(t, <-done, quicktest.IsNil)
+	})
+}
+
 // TestStreamsLeaveRoomForCalls guards against a crowd of streams.
 func TestStreamsLeaveRoomForCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -83,6 +83,7 @@
 			if failures == 0 && s.OnAcceptError != nil {
 				s.OnAcceptError(err)
 			}
+			t.makeRoom()
 			timing.Sleep(ctx, min(minAcceptPause<<min(failures, maxAcceptDoublings), maxAcceptPause))
 			failures++
 			continue
