relay: a tunnel ends unless a request comes within 10 s

Tunnels that were opened to a known target and then silent stayed, and counted among the 500 that an instance serves for others. Instances open a tunnel for a request that they have, and send it at once. Before, TestTunnelWithoutRequestEnds found both tunnels open after 109 s of virtual time.

--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -251,6 +251,29 @@
 	})
 }
 
+// TestTunnelWithoutRequestEnds guards against tunnels that are opened and then silent: they would take the place of
+// others. One with a request may be silent.
+func TestTunnelWithoutRequestEnds(t *testing.T) {
+	runTestbed(t, func(s *testbed) {
+		_, silent := s.exchange()
+		near, far := s.exchange()
+		_, err := near.Write([]byte("request"))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		active := func() int64 { return s.relays[0].Active() + s.relays[1].Active() }
+		time.Sleep(requestTimeout - time.Second)
+		quicktest.Check(t, active(), quicktest.Equals, int64(2))
+		time.Sleep(10 * requestTimeout)
+		quicktest.Check(t, active(), quicktest.Equals, int64(1))
+		quicktest.Assert(t, silent.SetReadDeadline(time.Now().Add(time.Second)), quicktest.IsNil)
+		_, err = silent.Read(make([]byte, 1))
+		quicktest.Check(t, err, quicktest.ErrorIs, io.EOF)
+		got := make([]byte, len("request"))
+		_, err = io.ReadFull(far, got)
+		quicktest.Check(t, err, quicktest.IsNil)
+		quicktest.Check(t, string(got), quicktest.Equals, "request")
+	})
+}
+
 // TestTunnelsAreBounded: an instance must not run out of file descriptors for others.
 func TestTunnelsAreBounded(t *testing.T) {
 	runTestbed(t, func(s *testbed) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -17,6 +17,9 @@
 const (
 	// openTimeout bounds the wait for the request for a tunnel, and that for the target.
 	openTimeout = 500 * time.Millisecond
+	// requestTimeout bounds the wait for the first bytes for the target. Instances open a tunnel for a request
+	// that they have.
+	requestTimeout = 10 * time.Second
 	// maxTunnels bounds the tunnels through one instance: each takes two file descriptors.
 	maxTunnels = 500
 )
@@ -90,13 +93,19 @@
 	return copyDown(st, conn)
 }
 
-// copyUp passes on what the other instance sends until it closes the tunnel.
+// copyUp passes on what the other instance sends until it closes the tunnel, or sends nothing for
+// requestTimeout at the beginning.
 func (s *Server) copyUp(st *wire.Stream, conn net.Conn, target string) {
+	timer := time.AfterFunc(requestTimeout, func() { conn.Close() })
+	defer timer.Stop()
 	for {
 		var m upMessage
 		if st.Receive(&m) != nil {
 			return
 		}
+		if len(m.Data) > 0 {
+			timer.Stop()
+		}
 		if m.Notice != nil {
 			s.Gate.HandleTunnelNotice(target, *m.Notice)
 		}
