guard, node: small ports keep up with a crowd

With 256 descriptors, the ports for readiness and metrics had 4 connections, and 1 client at a time was refused there: an ordinary request waited for 29 s behind 306 members of a crowd that come again each second (TestSlowConnections/metrics), of the 40 s that guard the test. With 4,100 descriptors these ports keep 64 connections.

--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -16,10 +16,11 @@
 
 const (
 	// refusalTime is how long a client that is refused has to send a request and to read the answer, and
-	// refusalsDivisor divides MaxConns into the number of clients that are being refused. Others wait to be accepted
-	// meanwhile, and look for a place every acceptInterval.
+	// refusalsDivisor divides MaxConns into the number of clients that are being refused, which is minRefusals at
+	// least. Others wait to be accepted meanwhile, and look for a place every acceptInterval.
 	refusalTime     = 500 * time.Millisecond
-	refusalsDivisor = 8
+	refusalsDivisor = 16
+	minRefusals     = 16
 	acceptInterval  = 10 * time.Millisecond
 	// logInterval is the shortest time between two log lines of a port.
 	logInterval = 10 * time.Second
@@ -136,7 +137,7 @@
 
 // refuse answers and closes a connection. It returns false if too many are being refused. The caller holds p.mu.
 func (p *Port) refuse(nc net.Conn) bool {
-	if p.refusals > p.MaxConns/refusalsDivisor {
+	if p.refusals >= max(minRefusals, p.MaxConns/refusalsDivisor) {
 		return false
 	}
 	p.count("guard.refused")
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -17,7 +17,7 @@
 	directoryDivisor = 12
 	probesDivisor    = 64
 	// minConns is the lowest limit of a port.
-	minConns = 4
+	minConns = 16
 	// defaultDescriptors is the limit of open files if it can't be read.
 	defaultDescriptors = 1024
 )
