guard: heads of very many fields share a bound

Bytes and fields of a head are counted as they are read. What exceeds 16 KiB, at 256 bytes a field, comes out of a sixteenth of the memory for all heads of the process until the request ends. Where there is none, the head that has stood still for longest, and for a second at least, makes room; otherwise the request is refused as not run. Ordinary heads need none of it, and a head of 64 KiB alone is read.

--- a/internal/crowd/bytes_test.go
+++ b/internal/crowd/bytes_test.go
@@ -74,6 +74,28 @@
 	}
 }
 
+// shortFields returns members that send heads of many short fields, of maxHeaderBytes and of almost 64 KiB. Three
+// of four stop a byte short.
+func shortFields(line string) member {
+	return func(_ context.Context, c net.Conn, i int) error {
+		size := maxHeaderBytes - 16
+		if i%4 != 1 {
+			size = 60 << 10
+		}
+		var b strings.Builder
+		b.WriteString(head(line, ""))
+		for n := 0; b.Len() < size; n++ {
+			fmt.Fprintf(&b, "%x:\r\n", n)
+		}
+		b.WriteString("\r\n")
+		text := b.String()
+		if i%8 > 1 {
+			text = text[:len(text)-1]
+		}
+		return write(c, text)
+	}
+}
+
 // sendAhead returns members that send many requests on a connection.
 func sendAhead(line string, count, bodyBytes int) member {
 	one := head(line, fmt.Sprintf("Content-Length: %d\r\n\r\n", bodyBytes)) + strings.Repeat("x", bodyBytes)
--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -15,6 +15,8 @@
 	largeCount = 64
 	// smallBytes is the size of a body that net/http discards if the handler leaves it unread.
 	smallBytes = 100_000
+	// fieldsCount is how many members send heads of many fields.
+	fieldsCount = 200
 )
 
 // place is where a crowd sends its requests.
@@ -88,6 +90,11 @@
 	testCrowd(t, "route unrouted ready config", largeCount, func(p place) member { return sendTooMuch(p.line, maxBodyBytes) })
 }
 
+// TestHeadsOfManyFields: heads of legal size cost a multiple of it in memory if they consist of short fields.
+func TestHeadsOfManyFields(t *testing.T) {
+	testCrowd(t, "route unrouted ready config", fieldsCount, func(p place) member { return shortFields(p.line) })
+}
+
 // TestRequestsSentAhead: many requests on each connection, and no answer is read.
 func TestRequestsSentAhead(t *testing.T) {
 	testCrowd(t, "route unrouted ready config", manyConns, func(p place) member { return sendAhead(p.line, 500, 10) })
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -1,6 +1,7 @@
 package guard
 
 import (
+	"io"
 	"net"
 	"sync/atomic"
 	"time"
@@ -15,19 +16,39 @@
 	// writeBegan is when the current write began, in Unix nanoseconds; 0 if there is none.
 	writeBegan atomic.Int64
 
-	// since is guarded by Port.mu.
-	since time.Time
+	// headCost is the memory that the head being read takes. Only the reader uses it while the connection waits.
+	headCost int64
+
+	// The fields below are guarded by Port.mu.
+	since     time.Time
+	headBytes int64
+	isGone    bool
 }
 
 // state returns the state of the connection. The caller holds Port.mu.
 func (c *conn) state() connState {
-	s := connState{phase: phase(c.phase.Load()), since: c.since}
+	s := connState{phase: phase(c.phase.Load()), since: c.since, headBytes: c.headBytes}
 	if began := c.writeBegan.Load(); began != 0 {
 		s.blockedSince = time.Unix(0, began)
 	}
 	return s
 }
 
+// Read reads from the connection, and counts the memory of heads.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n == 0 || phase(c.phase.Load()) != waiting {
+		return n, err
+	}
+	former := max(c.headCost, freeHeadBytes)
+	c.headCost += headCost(b[:n])
+	if more := c.headCost - former; more > 0 && !c.port.reserveHead(c, more) {
+		answerRefused(c.Conn)
+		return 0, io.EOF
+	}
+	return n, err
+}
+
 // Write writes to the connection.
 func (c *conn) Write(b []byte) (int, error) {
 	c.writeBegan.Store(time.Now().UnixNano())
--- a/internal/guard/conns.go
+++ b/internal/guard/conns.go
@@ -31,6 +31,8 @@
 	since time.Time
 	// blockedSince is when a write began that has not ended; zero if there is none.
 	blockedSince time.Time
+	// headBytes is the memory that is reserved for the head of its request.
+	headBytes int64
 }
 
 // pickIdlest returns the connection to close for another one: the one that has waited longest for a request, or
@@ -55,3 +57,15 @@
 	}
 	return idlest, ok
 }
+
+// pickStalledHead returns the connection to close for the memory of its head: the one that has waited longest
+// for the rest of it, and for stallTime at least. It returns false if there is none.
+func pickStalledHead[K any](conns iter.Seq2[K, connState], now time.Time) (stalled K, ok bool) {
+	var since time.Time
+	for k, s := range conns {
+		if s.phase == waiting && s.headBytes > 0 && now.Sub(s.since) >= stallTime && (!ok || s.since.Before(since)) {
+			stalled, since, ok = k, s.since, true
+		}
+	}
+	return stalled, ok
+}
--- a/internal/guard/conns_test.go
+++ b/internal/guard/conns_test.go
@@ -38,3 +38,19 @@
 		quicktest.Check(t, ok, quicktest.Equals, c.want != "", quicktest.Commentf("%s", c.name))
 	}
 }
+
+// TestPickStalledHead: only a head that has memory and makes no progress gives it up.
+func TestPickStalledHead(t *testing.T) {
+	now := time.Unix(1000, 0)
+	conns := map[string]connState{
+		"small": {since: now.Add(-time.Hour)},
+		"busy":  {phase: busy, since: now.Add(-time.Hour), headBytes: 1},
+		"fresh": {since: now.Add(1 - stallTime), headBytes: 1},
+	}
+	_, ok := pickStalledHead(maps.All(conns), now)
+	quicktest.Assert(t, ok, quicktest.IsFalse)
+	conns["stalled"] = connState{since: now.Add(-stallTime), headBytes: 1}
+	conns["older"] = connState{since: now.Add(-2 * stallTime), headBytes: 1}
+	got, _ := pickStalledHead(maps.All(conns), now)
+	quicktest.Assert(t, got, quicktest.Equals, "older")
+}
--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -36,8 +36,10 @@
 	Name string
 	// MaxConns is the largest number of connections.
 	MaxConns int
-	Log      *log.Logger
-	Metrics  metrics.Registry
+	// Heads bounds the memory of the heads of requests. Ports may share it.
+	Heads   *Heads
+	Log     *log.Logger
+	Metrics metrics.Registry
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -133,6 +135,8 @@
 // remove forgets a connection. The caller holds p.mu.
 func (p *Port) remove(c *conn) {
 	delete(p.conns, c)
+	p.Heads.release(c.headBytes)
+	c.headBytes, c.isGone = 0, true
 }
 
 // refuse answers and closes a connection. It returns false if too many are being refused. The caller holds p.mu.
@@ -194,7 +198,8 @@
 	case http.StateActive:
 		c.phase.Store(int32(busy))
 	case http.StateIdle:
-		c.since = now
+		p.Heads.release(c.headBytes)
+		c.headCost, c.headBytes, c.since = 0, 0, now
 		c.phase.Store(int32(waiting))
 	case http.StateClosed, http.StateHijacked:
 		p.remove(c)
@@ -208,3 +213,27 @@
 func (p *Port) count(name string) {
 	metrics.GetOrRegisterCounter(meter.Label(name, "port", p.Name), p.Metrics).Inc(1)
 }
+
+// reserveHead reserves n more bytes for the head of a connection. It returns false if there is no memory.
+func (p *Port) reserveHead(c *conn, n int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if c.headBytes == 0 {
+		// It may have been idle for long before.
+		c.since = now
+	}
+	for !c.isGone && !p.Heads.acquire(n) {
+		stalled, ok := pickStalledHead(p.states, now)
+		if !ok {
+			p.count("guard.heads_refused")
+			return false
+		}
+		p.evict(stalled)
+	}
+	if c.isGone {
+		return false
+	}
+	c.headBytes += n
+	return true
+}
--- a/internal/guard/port_test.go
+++ b/internal/guard/port_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,6 +19,9 @@
 // newTestPort starts a server with a port.
 func newTestPort(t *testing.T, p *Port) *testServer {
 	p.Log, p.Metrics = &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, metrics.NewRegistry()
+	if p.Heads == nil {
+		p.Heads = &Heads{}
+	}
 	return newTestServer(t, p.Protect)
 }
 
@@ -74,3 +78,34 @@
 		quicktest.Check(t, d.status(), quicktest.Equals, http.StatusOK)
 	})
 }
+
+// TestHeadsShareMemory: heads of very many fields take turns, and one that stops short makes room. Heads of
+// ordinary requests need none.
+func TestHeadsShareMemory(t *testing.T) {
+	var fields strings.Builder
+	for i := range 2000 {
+		fmt.Fprintf(&fields, "%x:\r\n", i)
+	}
+	large := strings.Replace(fmt.Sprintf(get, "/wait"), "\r\n\r\n", "\r\n"+fields.String(), 1)
+	synctest.Test(t, func(t *testing.T) {
+		heads := &Heads{Limit: headCost([]byte(large)) + fieldBytes}
+		s := newTestPort(t, &Port{Name: "callers", MaxConns: 8, Heads: heads})
+		stopped := s.dial()
+		stopped.send(large)
+		refused := s.dial()
+		// The answer may come before the whole head is taken.
+		go io.WriteString(refused, large)
+		quicktest.Check(t, refused.status(), quicktest.Equals, http.StatusServiceUnavailable)
+		small := s.dial()
+		small.send(fmt.Sprintf(get, "/"))
+		quicktest.Check(t, small.status(), quicktest.Equals, http.StatusOK)
+		time.Sleep(stallTime)
+		served := s.dial()
+		served.send(large + "\r\n")
+		quicktest.Check(t, stopped.isClosed(), quicktest.IsTrue)
+		close(s.release)
+		quicktest.Check(t, served.status(), quicktest.Equals, http.StatusOK)
+		synctest.Wait()
+		quicktest.Check(t, heads.used.Load(), quicktest.Equals, int64(0))
+	})
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -93,6 +93,7 @@
 	hub        *hub.Server
 	callers    callerConns
 	limits     connLimits
+	heads      guard.Heads
 	// controlBodies holds the bodies of requests to the control instance.
 	controlBodies guard.Bodies
 }
@@ -136,6 +137,7 @@
 	p.network.bind = s.Bind
 	p.metrics = metrics.NewRegistry()
 	p.limits = newConnLimits(s.Memory<<20, maxDescriptors())
+	p.heads.Limit = s.Memory << 20 / headDivisor
 	p.controlBodies = guard.Bodies{Limit: s.Memory << 20 / bufferDivisor, Weight: configWeight}
 	p.peerServer = &wire.Server{OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") }}
 	p.peerPool = &wire.Pool{Dial: p.network.dial, Self: s.Peers, Local: p.peerServer}
@@ -262,7 +264,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
-	port := &guard.Port{Name: name, MaxConns: maxConns, Log: p.Log, Metrics: p.metrics}
+	port := &guard.Port{Name: name, MaxConns: maxConns, Heads: &p.heads, Log: p.Log, Metrics: p.metrics}
 	httpx.Serve(ctx, g, srv, port.Protect(srv, ln), closeTimeout)
 	return nil
 }
