--- a/internal/crowd/crowd_test.go
+++ b/internal/crowd/crowd_test.go
@@ -105,6 +105,11 @@
 	testCrowd(t, callersPlaces, largeCount, func(p place) member { return sendAhead(p.line, 50, ordinaryBytes) })
 }
 
+// TestLargeAnswersUnread: answers that together exceed the memory, and nobody reads them.
+func TestLargeAnswersUnread(t *testing.T) {
+	testCrowd(t, "route", manyConns, func(place) member { return sendAhead("POST "+largePath, 3, 10) })
+}
+
 // TestSlowConnections: more connections than descriptors, on which little or nothing comes or is read.
 func TestSlowConnections(t *testing.T) {
 	testCrowd(t, allPlaces, manyConns, func(p place) member { return beSlow(p.line) })
--- a/internal/crowd/site_test.go
+++ b/internal/crowd/site_test.go
@@ -40,11 +40,14 @@
 	// maxBodyBytes and maxHeaderBytes are the limits of the tables.
 	maxBodyBytes   = 4 << 20
 	maxHeaderBytes = 16 << 10
+	// largeAnswerBytes is the size of the answers for largePath.
+	largeAnswerBytes = 2 << 20
 	// ordinaryBytes is the size of the body of an ordinary request.
 	ordinaryBytes = 30 << 10
 
 	hostName     = "crowd.example"
 	routePath    = "/look/"
+	largePath    = routePath + "large"
 	unroutedPath = "/nowhere/"
 	pool         = "plain"
 	dataCentre   = "dc-a"
@@ -382,4 +385,8 @@
 		w.Header()[k] = v
 	}
 	w.WriteHeader(status)
+	if r.URL.Path == largePath {
+		// If this fails, the client sees the broken connection.
+		_, _ = w.Write(make([]byte, largeAnswerBytes))
+	}
 }
