--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -16,10 +16,11 @@
 
 const (
 	// refusalTime is how long a client that is refused has to send a request and to read the answer, and
-	// refusalsDivisor divides MaxConns into the number of clients that are being refused. Others wait to be accepted
-	// meanwhile, and look for a place every acceptInterval.
+	// refusalsDivisor divides MaxConns into the number of clients that are being refused, which is minRefusals at
+	// least. Others wait to be accepted meanwhile, and look for a place every acceptInterval.
 	refusalTime     = 500 * time.Millisecond
-	refusalsDivisor = 8
+	refusalsDivisor = 16
+	minRefusals     = 16
 	acceptInterval  = 10 * time.Millisecond
 	// logInterval is the shortest time between two log lines of a port.
 	logInterval = 10 * time.Second
@@ -35,8 +36,10 @@
 	Name string
 	// MaxConns is the largest number of connections.
 	MaxConns int
-	Log      *log.Logger
-	Metrics  metrics.Registry
+	// Heads bounds the memory of the heads of requests. Ports may share it.
+	Heads   *Heads
+	Log     *log.Logger
+	Metrics metrics.Registry
 
 	mu    sync.Mutex
 	conns map[*conn]struct{}
@@ -132,11 +135,13 @@
 // remove forgets a connection. The caller holds p.mu.
 func (p *Port) remove(c *conn) {
 	delete(p.conns, c)
+	p.Heads.release(c.headBytes)
+	c.headBytes, c.isGone = 0, true
 }
 
 // refuse answers and closes a connection. It returns false if too many are being refused. The caller holds p.mu.
 func (p *Port) refuse(nc net.Conn) bool {
-	if p.refusals > p.MaxConns/refusalsDivisor {
+	if p.refusals >= max(minRefusals, p.MaxConns/refusalsDivisor) {
 		return false
 	}
 	p.count("guard.refused")
@@ -193,7 +198,8 @@
 	case http.StateActive:
 		c.phase.Store(int32(busy))
 	case http.StateIdle:
-		c.since = now
+		p.Heads.release(c.headBytes)
+		c.headCost, c.headBytes, c.since = 0, 0, now
 		c.phase.Store(int32(waiting))
 	case http.StateClosed, http.StateHijacked:
 		p.remove(c)
@@ -207,3 +213,27 @@
 func (p *Port) count(name string) {
 	metrics.GetOrRegisterCounter(meter.Label(name, "port", p.Name), p.Metrics).Inc(1)
 }
+
+// reserveHead reserves n more bytes for the head of a connection. It returns false if there is no memory.
+func (p *Port) reserveHead(c *conn, n int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	if c.headBytes == 0 {
+		// It may have been idle for long before.
+		c.since = now
+	}
+	for !c.isGone && !p.Heads.acquire(n) {
+		stalled, ok := pickStalledHead(p.states, now)
+		if !ok {
+			p.count("guard.heads_refused")
+			return false
+		}
+		p.evict(stalled)
+	}
+	if c.isGone {
+		return false
+	}
+	c.headBytes += n
+	return true
+}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -95,6 +95,7 @@
 	hub        *hub.Server
 	callers    callerConns
 	limits     connLimits
+	heads      guard.Heads
 	// controlBodies holds the bodies of requests to the control instance.
 	controlBodies guard.Bodies
 }
@@ -138,6 +139,7 @@
 	p.network.bind = s.Bind
 	p.metrics = metrics.NewRegistry()
 	p.limits = newConnLimits(s.Memory<<20, maxDescriptors())
+	p.heads.Limit = s.Memory << 20 / headDivisor
 	p.controlBodies = guard.Bodies{Limit: s.Memory << 20 / bufferDivisor, Weight: configWeight}
 	p.peerServer = &wire.Server{
 		OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") },
@@ -267,7 +269,7 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
-	port := &guard.Port{Name: name, MaxConns: maxConns, Log: p.Log, Metrics: p.metrics}
+	port := &guard.Port{Name: name, MaxConns: maxConns, Heads: &p.heads, Log: p.Log, Metrics: p.metrics}
 	closing := closeTimeout
 	if p.gate == nil {
 		closing = controlCloseTimeout
