gate: an answer without a length is not whole if its target is gone a moment later

Cause: a process that is killed closes its sockets one after the other, and connections may come before the one that it listens on. The entry saw the end of the answer, connected, and took the process for alive. Besides, what other entries didn't confirm within 0.1 s counted as alive, and requests that ended together shared a check that may have begun before the end of their own connection. Change: a new connection has to last for 15 ms. A refusal that the entry sees itself is enough for the question whether an answer is whole, unless another entry reaches the target. A check that began earlier isn't shared.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"os"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -31,21 +31,39 @@
 	if !ok || current.StartedMs != t.StartedMs || s.health.isLeaving(t) {
 		return false
 	}
-	return s.hasEnded(t)
+	return s.hasEnded(t, true)
 }
 
 // hasEnded reports whether the process of a target has ended, expectedly or not: nothing listens on its address any
-// more, or a later process has replaced it.
-func (s *Server) hasEnded(t site.Target) bool {
+// more, or a later process has replaced it. With confirmed, it takes another instance to tell that nothing listens.
+func (s *Server) hasEnded(t site.Target, confirmed bool) bool {
 	if current, ok := s.views.load().targets[t.ID]; s.blocklist.isReplaced(t) || ok && current.StartedMs > t.StartedMs {
 		return true
 	}
+	isGone, ctx := s.TargetClient.IsClosed, relay.ProbeAlone(context.Background())
+	if confirmed {
+		isGone, ctx = s.TargetClient.IsRefused, relay.Probe(context.Background())
+	}
 	// Many requests notice the end of one process at the same time.
-	key := t.ID + "/" + strconv.FormatInt(t.StartedMs, 10)
-	refused, _, _ := s.processChecks.Do(key, func() (any, error) {
-		return s.TargetClient.IsRefused(relay.Probe(context.Background()), t.Address), nil
-	})
-	return refused.(bool)
+	noticedAt := time.Now()
+	key := fmt.Sprintf("%s/%d/%t", t.ID, t.StartedMs, confirmed)
+	for {
+		r, _, _ := s.processChecks.Do(key, func() (any, error) {
+			began := time.Now()
+			return processCheck{began, isGone(ctx, t.Address)}, nil
+		})
+		c := r.(processCheck)
+		// One that began before the end was noticed may have reached the process while it was there.
+		if c.refused || !c.began.Before(noticedAt) {
+			return c.refused
+		}
+	}
+}
+
+// processCheck is the result of a check of a process, which began at a time.
+type processCheck struct {
+	began   time.Time
+	refused bool
 }
 
 // endsConnection reports whether err means that the peer closed or reset the connection.
@@ -59,9 +77,10 @@
 }
 
 // endedWithProcess reports whether a response ended with its connection because the process of
-// the target ended, so that it may not be complete. A target that drains may be taken away before it has answered.
+// the target ended, so that it may not be complete. A target that drains may be taken away before it has answered. Taking a
+// whole answer for a truncated one does less harm than the reverse, so other instances need not confirm the end.
 func (s *Server) endedWithProcess(t site.Target, resp *hop.Response) bool {
-	return resp.EndsWithConnection() && s.hasEnded(t)
+	return resp.EndsWithConnection() && s.hasEnded(t, false)
 }
 
 // readBody reads the whole body of a response of a target.
--- a/internal/hop/idlepool.go
+++ b/internal/hop/idlepool.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"syscall"
@@ -23,6 +24,9 @@
 	// keepAliveMargin is subtracted from the target's timeout, so that no request is sent
 	// while the target closes the connection.
 	keepAliveMargin = 500 * time.Millisecond
+	// closingTime is how long a new connection must last for its target to count as there: a process that is killed closes
+	// its sockets one after the other, and the one that it listens on may come after connections.
+	closingTime = 15 * time.Millisecond
 	// refusalTimeout bounds the wait of IsRefused: a host in the region refuses within
 	// milliseconds.
 	refusalTimeout = 100 * time.Millisecond
@@ -75,6 +79,25 @@
 	return false
 }
 
+// IsClosed is like IsRefused, but also waits for a moment whether the address stops to accept connections.
+func (c *Client) IsClosed(ctx context.Context, addr string) bool {
+	cn, err := c.dial(ctx, addr, refusalTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	defer cn.Close()
+	if _, once := cn.Conn.(SingleUse); once {
+		return false
+	}
+	// This fails only on a closed connection.
+	_ = cn.Conn.SetReadDeadline(time.Now().Add(closingTime))
+	if _, err := cn.Conn.Read(make([]byte, 1)); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		return false
+	}
+	// A target that has enough connections resets others, too.
+	return c.IsRefused(ctx, addr)
+}
+
 // get removes the connection to an address that was put last, and returns it; nil if there
 // is none.
 func (p *idlePool) get(addr string) *conn {
--- a/internal/relay/dialer.go
+++ b/internal/relay/dialer.go
@@ -94,9 +94,9 @@
 	done    chan attempt
 	pending int
 	// err is the error of the direct attempt, or the first one. confirmed is set if a relay was
-	// refused.
-	err       error
-	confirmed bool
+	// refused, and refusedHere if the direct attempt was and that is enough.
+	err                    error
+	confirmed, refusedHere bool
 }
 
 // start starts one attempt.
@@ -137,21 +137,25 @@
 				r.dialer.recordWon(r.target, a.relay, r.tried)
 				return a.conn, nil
 			}
-			r.recordFailure(a)
+			r.recordFailure(ctx, a)
 			if !r.startNext(ctx) && (r.pending == 0 || r.confirmed) {
 				return nil, r.failure()
 			}
 		case <-timer.C:
 			r.startNext(ctx)
 		case <-ctx.Done():
+			if r.refusedHere {
+				return nil, r.err
+			}
 			return nil, ctx.Err()
 		}
 		timer.Reset(hedgeDelay)
 	}
 }
 
-func (r *race) recordFailure(a attempt) {
+func (r *race) recordFailure(ctx context.Context, a attempt) {
 	isRefused := errors.Is(a.err, syscall.ECONNREFUSED)
+	r.refusedHere = r.refusedHere || isRefused && a.relay == "" && probeOf(ctx) == probeAlone
 	r.confirmed = r.confirmed || isRefused && a.relay != ""
 	if r.err == nil || a.relay == "" || isRefused {
 		r.err = a.err
@@ -161,6 +165,9 @@
 // failure returns the error of a race in which all attempts have failed.
 func (r *race) failure() error {
 	if !r.confirmed {
+		if r.refusedHere {
+			return r.err
+		}
 		return errors.Wrap(ErrUnreachable, r.err.Error())
 	}
 	r.dialer.mu.Lock()
@@ -225,7 +232,7 @@
 	}
 	stop := context.AfterFunc(ctx, st.Close)
 	var m downMessage
-	if err = st.Send(&upMessage{Address: target, Probe: isProbe(ctx)}); err == nil {
+	if err = st.Send(&upMessage{Address: target, Probe: probeOf(ctx) != noProbe}); err == nil {
 		err = st.Receive(&m)
 	}
 	switch {
--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -378,3 +378,38 @@
 		})
 	}
 }
+
+// TestOwnRefusalIsEnough guards against targets that have crashed and are taken for alive, because the relays don't answer
+// in time, or don't know them.
+func TestOwnRefusalIsEnough(t *testing.T) {
+	for name, c := range map[string]struct {
+		prepare     func(s *testbed)
+		wantRefused bool
+	}{
+		"confirmed":      {func(s *testbed) { s.target.Close() }, true},
+		"unknown target": {func(s *testbed) { s.target.Close(); s.knows = false }, true},
+		"silent relays": {func(s *testbed) {
+			s.target.Close()
+			for _, p := range s.peers {
+				s.net.Cut(selfHost+":7", p.Addr)
+			}
+		}, true},
+		"no relay":     {func(s *testbed) { s.target.Close(); s.peers = nil }, true},
+		"out of reach": {func(s *testbed) { s.net.Refuse(selfHost, targetAddr) }, false},
+		"alive":        {func(*testbed) {}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runTestbed(t, func(s *testbed) {
+				s.accepts, s.knows = false, true
+				c.prepare(s)
+				ctx, cancel := context.WithTimeout(ProbeAlone(context.Background()), 300*time.Millisecond)
+				defer cancel()
+				conn, err := s.dialer.Dial(ctx, targetAddr)
+				if err == nil {
+					s.open = append(s.open, conn)
+				}
+				quicktest.Assert(t, errors.Is(err, syscall.ECONNREFUSED), quicktest.Equals, c.wantRefused, quicktest.Commentf("%v", err))
+			})
+		})
+	}
+}
--- a/internal/relay/restriction.go
+++ b/internal/relay/restriction.go
@@ -31,6 +31,28 @@
 
 // Probe returns a context with which Dialer.Dial only finds out whether a target refuses connections. Relays confirm
 // that also for targets to which they serve no tunnels now. The connection is of no other use.
-func Probe(ctx context.Context) context.Context { return context.WithValue(ctx, probeKey{}, true) }
+func Probe(ctx context.Context) context.Context {
+	return context.WithValue(ctx, probeKey{}, probeConfirmed)
+}
+
+// ProbeAlone is like Probe, but a target that refuses this instance counts as refusing unless a relay reaches it: relays
+// that don't answer in time, or don't know the target, don't make it alive.
+func ProbeAlone(ctx context.Context) context.Context {
+	return context.WithValue(ctx, probeKey{}, probeAlone)
+}
 
-func isProbe(ctx context.Context) bool { return ctx.Value(probeKey{}) != nil }
+// probe is the kind of a probe.
+type probe int
+
+const (
+	noProbe probe = iota
+	// probeConfirmed needs a relay that is refused, too, and probeAlone doesn't.
+	probeConfirmed
+	probeAlone
+)
+
+// probeOf returns the kind of probe that a context marks.
+func probeOf(ctx context.Context) probe {
+	p, _ := ctx.Value(probeKey{}).(probe)
+	return p
+}
