--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -69,8 +69,9 @@
 	}
 }
 
-// outlastsInstance reports whether the answer to a new request wouldn't end before this instance does, or might not if
-// nothing tells what it takes, or once most callers know other instances. They can be served there at once.
+// outlastsInstance reports whether another instance has to serve a new request, because its answer isn't expected to end
+// before this instance does. If nothing tells what it takes, and once most callers know other instances, its time limit
+// decides.
 func (x *exchange) outlastsInstance() bool {
 	s := x.server
 	if s.serving.Err() != nil {
