guard: connections turn over where none can make room

For 1 s after no connection could make room, each one now ends with its next response, so that places become free. Connections stay open where an idle one makes room.

TestConnectionsTurnOver failed before: the connection stayed open.

--- a/internal/guard/handler.go
+++ b/internal/guard/handler.go
@@ -27,13 +27,18 @@
 	now := time.Now()
 	// These fail only on a closed connection.
 	_ = rc.SetWriteDeadline(now.Add(responseTimeout))
+	c, hasPort := r.Context().Value(connKey{}).(*conn)
+	if hasPort && c.port.isCrowded(now) {
+		// Clients that send without a pause would keep their places.
+		w.Header().Set("Connection", "close")
+	}
 	if r.ContentLength == 0 {
 		h.next.ServeHTTP(w, r)
 		return
 	}
 	_ = rc.SetReadDeadline(now.Add(bodyTimeout))
 	b := &trackedBody{ReadCloser: r.Body, rc: rc}
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+	if hasPort {
 		b.conn = c
 		c.setReading(true)
 	}
--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -24,6 +25,8 @@
 	acceptInterval  = 10 * time.Millisecond
 	// logInterval is the shortest time between two log lines of a port.
 	logInterval = 10 * time.Second
+	// turnoverTime is how long each connection ends with its next response after none could make room.
+	turnoverTime = time.Second
 	// relaxedShare of MaxConns is the number of connections below which the limit counts as left.
 	relaxedShare = 0.75
 )
@@ -47,6 +50,8 @@
 	isFull   bool
 	loggedAt time.Time
 	refusals int
+	// fullAt is when no connection could make room for a new one, in Unix nanoseconds.
+	fullAt atomic.Int64
 }
 
 // connKey is the key of the *conn in the context of a request.
@@ -106,6 +111,7 @@
 		p.noteFull(now)
 		idlest, ok := pickIdlest(p.states, now)
 		if !ok {
+			p.fullAt.Store(now.UnixNano())
 			return nil, p.refuse(nc)
 		}
 		p.evict(idlest)
@@ -188,6 +194,11 @@
 	p.Log.Warn().Str("port", p.Name).Int("limit", p.MaxConns).Msg("limit of connections reached")
 }
 
+// isCrowded reports whether no connection could make room within turnoverTime.
+func (p *Port) isCrowded(now time.Time) bool {
+	return now.UnixNano()-p.fullAt.Load() < int64(turnoverTime)
+}
+
 // changeState is the hook for changes of a connection.
 func (p *Port) changeState(c *conn, s http.ConnState) {
 	now := time.Now()
--- a/internal/guard/port_test.go
+++ b/internal/guard/port_test.go
@@ -79,6 +79,31 @@
 	})
 }
 
+// TestConnectionsTurnOver: where no connection can make room, each one ends with its next response, so that clients that
+// send without a pause don't keep out others. It stays open otherwise.
+func TestConnectionsTurnOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestPort(t, &Port{Name: "callers", MaxConns: 1})
+		a := s.dial()
+		a.send(fmt.Sprintf(get, "/"))
+		quicktest.Check(t, a.status(), quicktest.Equals, http.StatusOK)
+		a.send(fmt.Sprintf(get, "/wait"))
+		refused := s.dial()
+		refused.send(fmt.Sprintf(get, "/"))
+		quicktest.Check(t, refused.status(), quicktest.Equals, http.StatusServiceUnavailable)
+		a.send(fmt.Sprintf(get, "/"))
+		close(s.release)
+		synctest.Wait()
+		quicktest.Check(t, a.status(), quicktest.Equals, http.StatusOK)
+		quicktest.Check(t, a.status(), quicktest.Equals, http.StatusOK)
+		synctest.Wait()
+		quicktest.Check(t, a.isClosed(), quicktest.IsTrue)
+		b := s.dial()
+		b.send(fmt.Sprintf(get, "/"))
+		quicktest.Check(t, b.status(), quicktest.Equals, http.StatusOK)
+	})
+}
+
 // TestHeadsShareMemory: heads of very many fields take turns, and one that stops short makes room. Heads of
 // ordinary requests need none.
 func TestHeadsShareMemory(t *testing.T) {
