guard, platform: what a request costs is counted wherever it comes

Found by a review of the limits for clients that don't behave: - fields behind a body, and a head in the same piece as the request before, were not counted: 141 to 143 KB held for each such connection, 0 counted.

What a head costs is settled once it is parsed, and a trailer is reserved when it has come.

--- a/internal/guard/bodies.go
+++ b/internal/guard/bodies.go
@@ -215,6 +215,26 @@
 	return x.evicted
 }
 
+// Reserve counts n more bytes of memory, in which a complete body is decoded, until it is released. It returns false if
+// there is no room.
+func (x *Body) Reserve(n int64) bool {
+	b := x.bodies
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for b.used+n > b.Limit {
+		stalled, ok := pickStalledBody(b.inProgress, x, time.Now())
+		if !ok {
+			return false
+		}
+		b.remove(stalled)
+		stalled.evicted = true
+		stalled.interrupt()
+	}
+	b.used += n
+	x.counted += n
+	return true
+}
+
 // Release returns the memory of the body. A nil body has none.
 func (x *Body) Release() {
 	if x == nil {
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -40,6 +40,9 @@
 	if n == 0 || phase(c.phase.Load()) != waiting {
 		return n, err
 	}
+	if c.headCost == 0 {
+		c.port.noteHead(c)
+	}
 	former := max(c.headCost, freeHeadBytes)
 	c.headCost += headCost(b[:n])
 	if more := c.headCost - former; more > 0 && !c.port.reserveHead(c, more) {
--- a/internal/guard/handler.go
+++ b/internal/guard/handler.go
@@ -28,6 +28,10 @@
 	// These fail only on a closed connection.
 	_ = rc.SetWriteDeadline(now.Add(responseTimeout))
 	c, hasPort := r.Context().Value(connKey{}).(*conn)
+	if hasPort && !c.port.settleHead(c, fieldsCost(r.Header)) {
+		refuseHead(w)
+		return
+	}
 	if hasPort && c.port.isCrowded(now) {
 		// Clients that send without a pause would keep their places.
 		w.Header().Set("Connection", "close")
@@ -37,10 +41,9 @@
 		return
 	}
 	_ = rc.SetReadDeadline(now.Add(bodyTimeout))
-	b := &trackedBody{ReadCloser: r.Body, rc: rc}
+	b := &trackedBody{ReadCloser: r.Body, rc: rc, trailer: func() http.Header { return r.Trailer }}
 	if hasPort {
 		b.conn = c
-		c.setReading(true)
 	}
 	// net/http looks at the type of the body of its own request.
 	copied := *r
@@ -54,13 +57,30 @@
 	rc *http.ResponseController
 	// conn is the connection; nil without a Port.
 	conn *conn
+	// trailer returns the fields behind the body once it is complete.
+	trailer func() http.Header
 	// unnoted is how much has come since progress was last noted.
-	unnoted int
-	isDone  bool
+	unnoted       int
+	begun, isDone bool
+}
+
+// errHeadsFull reports that there is no memory for the fields behind a body.
+var errHeadsFull = errors.New("the fields of requests exceed the memory for them")
+
+// refuseHead refuses a request for lack of memory for its fields.
+func refuseHead(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Retry-After", "1")
+	http.Error(w, errHeadsFull.Error(), http.StatusServiceUnavailable)
 }
 
 // Read reads from the body.
 func (b *trackedBody) Read(p []byte) (int, error) {
+	if !b.begun && b.conn != nil {
+		// A handler that reads no body has its request already.
+		b.conn.setReading(true)
+	}
+	b.begun = true
 	n, err := b.ReadCloser.Read(p)
 	if b.unnoted += n; b.unnoted >= progressBytes && err == nil && b.conn != nil {
 		b.unnoted = 0
@@ -72,6 +92,9 @@
 		_ = b.rc.SetReadDeadline(time.Time{})
 		if b.conn != nil {
 			b.conn.setReading(false)
+			if cost := fieldsCost(b.trailer()); cost > 0 && !b.conn.port.reserveHead(b.conn, cost) {
+				return n, errHeadsFull
+			}
 		}
 	}
 	return n, err
--- a/internal/guard/heads.go
+++ b/internal/guard/heads.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"sync/atomic"
 )
 
@@ -30,7 +31,20 @@
 
 func (h *Heads) release(n int64) { h.used.Add(-n) }
 
-// headCost returns the memory that a piece of a head takes once it is parsed.
+// headCost returns the memory that a piece of a head takes once it is parsed. What follows the head in the piece doesn't
+// count.
 func headCost(b []byte) int64 {
+	b, _, _ = bytes.Cut(b, []byte("\r\n\r\n"))
 	return int64(len(b)) + fieldBytes*int64(bytes.Count(b, []byte{'\n'}))
 }
+
+// fieldsCost returns the memory that parsed fields take.
+func fieldsCost(h http.Header) int64 {
+	cost := int64(0)
+	for name, values := range h {
+		for _, v := range values {
+			cost += fieldBytes + int64(len(name)+len(v))
+		}
+	}
+	return cost
+}
--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -7,8 +7,10 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
@@ -83,6 +85,12 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		nc, err := l.Listener.Accept()
+		if errors.IsAny(err, syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM) {
+			// The client gave up, or other ports have taken what the process may have. The server would end, or wait for long.
+			l.port.makeRoom()
+			time.Sleep(acceptInterval)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -121,6 +129,15 @@
 	return c, true
 }
 
+// makeRoom closes the idlest connection, if there is one.
+func (p *Port) makeRoom() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if idlest, ok := pickIdlest(p.states, time.Now()); ok {
+		p.evict(idlest)
+	}
+}
+
 // states iterates over the connections. The caller holds p.mu.
 func (p *Port) states(yield func(*conn, connState) bool) {
 	for c := range p.conns {
@@ -230,10 +247,6 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
-	if c.headBytes == 0 {
-		// It may have been idle for long before.
-		c.since = now
-	}
 	for !c.isGone && !p.Heads.acquire(n) {
 		stalled, ok := pickStalledHead(p.states, now)
 		if !ok {
@@ -248,3 +261,26 @@
 	c.headBytes += n
 	return true
 }
+
+// settleHead corrects what was reserved for the head of a request to its cost now that it is parsed: what was counted before
+// may have been a part of the body, or come with the request before. It returns false if there is no memory, or the
+// connection was closed meanwhile.
+func (p *Port) settleHead(c *conn, cost int64) bool {
+	need := max(0, cost-freeHeadBytes)
+	p.mu.Lock()
+	had := c.headBytes
+	if need <= had {
+		p.Heads.release(had - need)
+		c.headBytes = need
+	}
+	gone := c.isGone
+	p.mu.Unlock()
+	return !gone && (need <= had || p.reserveHead(c, need-had))
+}
+
+// noteHead notes that a head begins to come on a connection, which may have been idle for long before.
+func (p *Port) noteHead(c *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.since = time.Now()
+}
