--- a/internal/node/stop_answers_test.go
+++ b/internal/node/stop_answers_test.go
@@ -147,12 +147,18 @@
 		}
 		p.prompt = 100_000
 		p.play(ctx, 40, chatPath, []time.Duration{10 * time.Second})
-		taken := 0
-		for _, r := range p.results {
-			if at, ok := sentAt[r.id]; ok && r.err != nil && at.After(p.start.Add(stopAfter)) {
-				taken++
-			}
-		}
+		taken := countTaken(p, sentAt)
 		quicktest.Check(t, taken, quicktest.Equals, 0, quicktest.Commentf("of %d requests, statuses %v", len(p.results), p.statuses))
 	})
 }
+
+// countTaken returns the number of requests that reached an engine after the stop, and were cut.
+func countTaken(p *stopPlay, sentAt map[string]time.Time) int {
+	taken := 0
+	for _, r := range p.results {
+		if at, ok := sentAt[r.id]; ok && r.err != nil && at.After(p.start.Add(stopAfter)) {
+			taken++
+		}
+	}
+	return taken
+}
--- a/internal/node/stop_long_test.go
+++ b/internal/node/stop_long_test.go
@@ -52,11 +52,9 @@
 	}
 }
 
-func (c longAnswers) play(t *testing.T) {
-	ctx, cancel := context.WithCancel(t.Context())
-	p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int), prompt: c.prompt}
-	sentAt := make(map[string]time.Time)
-	p.fleet = newFleet(ctx, t, 1, c.engines, 0, func(_ *testTarget, w http.ResponseWriter, i gate.CallInfo) {
+// serve answers a request at an engine, and notes when it came.
+func (c longAnswers) serve(p *stopPlay, sentAt map[string]time.Time) serveFunc {
+	return func(_ *testTarget, w http.ResponseWriter, i gate.CallInfo) {
 		p.mu.Lock()
 		p.reached[i.ID]++
 		sentAt[i.ID] = time.Now()
@@ -73,7 +71,14 @@
 				return
 			}
 		}
-	}, func(f *fleet) { f.bind = withLongLimits })
+	}
+}
+
+func (c longAnswers) play(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int), prompt: c.prompt}
+	sentAt := make(map[string]time.Time)
+	p.fleet = newFleet(ctx, t, 1, c.engines, 0, c.serve(p, sentAt), func(f *fleet) { f.bind = withLongLimits })
 	defer p.close(cancel)
 	var before sync.WaitGroup
 	for i := range c.seen {
@@ -85,6 +90,11 @@
 	before.Wait()
 	p.play(ctx, 40, chatPath, []time.Duration{10 * time.Second})
 
+	c.check(p, sentAt)
+}
+
+// check checks how the requests of a play have ended.
+func (c longAnswers) check(p *stopPlay, sentAt map[string]time.Time) {
 	stop := p.start.Add(stopAfter)
 	// cut are streams that were truncated although they would have ended in the grace period, taken those
 	// that were sent to an engine too late for that, and late the refusals that took long.
@@ -112,7 +122,7 @@
 		}
 	}
 	for name, broken := range map[string][]string{"cut": cut, "taken": taken, "late": late} {
-		red.Check(t, name, len(broken) == 0, "%d of %d requests, %d whole, %d refused:\n%s", len(broken), len(p.results), whole, refused, strings.Join(broken, "\n"))
+		red.Check(p.t, name, len(broken) == 0, "%d of %d requests, %d whole, %d refused:\n%s", len(broken), len(p.results), whole, refused, strings.Join(broken, "\n"))
 	}
-	quicktest.Check(t, whole > 0 && refused > 0, quicktest.IsTrue, quicktest.Commentf("%d whole, %d refused", whole, refused))
+	quicktest.Check(p.t, whole > 0 && refused > 0, quicktest.IsTrue, quicktest.Commentf("%d whole, %d refused", whole, refused))
 }
