wire, hub: a large message of a peer leaves memory for others

Callers saw: one first message of a link with 43,459 elements took all 16 MiB for decoding in a process with 96 MB until its handler ended or the next message came, and calls of 100 KiB failed after 5 s with "no memory to decode". The memory stayed taken while a welcome waited for up to 10 s to be read, and for good in calls without a timeout. Links whose first message waited for memory for more than 1 s ended as silent.

Cause: the memory was one weighted semaphore in order of arrival, and was released at the next Receive or at the end of the call.

Stream.Send releases what the last message had, unless another one is being decoded. The first message of a link is handled before its welcome is sent, so that it isn't kept meanwhile. Calls without a timeout end after a minute. Stream.ReceiveWithin bounds the wait for a message without that for memory; links and tunnels use it.

--- a/internal/hub/session.go
+++ b/internal/hub/session.go
@@ -46,19 +46,15 @@
 // leadership changed while it was set up, as the welcome is outdated then.
 func (s *Server) serveLink(ctx context.Context, st *wire.Stream) error {
 	sess := &session{Session: link.NewSession[link.FollowerMessage, link.ControlMessage](st)}
-	timer := time.AfterFunc(helloTimeout, st.Close)
 	var first link.FollowerMessage
-	err := st.Receive(&first)
-	timer.Stop()
+	err := st.ReceiveWithin(helloTimeout, &first)
 	if err != nil || first.Hello == nil {
 		return err
 	}
 	sess.hello = *first.Hello
 	sess.sentRevision = sess.hello.Revision
 	leading := s.isLeader()
-	if err := st.SendWithin(link.SendTimeout, s.newWelcome(sess, leading)); err != nil {
-		return err
-	}
+	welcome := s.newWelcome(sess, leading)
 	sess.OnMessage = func(_ context.Context, m *link.FollowerMessage) error {
 		s.handle(sess, m)
 		return nil
@@ -75,7 +71,11 @@
 		})
 	}
 	sess.FillHeartbeat = func(m *link.ControlMessage) { s.loads.fill(sess, m) }
+	// The first message is not kept while the other instance takes its time to read.
 	s.handle(sess, &first)
+	if err := st.SendWithin(link.SendTimeout, welcome); err != nil {
+		return err
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go s.pushUpdates(ctx, sess)
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -58,10 +58,8 @@
 	if s.active.Add(1) > maxTunnels {
 		return st.Send(&downMessage{Result: unavailable})
 	}
-	timer := time.AfterFunc(openTimeout, st.Close)
 	var first upMessage
-	err := st.Receive(&first)
-	timer.Stop()
+	err := st.ReceiveWithin(openTimeout, &first)
 	if err != nil {
 		return err
 	}
--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -25,10 +25,15 @@
 type serverCodec struct {
 	codec
 	conn *peerConn
+	// onArrival is called when a whole message has come; nil does nothing.
+	onArrival func()
 }
 
 // Unmarshal decodes buf within the limits of the server.
 func (c serverCodec) Unmarshal(buf []byte, msg drpc.Message) error {
+	if c.onArrival != nil {
+		c.onArrival()
+	}
 	n, err := decodedBytes(buf)
 	if err != nil {
 		return verd.Wrap(err, verd.NotRun, verd.BadRequest, "message of %d bytes", len(buf))
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"golang.org/x/sync/semaphore"
 	"storj.io/drpc/drpcwire"
 
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
@@ -29,7 +28,7 @@
 	table  *connTable
 	frames frameReader
 	// decoding is shared by all connections of the server.
-	decoding *semaphore.Weighted
+	decoding *decodeMemory
 	// ctx ends when the connection is closed.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -43,9 +42,11 @@
 	mu sync.Mutex
 	// decoded is what the connection has acquired of decoding.
 	decoded int64
+	// received is set once the message that it was acquired for is decoded.
+	received bool
 }
 
-func newPeerConn(ctx context.Context, c net.Conn, t *connTable, decoding *semaphore.Weighted) *peerConn {
+func newPeerConn(ctx context.Context, c net.Conn, t *connTable, decoding *decodeMemory) *peerConn {
 	p := &peerConn{Conn: c, table: t, decoding: decoding}
 	p.ctx, p.cancel = context.WithCancel(ctx)
 	p.frames = frameReader{in: bufio.NewReaderSize(c, readBufferBytes), onBegin: p.begin, onData: p.grow, onPacket: p.finish}
@@ -127,12 +128,12 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, decodeTimeout)
 	defer cancel()
-	if err := c.decoding.Acquire(ctx, bytes); err != nil {
+	if err := c.decoding.acquire(ctx, bytes); err != nil {
 		return verd.Wrap(err, verd.NotRun, verd.Overloaded, "no memory to decode a message of %d bytes", bytes)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.decoded = bytes
+	c.decoded, c.received = bytes, false
 	return nil
 }
 
@@ -140,8 +141,28 @@
 func (c *peerConn) release() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.releaseLocked()
+}
+
+func (c *peerConn) releaseLocked() {
 	if c.decoded > 0 {
-		c.decoding.Release(c.decoded)
+		c.decoding.release(c.decoded)
 		c.decoded = 0
 	}
 }
+
+// setReceived notes that the message is decoded for which memory was acquired.
+func (c *peerConn) setReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.received = true
+}
+
+// releaseReceived releases what was acquired for a message, unless that is still being decoded.
+func (c *peerConn) releaseReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.received {
+		c.releaseLocked()
+	}
+}
--- a/internal/wire/conns_test.go
+++ b/internal/wire/conns_test.go
@@ -115,13 +115,14 @@
 }
 
 // testServer is a server on an in-memory network with the method echo, and the streams pipe, which receives
-// messages until it ends, and stuck, which receives one and waits.
+// messages until it ends, stuck, which receives one and waits, and greet, which answers one with a long message. Its
+// method wait waits for the end of the call.
 type testServer struct {
 	t     *testing.T
 	net   memnet.Network
 	stuck chan struct{}
-	// pipes is the number of streams to pipe.
-	pipes atomic.Int64
+	// pipes is the number of streams to pipe, and greeted that of those to greet which have received their message.
+	pipes, greeted atomic.Int64
 
 	mu        sync.Mutex
 	pressures []Pressure
@@ -133,7 +134,13 @@
 	ln, err := s.net.Listen(serverAddr)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	srv := &Server{
-		Methods: []Method{{Name: "echo", New: func() any { return new(any) }, Run: func(_ context.Context, in any) (any, error) { return in, nil }}},
+		Methods: []Method{
+			{Name: "echo", New: func() any { return new(any) }, Run: func(_ context.Context, in any) (any, error) { return in, nil }},
+			{Name: "wait", New: func() any { return new(any) }, Run: func(ctx context.Context, _ any) (any, error) {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}},
+		},
 		Streams: []StreamMethod{
 			{Name: "pipe", Run: func(_ context.Context, st *Stream) error {
 				var v any
@@ -148,6 +155,14 @@
 					}
 				}
 			}},
+			{Name: "greet", Run: func(_ context.Context, st *Stream) error {
+				var v any
+				if err := st.ReceiveWithin(time.Second, &v); err != nil {
+					return err
+				}
+				s.greeted.Add(1)
+				return st.SendWithin(10*time.Second, make([]byte, 1<<20))
+			}},
 			{Name: "stuck", Run: func(_ context.Context, st *Stream) error {
 				var v any
 				if err := st.Receive(&v); err != nil {
--- a/internal/wire/limits.go
+++ b/internal/wire/limits.go
@@ -35,6 +35,9 @@
 	// decodeTimeout bounds the wait for memory to decode a message.
 	decodeTimeout = 5 * time.Second
 
+	// callTimeout bounds calls whose caller has no deadline.
+	callTimeout = time.Minute
+
 	// defaultMemory is Server.Memory if it is 0, in bytes.
 	defaultMemory = 256 << 20
 	// memoryPerConn is the memory of the process for each connection, of which it uses a part.
--- a/internal/wire/pool.go
+++ b/internal/wire/pool.go
@@ -81,7 +81,7 @@
 	}
 	req := request{Body: body, Trace: traceParent(ctx)}
 	if deadline, ok := ctx.Deadline(); ok {
-		req.Timeout = max(time.Until(deadline), time.Nanosecond) // 0 would mean no limit.
+		req.Timeout = max(time.Until(deadline), time.Nanosecond) // 0 would mean none.
 	}
 	var resp reply
 	if err := c.Invoke(ctx, method, codec{}, &req, &resp); err != nil {
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -10,7 +10,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rcrowley/go-metrics"
-	"golang.org/x/sync/semaphore"
 	"storj.io/drpc"
 	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcserver"
@@ -49,7 +48,7 @@
 
 // request is the encoded form of a call.
 type request struct {
-	// Timeout is the time left until the caller's deadline; 0 means no limit.
+	// Timeout is the time left until the caller's deadline; 0 means callTimeout.
 	Timeout time.Duration   `cbor:"1,keyasint,omitempty"`
 	Body    cbor.RawMessage `cbor:"2,keyasint"`
 	// Trace is the caller's span as a W3C trace parent.
@@ -69,7 +68,7 @@
 	stop := context.AfterFunc(ctx, func() { ln.Close() })
 	defer stop()
 	t := s.newTable()
-	decoding := semaphore.NewWeighted(t.limits.decodeBytes)
+	decoding := newDecodeMemory(t.limits.decodeBytes)
 	wg.Go(func() { timing.Every(ctx, checkInterval, t.check) })
 	srv := drpcserver.New(s)
 	for failures := 0; ; {
@@ -150,11 +149,11 @@
 		return err
 	}
 	ctx := withTraceParent(stream.Context(), req.Trace)
-	if req.Timeout > 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, req.Timeout)
-		defer cancel()
+	if req.Timeout <= 0 {
+		req.Timeout = callTimeout
 	}
+	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
+	defer cancel()
 	return sendReply(c, stream, s.dispatch(ctx, rpc, req.Body))
 }
 
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -29,22 +29,37 @@
 	sending atomic.Int32
 }
 
-// Send sends one message.
+// Send sends one message. The last one received no longer counts as being handled, as the other side may take
+// its time to read.
 func (s *Stream) Send(v any) error {
 	s.sending.Add(1)
 	defer s.sending.Add(-1)
+	if s.conn != nil {
+		s.conn.releaseReceived()
+	}
 	return s.stream.MsgSend(v, codec{})
 }
 
 // Receive waits for the next message and decodes it into v.
-func (s *Stream) Receive(v any) error {
+func (s *Stream) Receive(v any) error { return s.receive(v, nil) }
+
+// ReceiveWithin is Receive, and closes the stream if no whole message comes in time. The wait for memory to
+// decode it doesn't count.
+func (s *Stream) ReceiveWithin(timeout time.Duration, v any) error {
+	timer := time.AfterFunc(timeout, s.Close)
+	defer timer.Stop()
+	return s.receive(v, func() { timer.Stop() })
+}
+
+func (s *Stream) receive(v any, onArrival func()) error {
 	if s.conn == nil {
 		return s.stream.MsgRecv(v, codec{})
 	}
 	s.conn.release()
-	if err := s.stream.MsgRecv(v, serverCodec{conn: s.conn}); err != nil {
+	if err := s.stream.MsgRecv(v, serverCodec{conn: s.conn, onArrival: onArrival}); err != nil {
 		return err
 	}
+	s.conn.setReceived()
 	return s.conn.table.openStream(s.conn)
 }
 
