link, hub, poison: what strangers send is bounded in size, not only in number

A link could report a ready instance with a name of 4 MiB, which was copied to all links (about 1.2 GB at 300 of them, and a message that no receiver takes), blocks of requests without end (30,000 kept, for 1,000 h), loads of pools and requests with IDs of 1 MiB whose answers waited for a link that doesn't read (64 MiB each). Found by a review.

Names are bounded to 256 bytes and IDs to 512 when a message is decoded, blocks to 512 reported ones of an hour, loads that wait for a link to 1 MiB, and a link ends when what waits for it exceeds the 4 MiB that its receiver accepts.

--- a/internal/hub/blocker.go
+++ b/internal/hub/blocker.go
@@ -30,7 +30,7 @@
 func (b *blocker) start() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.active, b.detector, b.judgeFrom = true, &poison.Detector{}, time.Now().Add(takeoverTime)
+	b.active, b.detector, b.judgeFrom = true, &poison.Detector{MaxApplied: maxReportedBlocks}, time.Now().Add(takeoverTime)
 }
 
 // stop ends the evaluation and drops all findings.
@@ -58,6 +58,7 @@
 	var changed []poison.Block
 	for _, k := range msg.Blocks {
 		if b.detector.Apply(now, k) {
+			k.Left = min(k.Left, poison.MaxBlockTime)
 			changed = append(changed, k)
 		}
 	}
--- a/internal/hub/load.go
+++ b/internal/hub/load.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"time"
+	"unsafe"
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
@@ -37,12 +38,15 @@
 	Loads []place.PoolLoad `cbor:"1,keyasint"`
 }
 
-// Check rejects loads that are cut off.
+// Check rejects loads that are cut off, and names that no pool has.
 func (r *loadsRequest) Check() error {
 	for i := range r.Loads {
 		if err := r.Loads[i].Check(); err != nil {
 			return verd.Wrap(err, verd.NotRun, verd.BadRequest, "loads of pools")
 		}
+		if n := len(r.Loads[i].Pool); n > maxNameBytes {
+			return verd.New(verd.NotRun, verd.BadRequest, "load of a pool with a name of %d bytes", n)
+		}
 	}
 	return nil
 }
@@ -183,12 +187,31 @@
 	defer s.mu.Unlock()
 	for sess := range s.sessions {
 		if !sess.hello.IsControl {
-			sess.Enqueue(func(m *link.ControlMessage) { m.Loads = append(m.Loads, loads...) })
+			sess.Enqueue(func(m *link.ControlMessage) { addLoads(m, loads) })
 		}
 	}
 	return &loadsResponse{}, nil
 }
 
+// addLoads adds loads to a message, up to maxWaitingLoads: each link has a message of its own.
+func addLoads(m *link.ControlMessage, loads []place.PoolLoad) {
+	n := 0
+	for _, l := range m.Loads {
+		n += loadBytes(l)
+	}
+	for _, l := range loads {
+		if n += loadBytes(l); n > maxWaitingLoads {
+			return
+		}
+		m.Loads = append(m.Loads, l)
+	}
+}
+
+// loadBytes returns the memory that a load takes.
+func loadBytes(l place.PoolLoad) int {
+	return int(unsafe.Sizeof(l)) + len(l.Pool) + len(l.Packed)
+}
+
 // loadsOf returns the loads by pool of all grants but those of a session.
 func loadsOf(models map[string]site.Engine, granted []passedGrant, but *session) []place.PoolLoad {
 	byPool := make(map[string][]place.ActiveGrant)
--- a/internal/hub/scheduler.go
+++ b/internal/hub/scheduler.go
@@ -181,7 +181,7 @@
 	for _, r := range msg.Requests {
 		c := s.assign(sess, r)
 		if c == nil {
-			sess.Enqueue(func(m *link.ControlMessage) {
+			sess.EnqueueSized(len(r.ID), func(m *link.ControlMessage) {
 				m.Refusals = append(m.Refusals, place.Refuse{ID: r.ID, Reason: "unknown pool, or too many requests of this instance"})
 			})
 			continue
@@ -189,7 +189,7 @@
 		r.Instance = sess.hello.Name
 		s.step(c, place.Arrive{Request: r})
 		if s.sessions[r.ID] != nil && c.Waiting() > 0 {
-			sess.Enqueue(func(m *link.ControlMessage) { m.Queued = append(m.Queued, r.ID) })
+			sess.EnqueueSized(len(r.ID), func(m *link.ControlMessage) { m.Queued = append(m.Queued, r.ID) })
 		}
 	}
 }
@@ -211,7 +211,7 @@
 // or nil if the pool is unknown or the session has too many requests.
 func (s *scheduler) assign(sess *session, r place.Request) *place.Core {
 	c := s.cores[r.Pool]
-	if c == nil || sess.requests >= maxLinkRequests && s.sessions[r.ID] != sess {
+	if c == nil || max(len(r.Organisation), len(r.DataCentre)) > maxNameBytes || sess.requests >= maxLinkRequests && s.sessions[r.ID] != sess {
 		return nil
 	}
 	s.forget(r.ID)
@@ -249,7 +249,7 @@
 				Dur("waited", d.Waited).Float64("own", d.Loss.Own).Float64("others", d.Loss.Others).
 				Int("waiting", c.Waiting()).Int("granted", c.Granted()).Uint64("revision", s.fleetRevision).Msg("request granted")
 			if sess := s.sessions[d.ID]; sess != nil {
-				sess.Enqueue(func(m *link.ControlMessage) { m.Grants = append(m.Grants, d) })
+				sess.EnqueueSized(len(d.ID), func(m *link.ControlMessage) { m.Grants = append(m.Grants, d) })
 			}
 		case place.Refuse:
 			s.server.counter(meter.Label("hub.refusals", "reason", d.Reason)).Inc(1)
@@ -258,7 +258,7 @@
 				Dur("work", d.Work).Dur("left", d.Left).
 				Int("granted", c.Granted()).Uint64("revision", s.fleetRevision).Msg("request refused")
 			if sess := s.sessions[d.ID]; sess != nil {
-				sess.Enqueue(func(m *link.ControlMessage) { m.Refusals = append(m.Refusals, d) })
+				sess.EnqueueSized(len(d.ID), func(m *link.ControlMessage) { m.Refusals = append(m.Refusals, d) })
 			}
 			s.forget(d.ID)
 		}
--- a/internal/hub/strangers.go
+++ b/internal/hub/strangers.go
@@ -16,6 +16,11 @@
 	maxListedEntries = 4096
 	// maxLinkRequests bounds the requests of one instance at the scheduler. It has fewer callers.
 	maxLinkRequests = 1 << 14
+	// maxReportedBlocks bounds the blocks that links report. Other instances take over twice as many, so that
+	// there is room for those found here.
+	maxReportedBlocks = 512
+	// maxWaitingLoads bounds the loads of pools from other control instances that wait for a link, in bytes.
+	maxWaitingLoads = 1 << 20
 	// pruneInterval is the shortest time between two searches for what is no longer needed.
 	pruneInterval = time.Second
 )
--- a/internal/hub/strangers_test.go
+++ b/internal/hub/strangers_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/place"
+	"github.com/bambooproxy/bambooproxy/internal/poison"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
@@ -107,3 +108,75 @@
 		quicktest.Check(t, sess.requests, quicktest.Equals, 0)
 	})
 }
+
+// TestStrangersReportBlocks guards against links that report blocks of requests without end, or for very long: those
+// kept are bounded in number and time.
+func TestStrangersReportBlocks(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		lead := cl.leader()
+		sess := newStranger(link.Hello{Name: "a"})
+		for k := range 3 {
+			var m link.FollowerMessage
+			for i := range 10_000 {
+				m.Blocks = append(m.Blocks, poison.Block{Segments: []string{fmt.Sprint(k, "-", i)}, Left: 1000 * time.Hour, Times: 1})
+			}
+			lead.handle(sess, &m)
+			blocks := lead.blocker.current()
+			quicktest.Check(t, blocks, quicktest.HasLen, maxReportedBlocks)
+			for _, b := range blocks {
+				quicktest.Assert(t, b.Left <= poison.MaxBlockTime, quicktest.IsTrue, quicktest.Commentf("%s", b.Left))
+			}
+		}
+	})
+}
+
+// TestStrangersPassLoads guards against calls with loads of pools without end: what waits for a link is bounded, and
+// names that no pool can have are refused.
+func TestStrangersPassLoads(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		other := cl.follower()
+		sess := newStranger(link.Hello{Name: "a"})
+		other.addSession(sess)
+		defer other.removeSession(sess)
+		long := &loadsRequest{Loads: []place.PoolLoad{{Pool: strings.Repeat("x", maxNameBytes+1)}}}
+		quicktest.Check(t, long.Check(), quicktest.IsNotNil)
+		for range 64 {
+			r := &loadsRequest{Loads: []place.PoolLoad{{Pool: "p", Packed: make([]byte, 6*20_000)}}}
+			quicktest.Assert(t, r.Check(), quicktest.IsNil)
+			_, err := other.handleLoads(t.Context(), r)
+			quicktest.Assert(t, err, quicktest.IsNil)
+		}
+		n := 0
+		sess.Enqueue(func(m *link.ControlMessage) {
+			for _, l := range m.Loads {
+				n += loadBytes(l)
+			}
+		})
+		quicktest.Check(t, n > 0 && n <= maxWaitingLoads, quicktest.IsTrue, quicktest.Commentf("%d bytes wait", n))
+	})
+}
+
+// TestStrangersGetAnswers guards against links that ask without reading the answers: what waits for them is bounded.
+func TestStrangersGetAnswers(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		lead := cl.leader()
+		sess := newStranger(link.Hello{Name: "a"})
+		lead.addSession(sess)
+		defer lead.removeSession(sess)
+		for i := range 64 {
+			var m link.FollowerMessage
+			for k := range 2000 {
+				m.Requests = append(m.Requests, place.Request{ID: fmt.Sprint(strings.Repeat("x", 490), i, "/", k), Pool: "none", TimeLeft: time.Hour})
+			}
+			quicktest.Assert(t, m.Check(), quicktest.IsNil)
+			lead.handle(sess, &m)
+		}
+		n := 0
+		sess.Enqueue(func(m *link.ControlMessage) {
+			for _, r := range m.Refusals {
+				n += len(r.ID)
+			}
+		})
+		quicktest.Check(t, n <= 4<<20, quicktest.IsTrue, quicktest.Commentf("%d bytes wait", n))
+	})
+}
--- a/internal/link/oldmessages_test.go
+++ b/internal/link/oldmessages_test.go
@@ -36,6 +36,9 @@
 			quicktest.Assert(t, err, quicktest.IsNil)
 			got := reflect.New(reflect.TypeOf(want))
 			quicktest.Assert(t, cbor.Unmarshal(b, got.Interface()), quicktest.IsNil)
+			if m, ok := got.Interface().(*FollowerMessage); ok {
+				quicktest.Check(t, m.Check(), quicktest.IsNil)
+			}
 			encoded, err := cbor.Marshal(want)
 			quicktest.Assert(t, err, quicktest.IsNil)
 			quicktest.Assert(t, encoded, quicktest.DeepEquals, b, quicktest.Commentf("without new fields the bytes must be those of the old build"))
--- a/internal/link/session.go
+++ b/internal/link/session.go
@@ -32,7 +32,16 @@
 
 // Enqueue adds to the next message to be sent by calling change on it at once. It does not
 // wait for the stream.
-func (s *Session[In, Out]) Enqueue(change func(m *Out)) { s.outbox.add(change) }
+func (s *Session[In, Out]) Enqueue(change func(m *Out)) { s.EnqueueSized(0, change) }
+
+// EnqueueSized is Enqueue for a change that adds at least that many bytes. It ends the link if the message that
+// waits is longer than the peer accepts.
+func (s *Session[In, Out]) EnqueueSized(bytes int, change func(m *Out)) {
+	if s.outbox.add(bytes, change) && s.Stream != nil {
+		// Closing may wait for a send.
+		go s.Stream.Close()
+	}
+}
 
 // Run sends and receives messages until ctx ends, the peer sends nothing for ReceiveTimeout or
 // reads no whole message for SendTimeout, or the connection or a handler fails.
--- a/internal/link/session_test.go
+++ b/internal/link/session_test.go
@@ -13,6 +13,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/bambooproxy/bambooproxy/internal/memnet"
+	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
 
@@ -84,6 +85,50 @@
 	})
 }
 
+// TestLinkWithLongMessageEnds guards against a link whose peer asks without reading the answers: it ends at once when
+// the message that waits is longer than a peer accepts.
+func TestLinkWithLongMessageEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var network memnet.Network
+		ln, err := network.Listen("10.0.0.2:7")
+		quicktest.Assert(t, err, quicktest.IsNil)
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		serve := wire.StreamMethod{Name: Method, Run: func(ctx context.Context, st *wire.Stream) error {
+			s := NewSession[FollowerMessage, ControlMessage](st)
+			s.OnMessage = func(_ context.Context, m *FollowerMessage) error {
+				for _, r := range m.Requests {
+					s.EnqueueSized(len(r.ID), func(m *ControlMessage) { m.Queued = append(m.Queued, r.ID) })
+				}
+				return nil
+			}
+			ended <- s.Run(ctx)
+			return nil
+		}}
+		served := make(chan error, 1)
+		go func() { served <- (&wire.Server{Streams: []wire.StreamMethod{serve}}).Serve(ctx, ln) }()
+		pool := &wire.Pool{Dial: func(ctx context.Context, addr string) (net.Conn, error) {
+			c, err := network.Dialer("10.0.0.1:7")(ctx, addr)
+			return &blindConn{Conn: c, closed: make(chan struct{})}, err
+		}}
+		st, err := pool.Open(ctx, "10.0.0.2:7", Method)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		var m FollowerMessage
+		for range 2000 {
+			m.Requests = append(m.Requests, place.Request{ID: strings.Repeat("x", maxIDBytes)})
+		}
+		for range 8 {
+			_ = st.Send(&m) // Fails once the link has ended.
+			synctest.Wait()
+		}
+		time.Sleep(ReceiveTimeout / 2) // Less than any timeout of a link.
+		quicktest.Check(t, ended, quicktest.HasLen, 1)
+		st.Close()
+		cancel()
+		quicktest.Check(t, <-served, quicktest.IsNil)
+	})
+}
+
 // blindConn is a connection that reads nothing until it is closed.
 type blindConn struct {
 	net.Conn
--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -35,14 +35,17 @@
 	// evidenceTime is how long crashes, survivals and ended blocks are remembered.
 	evidenceTime = 10 * time.Minute
 	// initialBlockTime is how long segments are blocked at first. It doubles each time they crash
-	// an engine again after that, up to maxBlockTime.
+	// an engine again after that, up to MaxBlockTime.
 	initialBlockTime = 2 * time.Minute
-	maxBlockTime     = time.Hour
+	MaxBlockTime     = time.Hour
 	// handoverTime is the age of the crashes that a detector passes on.
 	handoverTime = 30 * time.Second
 	// maxCrashes and maxSegments bound the memory for crashes and for segments with a survival.
 	maxCrashes  = 256
 	maxSegments = 8192
+	// maxBlocks bounds the blocks with those of other detectors, and maxCrashRequests the requests of a crash.
+	maxBlocks        = 1024
+	maxCrashRequests = 16384
 	// survivalInterval is how much later an answer must have begun than the last one known
 	// with the same segments for its survival to be news.
 	survivalInterval = 500 * time.Millisecond
@@ -52,6 +55,9 @@
 // requests with it, and no answer with it has survived that began after they ended. A whole
 // request counts as a segment of its own. The zero value is ready to use.
 type Detector struct {
+	// MaxApplied is the number of blocks beyond which Apply adds none; 0 means maxBlocks.
+	MaxApplied int
+
 	crashes []*crash
 	// survivals holds, for each segment, when the latest answer began that survived, and told the
 	// one of them that was last reported as news.
@@ -115,12 +121,13 @@
 func (d *Detector) AddCrash(now time.Time, c Crash) {
 	at := now.Add(-c.Age)
 	requests := newRequests(at, c)
+	requests = requests[:min(len(requests), maxCrashRequests)]
 	if len(requests) == 0 {
 		return
 	}
 	for _, known := range d.crashes {
 		if known.Target == c.Target && known.StartedMs == c.StartedMs {
-			known.requests = append(known.requests, requests...)
+			known.requests = append(known.requests, requests[:min(len(requests), maxCrashRequests-len(known.requests))]...)
 			known.narrow(at, c.Window)
 			known.Unconfirmed = known.Unconfirmed && c.Unconfirmed
 			return
@@ -233,14 +240,17 @@
 }
 
 // Apply takes over a block from another detector, or the end of one. It reports whether that
-// was not known.
+// was not known. No detector blocks for longer than MaxBlockTime. Blocks beyond MaxApplied are ignored.
 func (d *Detector) Apply(now time.Time, b Block) (isNews bool) {
+	b.Left = min(b.Left, MaxBlockTime)
 	i := slices.IndexFunc(d.blocks, func(o *block) bool { return slices.Equal(o.Segments, b.Segments) })
 	switch {
 	case b.Left <= 0 && i >= 0:
 		d.blocks = slices.Delete(d.blocks, i, i+1)
 	case b.Left <= 0:
 		return false
+	case i < 0 && d.isFull(now):
+		return false
 	case i < 0:
 		d.blocks = append(d.blocks, &block{Block: b, since: now, until: now.Add(b.Left)})
 	case b.Times > d.blocks[i].Times:
@@ -251,6 +261,18 @@
 	return true
 }
 
+// isFull reports whether Apply adds no block.
+func (d *Detector) isFull(now time.Time) bool {
+	limit := d.MaxApplied
+	if limit == 0 {
+		limit = maxBlocks
+	}
+	if len(d.blocks) >= limit {
+		d.forget(now)
+	}
+	return len(d.blocks) >= limit
+}
+
 // Find returns how long requests with these shared segments are blocked.
 func (d *Detector) Find(now time.Time, segments []string) (left time.Duration, blocked bool) {
 	for _, b := range d.blocks {
@@ -394,10 +416,10 @@
 func (d *Detector) renew(now time.Time, b *block) Block {
 	b.Times++
 	left := initialBlockTime
-	for i := 1; i < b.Times && left < maxBlockTime; i++ {
+	for i := 1; i < b.Times && left < MaxBlockTime; i++ {
 		left *= 2
 	}
-	b.until = now.Add(min(left, maxBlockTime))
+	b.until = now.Add(min(left, MaxBlockTime))
 	return b.report(now)
 }
 
--- a/internal/poison/event.go
+++ b/internal/poison/event.go
@@ -6,6 +6,8 @@
 import (
 	"strings"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
 // SurvivalTime is how long an engine must have written an answer until the prompt counts as
@@ -60,6 +62,26 @@
 	Age time.Duration `cbor:"2,keyasint"`
 }
 
+const (
+	// maxReportedSegments bounds the segments of one request, and maxSegmentBytes the length of each. Instances
+	// look at fewer and shorter ones.
+	maxReportedSegments = 256
+	maxSegmentBytes     = 256
+)
+
+// CheckSegments rejects segments of sizes that no instance reports.
+func CheckSegments(segments []string) error {
+	if len(segments) > maxReportedSegments {
+		return errors.Newf("%d segments of a request", len(segments))
+	}
+	for _, s := range segments {
+		if len(s) > maxSegmentBytes {
+			return errors.Newf("segment of %d bytes", len(s))
+		}
+	}
+	return nil
+}
+
 // Block tells that requests with all of the segments must not be sent to targets.
 type Block struct {
 	// Segments are sorted.
