--- a/internal/poison/detector.go
+++ b/internal/poison/detector.go
@@ -35,9 +35,10 @@
 	// evidenceTime is how long crashes, survivals and ended blocks are remembered.
 	evidenceTime = 10 * time.Minute
 	// initialBlockTime is how long segments are blocked at first. It doubles each time they crash
-	// an engine again after that, up to MaxBlockTime.
+	// an engine again after that.
 	initialBlockTime = 2 * time.Minute
-	MaxBlockTime     = time.Hour
+	// MaxBlockTime is the longest time for which segments are blocked.
+	MaxBlockTime = time.Hour
 	// handoverTime is the age of the crashes that a detector passes on.
 	handoverTime = 30 * time.Second
 	// maxCrashes and maxSegments bound the memory for crashes and for segments with a survival.
