wire: a Receive that ends after its stream marks nothing

Callers saw: nothing but a place for streams less, and less memory for decoding, for as long as the peer kept the connection open.

Cause: a goroutine that receives, such as copyUp of a tunnel, may get a message while the method of its stream returns. Receive then marked the connection as carrying a stream, and acquired memory, after the end of the call had undone both.

Change: a Stream notes its end under the lock of its connection; a Receive after that fails, and marks and releases nothing.

--- a/internal/wire/codec.go
+++ b/internal/wire/codec.go
@@ -25,6 +25,8 @@
 type serverCodec struct {
 	codec
 	conn *peerConn
+	// stream is that of the message; nil for a call.
+	stream *Stream
 	// onArrival is called when a whole message has come; nil does nothing.
 	onArrival func()
 }
@@ -38,7 +40,7 @@
 	if err != nil {
 		return verd.Wrap(err, verd.NotRun, verd.BadRequest, "message of %d bytes", len(buf))
 	}
-	if err := c.conn.acquire(n); err != nil {
+	if err := c.conn.acquire(c.stream, n); err != nil {
 		return err
 	}
 	return decode(buf, msg)
--- a/internal/wire/conn.go
+++ b/internal/wire/conn.go
@@ -22,6 +22,9 @@
 	smallMessage = 64 << 10
 )
 
+// errEnded is the error of a Receive that goes on after its stream has ended.
+var errEnded = errors.New("stream has ended")
+
 // peerConn is a connection of a peer, within the limits of a server.
 type peerConn struct {
 	net.Conn
@@ -117,9 +120,12 @@
 	})
 }
 
-// acquire waits for the memory to decode a message. Any that was acquired before is released.
-func (c *peerConn) acquire(bytes int64) error {
-	c.release()
+// acquire waits for the memory to decode a message of a call or a stream; the latter is nil for a call. Any that was
+// acquired before is released.
+func (c *peerConn) acquire(s *Stream, bytes int64) error {
+	if !c.releaseFor(s) {
+		return errEnded
+	}
 	if bytes <= smallMessage {
 		return nil
 	}
@@ -133,6 +139,10 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s != nil && s.ended {
+		c.decoding.release(bytes)
+		return errEnded
+	}
 	c.decoded, c.received = bytes, false
 	return nil
 }
@@ -151,18 +161,42 @@
 	}
 }
 
-// setReceived notes that the message is decoded for which memory was acquired.
-func (c *peerConn) setReceived() {
+// releaseFor releases what a call or a stream has acquired. It returns false if the stream has ended: what is
+// acquired then belongs to another call.
+func (c *peerConn) releaseFor(s *Stream) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if s != nil && s.ended {
+		return false
+	}
+	c.releaseLocked()
+	return true
+}
+
+// finishReceive notes that a stream has decoded the message for which memory was acquired.
+func (c *peerConn) finishReceive(s *Stream) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.ended {
+		return errEnded
+	}
 	c.received = true
+	return c.table.openStream(c)
 }
 
-// releaseReceived releases what was acquired for a message, unless that is still being decoded.
-func (c *peerConn) releaseReceived() {
+// releaseReceived releases what a stream has acquired for a message, unless that is still being decoded.
+func (c *peerConn) releaseReceived(s *Stream) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.received {
+	if c.received && !s.ended {
 		c.releaseLocked()
 	}
 }
+
+// endStream releases what a stream has acquired. It acquires no more, and no longer marks the connection.
+func (c *peerConn) endStream(s *Stream) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s.ended = true
+	c.releaseLocked()
+}
--- a/internal/wire/conns_test.go
+++ b/internal/wire/conns_test.go
@@ -121,6 +121,9 @@
 	t     *testing.T
 	net   memnet.Network
 	stuck chan struct{}
+	// leave ends the streams to late, which receive in a goroutine that goes on, and late has its error.
+	leave chan struct{}
+	late  chan error
 	// pipes is the number of streams to pipe, and greeted that of those to greet which have received their message.
 	pipes, greeted atomic.Int64
 
@@ -130,7 +133,7 @@
 
 // newTestServer starts a server that ends with the test.
 func newTestServer(t *testing.T, memory int64) *testServer {
-	s := &testServer{t: t, stuck: make(chan struct{})}
+	s := &testServer{t: t, stuck: make(chan struct{}), leave: make(chan struct{}), late: make(chan error, 1)}
 	ln, err := s.net.Listen(serverAddr)
 	quicktest.Assert(t, err, quicktest.IsNil)
 	srv := &Server{
@@ -163,6 +166,11 @@
 				s.greeted.Add(1)
 				return st.SendWithin(10*time.Second, make([]byte, 1<<20))
 			}},
+			{Name: "late", Run: func(_ context.Context, st *Stream) error {
+				go func() { s.late <- st.Receive(new(any)) }()
+				<-s.leave
+				return nil
+			}},
 			{Name: "stuck", Run: func(_ context.Context, st *Stream) error {
 				var v any
 				if err := st.Receive(&v); err != nil {
--- a/internal/wire/memory_test.go
+++ b/internal/wire/memory_test.go
@@ -136,3 +136,30 @@
 	m.release(25)
 	quicktest.Check(t, m.small+m.large, quicktest.Equals, int64(0))
 }
+
+// TestReceiveAfterEndOfStream guards against connections that count as streams for good, with the memory of their
+// last message: a goroutine receives one while the handler of its stream returns.
+func TestReceiveAfterEndOfStream(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestServer(t, testMemory)
+		held := s.dial()
+		held.send(t, call(t, "stuck", make([]byte, 3<<20)))
+		synctest.Wait()
+		c := s.dial()
+		c.send(t, call(t, "late", make([]byte, 3<<20)))
+		synctest.Wait()
+		close(s.leave)
+		synctest.Wait()
+		held.Close()
+		close(s.stuck)
+		quicktest.Check(t, <-s.late, quicktest.IsNotNil)
+		_, err := s.callTakes("echo", 3<<20)
+		quicktest.Check(t, err, quicktest.IsNil)
+		time.Sleep(2 * idleTimeout)
+		select {
+		case <-c.ended:
+		default:
+			t.Error("connection still open")
+		}
+	})
+}
--- a/internal/wire/stream.go
+++ b/internal/wire/stream.go
@@ -27,6 +27,8 @@
 	conn *peerConn
 	// sending is the number of sends in progress.
 	sending atomic.Int32
+	// ended is set once the method that serves the stream has returned. The mu of conn guards it.
+	ended bool
 }
 
 // Send sends one message. The last one received no longer counts as being handled, as the other side may take
@@ -35,7 +37,7 @@
 	s.sending.Add(1)
 	defer s.sending.Add(-1)
 	if s.conn != nil {
-		s.conn.releaseReceived()
+		s.conn.releaseReceived(s)
 	}
 	return s.stream.MsgSend(v, codec{})
 }
@@ -55,12 +57,11 @@
 	if s.conn == nil {
 		return s.stream.MsgRecv(v, codec{})
 	}
-	s.conn.release()
-	if err := s.stream.MsgRecv(v, serverCodec{conn: s.conn, onArrival: onArrival}); err != nil {
+	s.conn.releaseFor(s)
+	if err := s.stream.MsgRecv(v, serverCodec{conn: s.conn, stream: s, onArrival: onArrival}); err != nil {
 		return err
 	}
-	s.conn.setReceived()
-	return s.conn.table.openStream(s.conn)
+	return s.conn.finishReceive(s)
 }
 
 // SendWithin is Send, and closes the stream if the other side doesn't take the message in time.
@@ -115,6 +116,7 @@
 		if m.Name == name {
 			st := &Stream{stream: stream, conn: c}
 			st.closeConn = st.closeAccepted
+			defer c.endStream(st)
 			return true, m.Run(stream.Context(), st)
 		}
 	}
