guard: a body that no handler reads makes room again

Change: such a connection can make room once its handler has returned. A request refused for its head has the deadline of bodies, too.

--- a/internal/guard/handler.go
+++ b/internal/guard/handler.go
@@ -28,8 +28,12 @@
 	// These fail only on a closed connection.
 	_ = rc.SetWriteDeadline(now.Add(responseTimeout))
 	c, hasPort := r.Context().Value(connKey{}).(*conn)
+	if r.ContentLength != 0 {
+		_ = rc.SetReadDeadline(now.Add(bodyTimeout))
+	}
 	if hasPort && !c.port.settleHead(c, fieldsCost(r.Header)) {
 		refuseHead(w)
+		c.setReading(r.ContentLength != 0)
 		return
 	}
 	if hasPort && c.port.isCrowded(now) {
@@ -40,7 +44,6 @@
 		h.next.ServeHTTP(w, r)
 		return
 	}
-	_ = rc.SetReadDeadline(now.Add(bodyTimeout))
 	b := &trackedBody{ReadCloser: r.Body, rc: rc, trailer: func() http.Header { return r.Trailer }}
 	if hasPort {
 		b.conn = c
@@ -49,6 +52,10 @@
 	copied := *r
 	copied.Body = b
 	h.next.ServeHTTP(w, &copied)
+	if hasPort && !b.isDone {
+		// net/http discards the rest of the body before it goes on.
+		c.setReading(true)
+	}
 }
 
 // trackedBody notes the progress of a body.
--- a/internal/guard/port_test.go
+++ b/internal/guard/port_test.go
@@ -134,3 +134,18 @@
 		quicktest.Check(t, heads.used.Load(), quicktest.Equals, int64(0))
 	})
 }
+
+// TestUnreadBodyMakesRoom guards against clients that stop within a body that the handler doesn't read, and keep their places
+// while the server waits for the rest.
+func TestUnreadBodyMakesRoom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newTestPort(t, &Port{Name: "ready", MaxConns: 1})
+		stalled := s.dial()
+		stalled.send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nhalf")
+		time.Sleep(freshTime + time.Millisecond)
+		c := s.dial()
+		c.send(fmt.Sprintf(get, "/"))
+		quicktest.Check(t, c.status(), quicktest.Equals, http.StatusOK)
+		quicktest.Check(t, stalled.isClosed(), quicktest.IsTrue)
+	})
+}
