gate: a leaving entry bounds the time of each answer by its own size

Callers saw streams that an entry took up to 2.5 s after its SIGTERM and truncated at 7.5 s.

Cause: what it takes while it leaves went by the times of the last 16 answers of the kind.

Change: the time to the first event is taken as a ratio to what the placement predicted, the time from there to the last event as a ratio to what the engine takes without load for the tokens that the caller allows. Parts of answers no longer count as answers. The log tells the expected time of what ends while its instance drains (need), which tells this cause from others.

--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -98,7 +98,8 @@
 // expectedTime returns the time that the answer to a request is expected to take once it is sent to a target. It returns
 // false if there is nothing to go by.
 func (x *exchange) expectedTime() (need time.Duration, known bool) {
-	return x.server.answers.expected(kindOf(x.route))
+	a, known := x.server.answers.expected(kindOf(x.route))
+	return a.took, known
 }
 
 // acquireInTime is placer.acquire for as long as the answer could end before this instance does. While it drains, a request
@@ -120,7 +121,7 @@
 	defer cancel()
 	g, err := s.server.placer.acquire(ctx, req)
 	if err == nil {
-		if left, ok := s.server.drainLeft(); ok && (known && need > left || g.PredictedTTFT > left) {
+		if left, ok := s.server.drainLeft(); ok && s.outlasts(g, left) {
 			s.server.placer.release(place.End{ID: g.ID})
 			err = errShuttingDown
 		}
@@ -130,3 +131,11 @@
 	}
 	return g, err
 }
+
+// outlasts reports whether the answer of the engines of a grant isn't expected to end in the time left. If a part of it is
+// there, its caller is better off with as much as comes.
+func (s *stream) outlasts(g place.Grant, left time.Duration) bool {
+	need, known := s.expectedTimeWith(g)
+	s.need = need
+	return g.PredictedTTFT > left || !s.headSent && known && need > left
+}
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -20,15 +20,15 @@
 func TestShortAnswersDoNotRaiseExpectation(t *testing.T) {
 	var a answerTimes
 	k := answerKind{pool: "engines", kind: site.Streaming}
-	a.add(k, 8*time.Second)
+	a.add(k, answer{took: 8 * time.Second})
 	last, _ := a.expected(k)
 	longest := time.Duration(0)
 	for range 8 {
-		a.add(k, 300*time.Millisecond)
+		a.add(k, answer{took: 300 * time.Millisecond})
 		expected, _ := a.expected(k)
-		longest = max(longest, expected)
+		longest = max(longest, expected.took)
 	}
-	quicktest.Check(t, longest <= last, quicktest.IsTrue, quicktest.Commentf("%s, before the short answers %s", longest, last))
+	quicktest.Check(t, longest <= last.took, quicktest.IsTrue, quicktest.Commentf("%s, before the short answers %s", longest, last.took))
 }
 
 // TestSlowCallersDoNotCloseDrainingInstance guards against a draining instance that refuses short requests, because
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -217,7 +217,7 @@
 // sendToLead sends the request to the lead engine and relays the response.
 func (s *stream) sendToLead(ctx context.Context, g place.Grant, lead site.Target, helpers []PrefillHelper, end *place.End) (done bool, reason string) {
 	defer s.server.health.track(lead.ID)()
-	att := streamAttempt{target: lead, grantID: g.ID, sentAt: time.Now()}
+	att := streamAttempt{target: lead, grantID: g.ID, sentAt: time.Now(), resumes: s.hasLastID}
 	q := s.buildRequest(lead, SendInfo{Urgency: g.Urgency, Helpers: helpers, LastEventID: s.lastID, HasLastEventID: s.hasLastID})
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -258,7 +258,9 @@
 		s.server.blocklist.recordSurvival(s.exchange, att.firstEventAt)
 	}
 	reuse = true
-	s.server.answers.add(kindOf(s.route), time.Since(att.sentAt)-att.blocked)
+	if !att.resumes {
+		s.server.answers.add(kindOf(s.route), s.measure(g, &att))
+	}
 	s.server.health.recordSuccess(lead.ID)
 	return true, ""
 }
@@ -384,6 +386,8 @@
 	target  site.Target
 	grantID string
 	sentAt  time.Time
+	// resumes is set if the caller has a part of the answer.
+	resumes bool
 	// firstEventAt is when the first new event came, and lastEventAt when the last one did;
 	// zero before that.
 	firstEventAt, lastEventAt time.Time
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -77,6 +77,8 @@
 	queueTime   time.Duration
 	predicted   time.Duration
 	engineCount int
+	// need is the time that the answer was expected to take when it was granted engines while the instance was draining.
+	need time.Duration
 }
 
 // Values of exchange.answeredBy.
@@ -352,7 +354,7 @@
 		e.Bool("truncated", true)
 	}
 	if d := s.drainingFor(); d > 0 {
-		e.Dur("draining", d)
+		e.Dur("draining", d).Dur("need", x.need)
 	}
 	if x.noRetry != "" {
 		e.Str("no_retry", x.noRetry)
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -339,7 +339,7 @@
 		return nil, mayHaveRun{"the response of a target ended early"}
 	}
 	reuse = true
-	s.answers.add(kindOf(x.route), time.Since(sentAt))
+	s.answers.add(kindOf(x.route), answer{took: time.Since(sentAt)})
 	s.blocklist.recordSurvival(x, sentAt)
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -376,7 +376,7 @@
 	client := &http.Client{Transport: &http.Transport{DialContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
 		return f.net.Dialer("10.0.9.9")(ctx, addr)
 	}, DisableKeepAlives: true}}
-	c.Key, c.TimeLimit, c.PromptTokens, c.MaxOutputTokens = "key", 10*time.Second, max(5000, c.PromptTokens), 1000
+	c.Key, c.TimeLimit, c.PromptTokens, c.MaxOutputTokens = "key", 10*time.Second, max(5000, c.PromptTokens), cmp.Or(c.MaxOutputTokens, 1000)
 	q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+fmt.Sprintf(entryHost, entry+1)+":80"+path, strings.NewReader(body))
 	quicktest.Assert(f.t, err, quicktest.IsNil)
 	q.Host, q.Header = "h", platform.EncodeCall(c)
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -42,6 +42,8 @@
 	wantsWhole bool
 	// prompt is the length of the prompts in tokens; 0 means 5000.
 	prompt int
+	// output returns the longest answer that a caller wants, in tokens; nil means 300 for all.
+	output func(number int) int
 
 	mu sync.Mutex
 	// reached counts the targets that each request reached.
@@ -151,6 +153,9 @@
 	for i := 0; ; i++ {
 		id := strconv.Itoa(number*1000 + i)
 		c := gate.CallInfo{ID: id, Key: "key", TimeLimit: limit, PromptTokens: cmp.Or(p.prompt, 5000), MaxOutputTokens: 300}
+		if p.output != nil {
+			c.MaxOutputTokens = p.output(number)
+		}
 		q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+path, strings.NewReader("prompt of "+id))
 		quicktest.Assert(p.t, err, quicktest.IsNil)
 		q.Header = platform.EncodeCall(c)
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -249,4 +249,10 @@
 	return m.passTime(answers, contextTokens) * time.Duration(max(1, output/m.Stride))
 }
 
+// WriteTime returns the time in which an engine without other load decodes an answer of output tokens, with that many tokens
+// of its prompt on each engine.
+func WriteTime(m site.Engine, context, output int) time.Duration {
+	return costModel{m}.decodeTime(output, 1, context)
+}
+
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
