gate: a busy process still writes its last responses

Callers of an entry that stops while it hardly gets its processor got a closed connection instead of 502 or 503.

Cause: at the end of the drain all requests got 100 ms for their writes, also those whose response hadn't begun. A process that runs 20 ms in 100 ms writes some of them later, and a write after its deadline closes the connection. The deadline is meant for writes that callers hold up.

Change: a response that begins after the end of the drain has a deadline of its own; the end of the process bounds it. The deadline of writes in progress is set before the requests end, so that it can't replace that of the response.

--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/frankban/quicktest"
+	"github.com/phuslu/log"
 
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
@@ -116,3 +118,38 @@
 		quicktest.Check(t, statuses[200] > 0, quicktest.IsTrue)
 	})
 }
+
+// TestBusyInstanceAnswersAtItsEnd guards against requests that get no response at the end of a drain, because the instance
+// hardly gets its processor and is late to write it.
+func TestBusyInstanceAnswersAtItsEnd(t *testing.T) {
+	for path, want := range map[string]int{nonIdempotentPath: http.StatusBadGateway, resumableStreamPath: http.StatusBadGateway} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				scripts := []script{neverRespond}
+				s := newTestbed(t, scripts, scripts)
+				for i := range s.tables.Routes {
+					s.tables.Routes[i].Limit, s.tables.Routes[i].Aim = 10*time.Second, 4*time.Second
+				}
+				s.tables.Version = 2
+				s.publish(2)
+				s.gate.DrainTime = time.Second
+				var late atomic.Bool
+				// Each log line takes as long as some turns of a processor that is shared.
+				s.gate.Log.Writer = log.WriterFunc(func(*log.Entry) (int, error) {
+					if late.Load() {
+						time.Sleep(2 * lastWriteTime)
+					}
+					return 0, nil
+				})
+				status := make(chan int)
+				go func() { status <- s.call(path, "x", "Left", "9000").status }()
+				time.Sleep(100 * time.Millisecond)
+				s.gate.Drain()
+				time.Sleep(s.gate.DrainTime)
+				late.Store(true)
+				s.gate.EndRequests()
+				quicktest.Check(t, <-status, quicktest.Equals, want)
+			})
+		})
+	}
+}
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -258,6 +258,7 @@
 // respondError responds with an error for which a retry by the caller does not help.
 func (x *exchange) respondError(status int, reason string) {
 	x.status, x.reason, x.answeredBy = status, reason, byEntry
+	x.extendWriteDeadline()
 	http.Error(x.w, reason, status)
 }
 
@@ -265,6 +266,7 @@
 func (x *exchange) respondUnavailable(reason string, retry time.Duration) {
 	x.status, x.reason, x.answeredBy = http.StatusServiceUnavailable, reason, byEntry
 	x.w.Header().Set("Retry-After", strconv.FormatFloat(retry.Seconds(), 'f', -1, 64))
+	x.extendWriteDeadline()
 	http.Error(x.w, reason, http.StatusServiceUnavailable)
 }
 
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -495,6 +495,7 @@
 	for k, v := range x.server.HeaderCodec.CallerHeader(resp.header) {
 		h[k] = v
 	}
+	x.extendWriteDeadline()
 	x.status, x.answeredBy = resp.status, byTarget
 	if resp.status >= http.StatusBadRequest {
 		x.reason = "the target answered with " + strconv.Itoa(resp.status)
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -39,8 +39,10 @@
 	// response. After that the connection is closed, so that callers that read slowly or not at
 	// all hold neither buffers nor engines.
 	writeGrace = time.Second
-	// lastWriteTime is how long after EndRequests the last bytes of responses may take.
-	lastWriteTime = 100 * time.Millisecond
+	// lastWriteTime is how long after EndRequests writes in progress may take, and lastResponseTime how long the
+	// responses that begin then may take: a busy process is late to write them.
+	lastWriteTime    = 100 * time.Millisecond
+	lastResponseTime = time.Second
 	// idleSweepInterval is how often expired idle connections are closed.
 	idleSweepInterval = time.Second
 )
@@ -169,13 +171,12 @@
 	}
 	ctx, cancel := context.WithDeadline(r.Context(), x.deadline)
 	defer cancel()
-	defer context.AfterFunc(s.serving, cancel)()
 	if x.isBound() {
 		ctx = relay.Restrict(ctx, x.allowsRelay)
 	}
 	// This fails only on a closed connection, and then writes fail, too.
 	_ = http.NewResponseController(w).SetWriteDeadline(x.deadline.Add(writeGrace))
-	defer s.endWithServer(w)()
+	defer s.endWithServer(w, cancel)()
 	s.Budget.recordRequest(x.pool.Name)
 	if x.pool.Engine != nil {
 		x.serveEngine(ctx)
@@ -184,11 +185,20 @@
 	x.servePlain(ctx)
 }
 
-// endWithServer has the reads and writes of a request end soon after EndRequests, also those that its caller holds up. The
-// returned function ends that.
-func (s *Server) endWithServer(w http.ResponseWriter) (stop func() bool) {
+// endWithServer ends a request with EndRequests, and soon after it the writes that its caller holds up. The returned function
+// ends that.
+func (s *Server) endWithServer(w http.ResponseWriter, cancel context.CancelFunc) (stop func() bool) {
 	return context.AfterFunc(s.serving, func() {
-		// This fails only on a closed connection.
+		// This fails only on a closed connection. It comes first, as the response has a deadline of its own.
 		_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(lastWriteTime))
+		cancel()
 	})
 }
+
+// extendWriteDeadline gives a response that begins after EndRequests time to be written.
+func (x *exchange) extendWriteDeadline() {
+	if x.server.serving.Err() != nil {
+		// This fails only on a closed connection.
+		_ = http.NewResponseController(x.w).SetWriteDeadline(time.Now().Add(lastResponseTime))
+	}
+}
