guard, node: an entry answers what it has read for as long as its grace period lasts

A request that an entry read when its drain had just ended, 3 s and more after SIGTERM, got a closed connection instead of 503, although up to 4.7 s of the grace period were left. That is what the report says: taken long after SIGTERM, and given up.

Cause: the HTTP servers had a fixed 300 ms to close. A process that hardly gets its processor (0.19 cores on the reported site) needs longer, and http.Server.Shutdown also closes a kept connection at once on which a part of the next request has come.

Change: the servers of an entry may take what its grace period leaves, but for 50 ms. guard.Server closes connections without a request by itself, so that those don't hold up the end, and never one whose request has begun to come.

The tests of planned stops now run the close of the real process.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -22,7 +22,9 @@
 	// The fields below are guarded by Port.mu.
 	since     time.Time
 	headBytes int64
-	isGone    bool
+	// hasHead is set while a part of the head of a request has come.
+	hasHead bool
+	isGone  bool
 }
 
 // state returns the state of the connection. The caller holds Port.mu.
--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -155,6 +155,25 @@
 	_ = c.Conn.Close()
 }
 
+// closeIdle closes the connections on which no part of a request has come for freshTime, or no more of one for stallTime, and
+// returns the number of the others.
+func (p *Port) closeIdle(now time.Time) (left int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		patience := freshTime
+		if c.hasHead || phase(c.phase.Load()) == reading {
+			patience = stallTime
+		}
+		if phase(c.phase.Load()) != busy && now.Sub(c.since) >= patience {
+			p.remove(c)
+			// The server sees the closed connection.
+			_ = c.Conn.Close()
+		}
+	}
+	return len(p.conns)
+}
+
 // remove forgets a connection. The caller holds p.mu.
 func (p *Port) remove(c *conn) {
 	delete(p.conns, c)
@@ -227,7 +246,7 @@
 		c.phase.Store(int32(busy))
 	case http.StateIdle:
 		p.Heads.release(c.headBytes)
-		c.headCost, c.headBytes, c.since = 0, 0, now
+		c.headCost, c.headBytes, c.since, c.hasHead = 0, 0, now, false
 		c.phase.Store(int32(waiting))
 	case http.StateClosed, http.StateHijacked:
 		p.remove(c)
@@ -282,5 +301,5 @@
 func (p *Port) noteHead(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.since = time.Now()
+	c.since, c.hasHead = time.Now(), true
 }
--- a/internal/httpx/serve.go
+++ b/internal/httpx/serve.go
@@ -10,9 +10,16 @@
 	"golang.org/x/sync/errgroup"
 )
 
-// Serve runs srv on ln in g until ctx ends. Requests in flight then have grace to
-// complete; after that their connections are closed.
-func Serve(ctx context.Context, g *errgroup.Group, srv *http.Server, ln net.Listener, grace time.Duration) {
+// Server is an *http.Server, or one that closes its connections in another way.
+type Server interface {
+	Serve(net.Listener) error
+	Shutdown(context.Context) error
+	Close() error
+}
+
+// Serve runs srv on ln in g until ctx ends. Requests in flight then have the time that grace returns to complete; after that
+// their connections are closed.
+func Serve(ctx context.Context, g *errgroup.Group, srv Server, ln net.Listener, grace func() time.Duration) {
 	g.Go(func() error {
 		if err := srv.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
 			return err
@@ -21,7 +28,7 @@
 	})
 	g.Go(func() error {
 		<-ctx.Done()
-		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace)
+		shutdownCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), grace())
 		defer cancel()
 		if srv.Shutdown(shutdownCtx) == nil {
 			return nil
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -22,8 +22,10 @@
 	// endTimeout bounds the wait for the responses to requests that can't end in the grace period.
 	endTimeout = 150 * time.Millisecond
 	// maxShutdownTime is the part of the grace period that remains after the drain: for those responses, for closing
-	// the servers, and to spare. Of a short grace period, it is the part that shutdownDivisor gives.
-	maxShutdownTime = endTimeout + closeTimeout + 50*time.Millisecond
+	// the servers, and spareTime. Of a short grace period, it is the part that shutdownDivisor gives.
+	maxShutdownTime = endTimeout + closeTimeout + spareTime
+	// spareTime is what a process keeps of its grace period for its own end.
+	spareTime       = 50 * time.Millisecond
 	shutdownDivisor = 2
 	// minDrainDivisor divides the grace period into the shortest drain if that is less than
 	// lookupLifetime.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -9,6 +9,7 @@
 	"os"
 	"runtime/debug"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -52,7 +53,8 @@
 	bufferDivisor = 4
 	// configWeight is the memory for a byte of a configuration while it is decoded.
 	configWeight = 4
-	// closeTimeout bounds the wait for in-flight requests when the HTTP servers close.
+	// closeTimeout bounds the wait for in-flight requests when the HTTP servers close; in a planned stop, it is what the drain
+	// leaves of the grace period for that at least.
 	closeTimeout = 300 * time.Millisecond
 	// controlCloseTimeout is closeTimeout of a control instance, whose calls end within 0.9 s.
 	controlCloseTimeout = time.Second
@@ -98,6 +100,8 @@
 	heads      guard.Heads
 	// controlBodies holds the bodies of requests to the control instance.
 	controlBodies guard.Bodies
+	// endsAt is the end of the grace period in Unix nanoseconds; 0 before the drain.
+	endsAt atomic.Int64
 }
 
 // Run serves until ctx ends, then drains and shuts down. It returns an error if a
@@ -269,13 +273,26 @@
 	if err != nil {
 		return errors.Wrapf(err, "listen on %s", addr)
 	}
+	p.serveOn(ctx, g, name, ln, maxConns, srv)
+	return nil
+}
+
+// serveOn runs a server with at most maxConns connections on a listener in g.
+func (p *Process) serveOn(ctx context.Context, g *errgroup.Group, name string, ln net.Listener, maxConns int, srv *http.Server) {
 	port := &guard.Port{Name: name, MaxConns: maxConns, Heads: &p.heads, Log: p.Log, Metrics: p.metrics}
-	closing := closeTimeout
-	if p.gate == nil {
-		closing = controlCloseTimeout
+	httpx.Serve(ctx, g, &guard.Server{Server: srv, Port: port}, ln, p.closeTime)
+}
+
+// closeTime returns how long the HTTP servers may take to close once the components end.
+func (p *Process) closeTime() time.Duration {
+	switch end := p.endsAt.Load(); {
+	case p.gate == nil:
+		return controlCloseTimeout
+	case end == 0:
+		return closeTimeout
+	default:
+		return max(spareTime, time.Until(time.Unix(0, end))-spareTime)
 	}
-	httpx.Serve(ctx, g, srv, port.Protect(srv, ln), closing)
-	return nil
 }
 
 // drain blocks until the process can shut down. An entry waits for its in-flight requests
@@ -287,6 +304,7 @@
 		time.Sleep(controlDrainTime)
 		return
 	}
+	p.endsAt.Store(time.Now().Add(time.Duration(p.Settings.Grace)).UnixNano())
 	p.gate.Drain()
 	inFlight := func() int64 { return p.gate.InFlight() + p.relay.Active() }
 	awaitDrained(time.Duration(p.Settings.Grace), inFlight, &p.callers)
--- a/internal/node/stop_long_test.go
+++ b/internal/node/stop_long_test.go
@@ -127,57 +127,73 @@
 	quicktest.Check(p.t, whole > 0 && refused > 0, quicktest.IsTrue, quicktest.Commentf("%d whole, %d refused", whole, refused))
 }
 
+// unlikeAnswers are streams of one kind during a planned stop, of which every eighth is long.
+type unlikeAnswers struct{ *stopPlay }
+
+const shortOutput, longOutput = 100, 4800
+
+// output returns the longest answer that a caller wants, in tokens.
+func (u unlikeAnswers) output(number int) int {
+	if number%8 == 7 {
+		return longOutput
+	}
+	return shortOutput
+}
+
+// serve answers a request with about the step time of fleetTables.
+func (u unlikeAnswers) serve(_ *testTarget, w http.ResponseWriter, i gate.CallInfo) {
+	u.mu.Lock()
+	u.reached[i.ID]++
+	u.mu.Unlock()
+	writeHead(w, gate.ReplyInfo{RequestID: i.ID})
+	for n := range int64(i.MaxOutputTokens / shortOutput) {
+		i.LastEventID = n
+		writeStream(w, i, n+1)
+		if !timing.Sleep(w.(*silenceWriter).ctx, shortOutput*1400*time.Microsecond-eventPause) {
+			return
+		}
+	}
+}
+
+// check checks how the requests have ended that were sent after the stop.
+func (u unlikeAnswers) check() {
+	stop := u.start.Add(stopAfter)
+	whole, refused, cut := 0, 0, []string(nil)
+	for _, r := range u.results {
+		switch {
+		case r.sent.Before(stop):
+		case r.status == http.StatusOK && r.err == nil:
+			whole++
+		case r.status == http.StatusServiceUnavailable:
+			refused++
+		default:
+			cut = append(cut, fmt.Sprintf("request %s, sent %s and ended %s after the stop, status %d, error %v", r.id, r.sent.Sub(stop), r.ended.Sub(stop), r.status, r.err))
+		}
+	}
+	red.Check(u.t, "cut", len(cut) == 0, "%d cut of those sent after the stop, %d whole, %d refused:\n%s", len(cut), whole, refused, strings.Join(cut, "\n"))
+	quicktest.Check(u.t, whole > 0 && refused > 0, quicktest.IsTrue, quicktest.Commentf("%d whole, %d refused", whole, refused))
+}
+
 // TestPlannedStopTakesNoLongAnswerAmongShortOnes guards against streams that an entry takes although it is leaving, since the
 // answers of their kind were short lately, and truncates.
 func TestPlannedStopTakesNoLongAnswerAmongShortOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		const short, long, everyNth = 100, 4800, 8
 		ctx, cancel := context.WithCancel(t.Context())
-		p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int), output: func(number int) int {
-			if number%everyNth == everyNth-1 {
-				return long
-			}
-			return short
-		}}
-		p.fleet = newFleet(ctx, t, 1, 12, 0, func(_ *testTarget, w http.ResponseWriter, i gate.CallInfo) {
-			p.mu.Lock()
-			p.reached[i.ID]++
-			p.mu.Unlock()
-			writeHead(w, gate.ReplyInfo{RequestID: i.ID})
-			// The step time of fleetTables with some other answers.
-			for n := range int64(i.MaxOutputTokens / short) {
-				i.LastEventID = n
-				writeStream(w, i, n+1)
-				if !timing.Sleep(w.(*silenceWriter).ctx, short*1400*time.Microsecond-eventPause) {
-					return
-				}
-			}
-		}, func(f *fleet) { f.bind = withLongLimits })
+		p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int)}
+		u := unlikeAnswers{p}
+		p.output = u.output
+		p.fleet = newFleet(ctx, t, 1, 12, 0, u.serve, func(f *fleet) { f.bind = withLongLimits })
 		defer p.close(cancel)
 		var before sync.WaitGroup
 		for i := range 20 {
 			before.Go(func() {
 				time.Sleep(time.Duration(i) * 50 * time.Millisecond)
-				_, whole := p.call(ctx, 0, chatPath, gate.CallInfo{ID: fmt.Sprintf("b%d", i), MaxOutputTokens: short})
+				_, whole := p.call(ctx, 0, chatPath, gate.CallInfo{ID: fmt.Sprintf("b%d", i), MaxOutputTokens: shortOutput})
 				quicktest.Check(t, whole, quicktest.IsTrue)
 			})
 		}
 		before.Wait()
 		p.play(ctx, 48, chatPath, []time.Duration{10 * time.Second})
-		whole, refused, cut := 0, 0, []string(nil)
-		for _, r := range p.results {
-			sent := r.sent.Sub(p.start.Add(stopAfter))
-			switch {
-			case sent < 0:
-			case r.status == http.StatusOK && r.err == nil:
-				whole++
-			case r.status == http.StatusServiceUnavailable:
-				refused++
-			default:
-				cut = append(cut, fmt.Sprintf("request %s, sent %s and ended %s after the stop, status %d, error %v", r.id, sent, r.ended.Sub(p.start.Add(stopAfter)), r.status, r.err))
-			}
-		}
-		red.Check(t, "cut", len(cut) == 0, "%d cut of those sent after the stop, %d whole, %d refused:\n%s", len(cut), whole, refused, strings.Join(cut, "\n"))
-		quicktest.Check(t, whole > 0 && refused > 0, quicktest.IsTrue, quicktest.Commentf("%d whole, %d refused", whole, refused))
+		u.check()
 	})
 }
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -16,11 +16,12 @@
 
 	"github.com/frankban/quicktest"
 	"github.com/phuslu/log"
+	"github.com/rcrowley/go-metrics"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/bambooproxy/bambooproxy/internal/conf"
 	"github.com/bambooproxy/bambooproxy/internal/gate"
-	"github.com/bambooproxy/bambooproxy/internal/httpx"
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 	"github.com/bambooproxy/bambooproxy/internal/red"
 	"github.com/bambooproxy/bambooproxy/internal/relay"
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -114,13 +115,7 @@
 // play stops the entry one second after the first request, with that many callers and others.
 func (p *stopPlay) play(ctx context.Context, callerCount int, path string, limits []time.Duration, others ...func()) {
 	g := p.entries[0].Handler.(*gate.Server)
-	g.DrainTime = drainTime(stopGrace)
-	proc := &Process{Settings: conf.Process{Grace: table.Duration(stopGrace)}, Log: &log.Logger{Level: log.PanicLevel}, gate: g, relay: &relay.Server{}}
-	ln, err := p.net.Listen(stopAddr)
-	quicktest.Assert(p.t, err, quicktest.IsNil)
-	group, stopCtx := errgroup.WithContext(ctx)
-	stopCtx, stop := context.WithCancel(stopCtx)
-	httpx.Serve(stopCtx, group, newHTTPServer(g, idleTimeout, proc.callers.connState), ln, closeTimeout)
+	proc, group, stop := p.startProcess(ctx, g, g)
 	p.start = time.Now()
 	var callers sync.WaitGroup
 	for i := range callerCount {
@@ -141,6 +136,21 @@
 	quicktest.Check(p.t, p.statuses[200]+p.statuses[502]+p.statuses[504] > 0, quicktest.IsTrue, quicktest.Commentf("%v", p.statuses))
 }
 
+// startProcess starts the process of an entry, whose handler serves its callers. The function stop ends it.
+func (p *stopPlay) startProcess(ctx context.Context, g *gate.Server, h http.Handler) (proc *Process, group *errgroup.Group, stop func()) {
+	g.DrainTime = drainTime(stopGrace)
+	proc = &Process{
+		Settings: conf.Process{Grace: table.Duration(stopGrace)}, Log: &log.Logger{Level: log.PanicLevel}, gate: g, relay: &relay.Server{},
+		heads: guard.Heads{Limit: 1 << 20}, metrics: metrics.NewRegistry(),
+	}
+	ln, err := p.net.Listen(stopAddr)
+	quicktest.Assert(p.t, err, quicktest.IsNil)
+	group, ctx = errgroup.WithContext(ctx)
+	ctx, stop = context.WithCancel(ctx)
+	proc.serveOn(ctx, group, "callers", ln, 1000, newHTTPServer(h, idleTimeout, proc.callers.connState))
+	return proc, group, stop
+}
+
 // caller sends one request after the other on a connection, until it is closed.
 func (p *stopPlay) caller(ctx context.Context, number int, path string, limit time.Duration) {
 	time.Sleep(time.Duration(number) * 70 * time.Millisecond)
