gate: an instance that is leaving doesn't hold requests for its first tables

A request that came to an entry between its start and its first tables waited up to 1.5 s for them, also if the entry was being stopped again, and was refused then. Others could serve it at once.

Change: the wait ends with the beginning of the drain.

Evidence: TestDrainRefusesAtOnceWithoutTables waits 1.5 s before, whether the drain begins before or meanwhile, and no longer than the drain now.

--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -153,3 +153,23 @@
 		})
 	}
 }
+
+// TestDrainRefusesAtOnceWithoutTables guards against requests that wait for the first tables at an instance that is leaving
+// again, although others could serve them.
+func TestDrainRefusesAtOnceWithoutTables(t *testing.T) {
+	for name, drainAfter := range map[string]time.Duration{"before": 0, "meanwhile": 500 * time.Millisecond} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newTestbed(t, []script{respond(200, "done", sealHeader)}, nil)
+				s.gate.startedAt, s.gate.DrainTime = time.Now(), 7500*time.Millisecond
+				s.gate.views.confirmed = false
+				s.gate.views.setup()
+				time.AfterFunc(drainAfter, s.gate.Drain)
+				time.Sleep(time.Millisecond)
+				res := s.call(idempotentPath, "", "Left", "9000")
+				quicktest.Check(t, res.status, quicktest.Equals, http.StatusServiceUnavailable)
+				quicktest.Check(t, res.took <= drainAfter+time.Millisecond, quicktest.IsTrue, quicktest.Commentf("after %s", res.took))
+			})
+		})
+	}
+}
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -160,7 +160,7 @@
 }
 
 // awaitTables waits for the first tables if the instance has only just started, because
-// control is about to send them. It returns false if there are none.
+// control is about to send them, and isn't leaving again. It returns false if there are none.
 func (x *exchange) awaitTables() bool {
 	s := x.server
 	if !s.views.isUsable() {
@@ -168,7 +168,9 @@
 		if x.call.TimeLimit > 0 {
 			wait = min(wait, x.call.TimeLimit/tablesWaitDivisor)
 		}
-		s.views.await(x.r.Context(), wait)
+		ctx, cancel := s.untilDrainedFor(x.r.Context(), 0)
+		defer cancel()
+		s.views.await(ctx, wait)
 		x.view = s.views.load()
 	}
 	return s.views.isUsable()
