gate, node: an instance whose timers are late ends its drain earlier

Requests in progress at an entry are lost if it is killed at the end of its grace period before it has ended them.

Cause: the drain counts from when the process learns of SIGTERM, and leaves half a second for its end. A process that hardly gets its processor learns of the signal late and takes longer for its end.

Change: the drain is shorter by twice the mean delay of the timers, which the entry measures already; half of the drain remains in any case. What is taken goes by the shorter drain.

Evidence: TestBusyInstanceEndsEarlier, on measures that it sets.

--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -19,6 +19,10 @@
 	// turnTime is how long a request waits for a grant after the notice that it is queued if it takes one at once or none:
 	// the scheduler queues some for its next round only.
 	turnTime = 100 * time.Millisecond
+	// lateFactor is how many times the delay of timers an instance ends earlier: it was late to learn of its stop, and will
+	// be late to write its last responses. A drain keeps minDrainShare of its time.
+	lateFactor    = 2
+	minDrainShare = 0.5
 )
 
 // shutdownReason is why requests end that are in progress at the end of a drain, and why a draining
@@ -30,11 +34,18 @@
 
 // Drain starts to drain the instance: callers are no longer sent here.
 func (s *Server) Drain() {
+	late := min(lateFactor*time.Duration(s.delay.mean.Load()), scale(s.DrainTime, 1-minDrainShare))
+	s.drainLate.CompareAndSwap(0, int64(late))
 	if s.drainStart.CompareAndSwap(0, int64(time.Since(s.startedAt))+1) {
 		s.startDraining()
 	}
 }
 
+// DrainLimit returns how long after Drain the requests in progress have to end; 0 if there is no limit.
+func (s *Server) DrainLimit() time.Duration {
+	return max(0, s.DrainTime-time.Duration(s.drainLate.Load()))
+}
+
 // EndRequests ends the requests in progress at the end of a drain. Their callers get a response, as long as they have no
 // part of one, which says whether the request may have run.
 func (s *Server) EndRequests() { s.stopServing() }
@@ -51,7 +62,7 @@
 // drainLeft returns the time until the requests in progress end, if the instance is draining and knows when it ends.
 func (s *Server) drainLeft() (left time.Duration, ok bool) {
 	d := s.drainingFor()
-	return s.DrainTime - d, d > 0 && s.DrainTime > 0
+	return s.DrainLimit() - d, d > 0 && s.DrainTime > 0
 }
 
 // untilDrainedFor returns a context that ends, with errShuttingDown as its cause, once this instance has been draining for
@@ -110,7 +121,7 @@
 		// A part of the answer is there.
 		need, known = 0, false
 	}
-	longestWait := s.server.DrainTime
+	longestWait := s.server.DrainLimit()
 	if req.NoQueue = s.server.drainingFor() > 0; !req.NoQueue {
 		if !known {
 			need = time.Duration(unknownNeed * float64(longestWait))
--- a/internal/gate/drain_test.go
+++ b/internal/gate/drain_test.go
@@ -173,3 +173,31 @@
 		})
 	}
 }
+
+// TestBusyInstanceEndsEarlier guards against an instance that hardly gets its processor, plans its end as if it ran in time,
+// and is killed with requests in progress.
+func TestBusyInstanceEndsEarlier(t *testing.T) {
+	const limit = 7500 * time.Millisecond
+	for late, want := range map[time.Duration]time.Duration{
+		0: limit, 20 * time.Millisecond: limit - 40*time.Millisecond, 500 * time.Millisecond: limit - time.Second, time.Minute: limit / 2,
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newTestbed(t, []script{respond(200, "done", sealHeader)}, nil)
+			for i := range s.tables.Routes {
+				s.tables.Routes[i].Limit = 20 * time.Second
+			}
+			s.tables.Version = 2
+			s.publish(2)
+			s.gate.DrainTime = limit
+			s.gate.delay.mean.Store(int64(late))
+			s.gate.Drain()
+			quicktest.Check(t, s.gate.DrainLimit(), quicktest.Equals, want)
+			time.Sleep(drainAcceptPeriod + time.Millisecond)
+			for d, status := range map[time.Duration]int{-100 * time.Millisecond: 200, 100 * time.Millisecond: 503} {
+				left := want - drainAcceptPeriod + d
+				res := s.call(idempotentPath, "", "Left", fmt.Sprint(left.Milliseconds()))
+				quicktest.Check(t, res.status, quicktest.Equals, status, quicktest.Commentf("%s late, %s left", late, left))
+			}
+		})
+	}
+}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -60,7 +60,7 @@
 	TargetClient *hop.Client
 	Link         *link.Client
 	Budget       *RetryBudget
-	// DrainTime is how long after Drain the instance ends at the latest.
+	// DrainTime is how long after Drain the requests in progress end at the latest, if the instance runs without delay.
 	DrainTime time.Duration
 	// Clock returns the time since some instant, including that in which the host was
 	// suspended; nil means the clock of the Go runtime.
@@ -96,6 +96,8 @@
 	// drainStart is when the drain began, in nanoseconds since startedAt; 0 while the
 	// instance serves.
 	drainStart atomic.Int64
+	// drainLate is by how much the drain is shorter than DrainTime, in nanoseconds.
+	drainLate atomic.Int64
 	// draining ends with Drain, and serving with EndRequests.
 	draining, serving          context.Context
 	startDraining, stopServing context.CancelFunc
--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -77,10 +77,10 @@
 
 // awaitDrained waits until an entry that drains can end without cutting off a request:
 // callers no longer know its address, none of their requests is in flight, and none is about
-// to come on an open connection. It returns before the grace period is over in any case.
-func awaitDrained(grace time.Duration, inFlight func() int64, conns *callerConns) {
+// to come on an open connection. It returns after the time limit in any case.
+func awaitDrained(grace, limit time.Duration, inFlight func() int64, conns *callerConns) {
 	began := time.Now()
-	deadline := began.Add(drainTime(grace))
+	deadline := began.Add(limit)
 	earliest := began.Add(min(lookupLifetime, grace/minDrainDivisor))
 	for now := began; now.Before(deadline); now = time.Now() {
 		if inFlight() == 0 && now.After(earliest) && conns.isQuiet(now) {
--- a/internal/node/drain_test.go
+++ b/internal/node/drain_test.go
@@ -44,7 +44,7 @@
 	if activeFor == 0 {
 		conns.connState(nil, http.StateClosed)
 	}
-	awaitDrained(grace, func() int64 {
+	awaitDrained(grace, drainTime(grace), func() int64 {
 		if time.Since(began) < activeFor {
 			conns.connState(nil, http.StateActive)
 		}
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -307,7 +307,7 @@
 	p.endsAt.Store(time.Now().Add(time.Duration(p.Settings.Grace)).UnixNano())
 	p.gate.Drain()
 	inFlight := func() int64 { return p.gate.InFlight() + p.relay.Active() }
-	awaitDrained(time.Duration(p.Settings.Grace), inFlight, &p.callers)
+	awaitDrained(time.Duration(p.Settings.Grace), p.gate.DrainLimit(), inFlight, &p.callers)
 	active := p.gate.InFlight()
 	p.gate.EndRequests()
 	// While requests end they still use the link: without it they would place themselves locally.
