httpx, guard: a server that shuts down answers the requests that it still reads

What callers saw: a request to an entry that had had its SIGTERM 2.8 to 3.6 s before was read, and its connection closed without an answer.

Cause: http.Server.Shutdown leaves connections open on which no request has come yet, reads the request that comes on one of them, and closes it without calling the handler. With all requests answered and 0.7 s without a new one the drain of an entry ends, 3 s after SIGTERM or later; the servers then close for up to 0.3 s. A request whose packet is late (sent again after 0.2 s, or read late) comes in that time on a connection that was accepted before.

The four requests were sent 24 to 203 ms before 'drain finished' and closed between it and 'process stopped', 206 to 286 ms after they were sent; no log has a line of them. TestServeAnswersWhatItReads fails with http.Server: 27 of 27 bytes read, then unexpected EOF, on a new connection and on one with a part of a head.

Change: httpx.Graceful closes the listener and the connections on which nothing has come, and waits for the others, which get a response from the handler (503 at an entry that has ended its drain). It serves the entries (with the connections that guard.Port knows), control instances and bamboo serve, which had the same fault.

--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -155,9 +155,10 @@
 	_ = c.Conn.Close()
 }
 
-// closeIdle closes the connections on which no part of a request has come for freshTime, or no more of one for stallTime, and
+// CloseIdle closes the connections on which no part of a request has come for freshTime, or no more of one for stallTime, and
 // returns the number of the others.
-func (p *Port) closeIdle(now time.Time) (left int) {
+func (p *Port) CloseIdle() (left int) {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
--- a/internal/guard/server_test.go
+++ b/internal/guard/shutdown_test.go
@@ -14,6 +14,7 @@
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bambooproxy/bambooproxy/internal/httpx"
 	"github.com/bambooproxy/bambooproxy/internal/memnet"
 )
 
@@ -24,11 +25,11 @@
 		const address = "10.0.0.1:80"
 		var n memnet.Network
 		p := &Port{Name: "callers", MaxConns: 10, Heads: &Heads{Limit: 1 << 20}, Log: &log.Logger{Level: log.PanicLevel}, Metrics: metrics.NewRegistry()}
-		srv := &Server{Port: p, Server: &http.Server{Handler: Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(3 * time.Second) }))}}
+		srv := &httpx.Graceful{CloseIdle: p.CloseIdle, Server: &http.Server{Handler: Handler(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { time.Sleep(3 * time.Second) }))}}
 		ln, err := n.Listen(address)
 		quicktest.Assert(t, err, quicktest.IsNil)
 		served := make(chan error)
-		go func() { served <- srv.Serve(ln) }()
+		go func() { served <- srv.Serve(p.Protect(srv.Server, ln)) }()
 		dial := func() net.Conn {
 			c, err := n.Dialer("10.0.9.9")(t.Context(), address)
 			quicktest.Assert(t, err, quicktest.IsNil)
@@ -46,14 +47,18 @@
 		quicktest.Assert(t, err, quicktest.IsNil)
 		_, err = io.WriteString(begun, head)
 		quicktest.Assert(t, err, quicktest.IsNil)
+		late := dial()
 		synctest.Wait()
 		began := time.Now()
 		done := make(chan error)
 		go func() { done <- srv.Shutdown(context.Background()) }()
+		time.Sleep(freshTime / 3)
+		_, err = io.WriteString(late, head)
+		quicktest.Assert(t, err, quicktest.IsNil)
 		_, err = silent.Read(make([]byte, 1))
 		quicktest.Check(t, err, quicktest.IsNotNil)
 		quicktest.Check(t, time.Since(began) < stallTime, quicktest.IsTrue)
-		for c, r := range map[net.Conn]*bufio.Reader{begun: bufio.NewReader(begun), used: answers} {
+		for c, r := range map[net.Conn]*bufio.Reader{begun: bufio.NewReader(begun), late: bufio.NewReader(late), used: answers} {
 			_, err = io.WriteString(c, rest)
 			quicktest.Assert(t, err, quicktest.IsNil)
 			go func() {
@@ -65,7 +70,7 @@
 		}
 		quicktest.Check(t, <-done, quicktest.IsNil)
 		quicktest.Check(t, <-served, quicktest.Equals, http.ErrServerClosed)
-		for _, c := range []net.Conn{begun, silent, used} {
+		for _, c := range []net.Conn{begun, silent, late, used} {
 			c.Close()
 		}
 		time.Sleep(time.Second)
--- a/internal/inst/instance.go
+++ b/internal/inst/instance.go
@@ -205,7 +205,7 @@
 	srv := &http.Server{
 		Handler: h, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 	}
-	httpx.Serve(ctx, g, srv, netutil.LimitListener(ln, maxConnsPerListener), func() time.Duration { return closeTimeout })
+	httpx.Serve(ctx, g, &httpx.Graceful{Server: srv}, netutil.LimitListener(ln, maxConnsPerListener), func() time.Duration { return closeTimeout })
 	return nil
 }
 
