guard: a new connection has a second for its first request when a port closes

The packet of a request that is lost is sent again after 0.2 s, or 0.6 s if that is lost, too. With 0.3 s from the accept the second one met a closed connection, which callers see as a reset; with 1 s it gets 503. The end of an entry waits so long only for connections that it has accepted within that second.

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -22,9 +22,9 @@
 	// The fields below are guarded by Port.mu.
 	since     time.Time
 	headBytes int64
-	// hasHead is set while a part of the head of a request has come.
-	hasHead bool
-	isGone  bool
+	// hasHead is set while a part of the head of a request has come, and wasUsed once a request was answered.
+	hasHead, wasUsed bool
+	isGone           bool
 }
 
 // state returns the state of the connection. The caller holds Port.mu.
--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -155,15 +155,15 @@
 	_ = c.Conn.Close()
 }
 
-// CloseIdle closes the connections on which no part of a request has come for freshTime, or no more of one for stallTime, and
-// returns the number of the others.
+// CloseIdle closes the connections on which no part of a request has come for freshTime, or no more of the first or a begun one
+// for stallTime, and returns the number of the others.
 func (p *Port) CloseIdle() (left int) {
 	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for c := range p.conns {
 		patience := freshTime
-		if c.hasHead || phase(c.phase.Load()) == reading {
+		if !c.wasUsed || c.hasHead || phase(c.phase.Load()) == reading {
 			patience = stallTime
 		}
 		if phase(c.phase.Load()) != busy && now.Sub(c.since) >= patience {
@@ -247,7 +247,7 @@
 		c.phase.Store(int32(busy))
 	case http.StateIdle:
 		p.Heads.release(c.headBytes)
-		c.headCost, c.headBytes, c.since, c.hasHead = 0, 0, now, false
+		c.headCost, c.headBytes, c.since, c.hasHead, c.wasUsed = 0, 0, now, false, true
 		c.phase.Store(int32(waiting))
 	case http.StateClosed, http.StateHijacked:
 		p.remove(c)
