--- a/internal/node/drain.go
+++ b/internal/node/drain.go
@@ -25,7 +25,7 @@
 	// the servers, and spareTime. Of a short grace period, it is the part that shutdownDivisor gives.
 	maxShutdownTime = endTimeout + closeTimeout + spareTime
 	// spareTime is what a process keeps of its grace period for its own end.
-	spareTime       = 50 * time.Millisecond
+	spareTime       = 150 * time.Millisecond
 	shutdownDivisor = 2
 	// minDrainDivisor divides the grace period into the shortest drain if that is less than
 	// lookupLifetime.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -55,7 +55,7 @@
 	configWeight = 4
 	// closeTimeout bounds the wait for in-flight requests when the HTTP servers close; in a planned stop, it is what the drain
 	// leaves of the grace period for that at least.
-	closeTimeout = 300 * time.Millisecond
+	closeTimeout = 200 * time.Millisecond
 	// controlCloseTimeout is closeTimeout of a control instance, whose calls end within 0.9 s.
 	controlCloseTimeout = time.Second
 	// controlDrainTime is how long a control instance that shuts down keeps answering
