cmds: a log line after the end of the log ends no process

Cause: timers of components, such as that of the list of entries in hub, may log while the process ends; log.AsyncWriter panics on a line after Close.

Change: a writer that drops lines after Close.

Evidence: TestLogAfterCloseEndsNoProcess panics with log.AsyncWriter alone.

--- a/internal/cmds/node.go
+++ b/internal/cmds/node.go
@@ -21,10 +21,6 @@
 	"github.com/bambooproxy/bambooproxy/platform"
 )
 
-// maxQueuedLogLines bounds the log lines that wait to be written. Lines beyond it are
-// dropped, so that a slow reader of the log never blocks a request.
-const maxQueuedLogLines = 4096
-
 const (
 	// maxLoadAttempts bounds the reads of an invalid settings file, which may still be
 	// being written. loadRetryDelay is the delay between two reads.
@@ -57,7 +53,7 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	out := &log.AsyncWriter{Writer: &log.IOWriter{Writer: os.Stdout}, ChannelSize: maxQueuedLogLines, DiscardOnFull: true}
+	out := newLogWriter(os.Stdout)
 	nodeLog := &log.Logger{Level: log.ParseLevel(s.Log), Writer: out, Context: log.NewContext(nil).Str("instance", s.Name).Value()}
 	p := &node.Process{
 		Settings: s, Path: path, HeaderCodec: platform.HeaderCodec{}, Log: nodeLog,
