guard, gate: requests sent ahead are answered at an entry that is leaving

Cause: responses of an entry that is leaving close their connections, and net/http drops what it has read of the next request.

A request that comes with the rest of a long body isn't noticed.

Evidence: TestPlannedStopAnswersRequestsSentAhead fails before (unexpected EOF).

--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -1,12 +1,17 @@
 package guard
 
 import (
+	"bytes"
+	"context"
 	"io"
 	"net"
 	"sync/atomic"
 	"time"
 )
 
+// headEnd ends the head of a request.
+var headEnd = []byte("\r\n\r\n")
+
 // conn is a connection of a Port.
 type conn struct {
 	net.Conn
@@ -16,8 +21,11 @@
 	// writeBegan is when the current write began, in Unix nanoseconds; 0 if there is none.
 	writeBegan atomic.Int64
 
-	// headCost is the memory that the head being read takes. Only the reader uses it while the connection waits.
-	headCost int64
+	// headCost is the memory that the head being read takes, and pastHead how many bytes came with its end. Only the reader
+	// uses them while the connection waits.
+	headCost, pastHead int64
+	// sendsAhead is set once a request has come together with the one before.
+	sendsAhead atomic.Bool
 
 	// The fields below are guarded by Port.mu.
 	since     time.Time
@@ -45,6 +53,9 @@
 	if c.headCost == 0 {
 		c.port.noteHead(c)
 	}
+	if _, rest, ends := bytes.Cut(b[:n], headEnd); ends {
+		c.pastHead = int64(len(rest))
+	}
 	former := max(c.headCost, freeHeadBytes)
 	c.headCost += headCost(b[:n])
 	if more := c.headCost - former; more > 0 && !c.port.reserveHead(c, more) {
@@ -86,3 +97,10 @@
 	}
 	c.phase.Store(int32(p))
 }
+
+// SendsAhead reports whether requests have come on the connection of a request before their predecessors were answered. A
+// response that closes it would leave those without an answer that were read already.
+func SendsAhead(ctx context.Context) bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	return ok && c.sendsAhead.Load()
+}
--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -247,7 +247,7 @@
 		c.phase.Store(int32(busy))
 	case http.StateIdle:
 		p.Heads.release(c.headBytes)
-		c.headCost, c.headBytes, c.since, c.hasHead, c.wasUsed = 0, 0, now, false, true
+		c.headCost, c.pastHead, c.headBytes, c.since, c.hasHead, c.wasUsed = 0, 0, 0, now, false, true
 		c.phase.Store(int32(waiting))
 	case http.StateClosed, http.StateHijacked:
 		p.remove(c)
--- a/internal/node/stop_close_test.go
+++ b/internal/node/stop_close_test.go
@@ -2,8 +2,12 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
+	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,3 +55,49 @@
 		quicktest.Check(t, time.Since(began) < stopGrace, quicktest.IsTrue, quicktest.Commentf("ended after %s", time.Since(began)))
 	})
 }
+
+// TestPlannedStopAnswersRequestsSentAhead guards against requests that an entry reads together with the one before, and
+// drops with the response to that one, which closes the connection.
+func TestPlannedStopAnswersRequestsSentAhead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int)}
+		p.fleet = newFleet(ctx, t, 1, 0, 1, func(_ *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+			time.Sleep(300 * time.Millisecond)
+			writeHead(w, gate.ReplyInfo{RequestID: c.ID})
+		})
+		defer p.close(cancel)
+		g := p.entries[0].Handler.(*gate.Server)
+		proc, group, stop := p.startProcess(ctx, g, g)
+		conn, err := p.net.Dialer("10.0.8.1")(ctx, stopAddr)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		defer conn.Close()
+		began := time.Now()
+		stopped := make(chan error)
+		go func() {
+			proc.drain()
+			stop()
+			stopped <- group.Wait()
+		}()
+		time.Sleep(time.Second)
+		var requests bytes.Buffer
+		for i := range 3 {
+			q, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://h"+orderPath, strings.NewReader("order"))
+			quicktest.Assert(t, err, quicktest.IsNil)
+			q.Header = platform.EncodeCall(gate.CallInfo{ID: strconv.Itoa(i), Key: "key", TimeLimit: time.Second})
+			quicktest.Assert(t, q.Write(&requests), quicktest.IsNil)
+		}
+		_, err = conn.Write(requests.Bytes())
+		quicktest.Assert(t, err, quicktest.IsNil)
+		answers := bufio.NewReader(conn)
+		for range 3 {
+			resp, err := http.ReadResponse(answers, nil)
+			quicktest.Assert(t, err, quicktest.IsNil)
+			quicktest.Check(t, resp.StatusCode, quicktest.Equals, http.StatusOK)
+			_, err = io.Copy(io.Discard, resp.Body)
+			quicktest.Check(t, err, quicktest.IsNil)
+		}
+		quicktest.Check(t, <-stopped, quicktest.IsNil)
+		quicktest.Check(t, time.Since(began) < stopGrace/2, quicktest.IsTrue, quicktest.Commentf("ended after %s", time.Since(began)))
+	})
+}
