guard: what is held of responses of targets has a bound

A faulty target can send a head or an event that never ends. Each had its bound (64 KiB for a head, 1 MiB for an event), the sum had none: heads of many short fields take 30 times their bytes once they are parsed.

Heads and events over 16 KiB of memory now share 1/16 of it, counted with the mechanism of the bodies of requests. Where none is left, the response makes room that has made no progress for longest, and for 1 s at least; else the one that needs the memory ends. Either is a broken response to its request. Ordinary heads and events are below 16 KiB and take no lock.

--- a/internal/crowd/site_test.go
+++ b/internal/crowd/site_test.go
@@ -346,6 +346,13 @@
 	quicktest.Assert(t, err, quicktest.IsNil)
 	srv := &http.Server{Handler: x}
 	go srv.Serve(ln)
+	t.Cleanup(func() { srv.Close() })
+	x.announce(t, controlAddr)
+	return x
+}
+
+// announce sends the heartbeats of the target until the end of the test.
+func (x *target) announce(t *testing.T, controlAddr string) {
 	done := make(chan struct{})
 	ctx, cancel := context.WithCancel(context.Background())
 	go func() {
@@ -364,10 +371,8 @@
 	}()
 	t.Cleanup(func() {
 		cancel()
-		srv.Close()
 		<-done
 	})
-	return x
 }
 
 // ServeHTTP answers one request.
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -400,7 +400,7 @@
 // event, and otherwise the reason why the stream ended early, with the error of reading it if
 // there is one.
 func (s *stream) relayEvents(ctx context.Context, lead site.Target, resp *hop.Response, att *streamAttempt) (reason string, err error) {
-	events := hop.NewEventReader(resp.Body)
+	events := resp.Events()
 	if limit := s.firstEventLimit(); limit > 0 {
 		resp.SetReadDeadline(time.Now().Add(limit))
 	}
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -321,7 +321,7 @@
 		return nil, o
 	}
 	if x.resumesStream(resp) {
-		resp.Body = newResumedStream(resp.Body, x.call.LastEventID)
+		resp.Body = newResumedStream(resp, x.call.LastEventID)
 	}
 	// The body may stall as well as the head.
 	h.await(x.timeLeft() / 2)
--- a/internal/gate/resume.go
+++ b/internal/gate/resume.go
@@ -20,9 +20,9 @@
 	skipped int
 }
 
-// newResumedStream returns the events of a body after the one with the ID lastID.
-func newResumedStream(body io.ReadCloser, lastID int64) *resumedStream {
-	return &resumedStream{Closer: body, events: hop.NewEventReader(body), lastID: lastID}
+// newResumedStream returns the events of a response after the one with the ID lastID.
+func newResumedStream(resp *hop.Response, lastID int64) *resumedStream {
+	return &resumedStream{Closer: resp.Body, events: resp.Events(), lastID: lastID}
 }
 
 // Read reads from the events that the caller lacks. It returns the errors of hop.EventReader.Next, and
--- a/internal/guard/bodies.go
+++ b/internal/guard/bodies.go
@@ -97,10 +97,7 @@
 	}
 	n, err := r.Read(x.Data[len(x.Data):cap(x.Data)])
 	x.Data = x.Data[:len(x.Data)+n]
-	if x.unnoted += n; x.unnoted >= progressBytes {
-		x.unnoted = 0
-		x.noteProgress()
-	}
+	x.noteBytes(n)
 	if err == nil {
 		return false, nil
 	}
@@ -135,7 +132,12 @@
 	return nil
 }
 
-func (x *Body) noteProgress() {
+// noteBytes notes that n more bytes have come.
+func (x *Body) noteBytes(n int) {
+	if x.unnoted += n; x.unnoted < progressBytes {
+		return
+	}
+	x.unnoted = 0
 	x.bodies.mu.Lock()
 	defer x.bodies.mu.Unlock()
 	x.progressAt = time.Now()
@@ -206,6 +208,13 @@
 	}
 }
 
+// isEvicted reports whether the body has lost its memory.
+func (x *Body) isEvicted() bool {
+	x.bodies.mu.Lock()
+	defer x.bodies.mu.Unlock()
+	return x.evicted
+}
+
 // finish ends the reading of the body. It reports whether the body has lost its memory before.
 func (x *Body) finish() (evicted bool) {
 	b := x.bodies
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -6,6 +6,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -16,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
 
@@ -61,6 +63,8 @@
 // Client sends requests to targets and keeps idle connections. Dial must be set.
 type Client struct {
 	Dial func(ctx context.Context, addr string) (net.Conn, error)
+	// Responses bounds the memory of what is held of responses; nil bounds nothing. Clients may share it.
+	Responses *guard.Responses
 
 	idle idlePool
 }
@@ -92,7 +96,7 @@
 	if err != nil {
 		return nil, &engine.Unreachable{Cause: err}
 	}
-	cn.maxIdle = r.MaxIdle
+	cn.maxIdle, cn.held = r.MaxIdle, c.Responses.NewResponse(func() { cn.Close() })
 	stopWatch := context.AfterFunc(ctx, func() { cn.Close() })
 	writeDone := make(chan error, 1)
 	head := r.encode()
@@ -113,6 +117,7 @@
 	if err != nil {
 		stopWatch()
 		cn.Close()
+		cn.held.Release()
 		if ctx.Err() != nil {
 			return nil, errors.CombineErrors(&engine.Broken{Cause: ctx.Err()}, err)
 		}
@@ -147,6 +152,8 @@
 	headLeft int
 	// expiresAt is when the target may close the connection.
 	expiresAt time.Time
+	// held is the memory of the response to the current request.
+	held *guard.Response
 	// maxIdle is Request.MaxIdle of the last request.
 	maxIdle int
 	// reused is set once a request before the current one was answered on the connection.
@@ -161,14 +168,22 @@
 
 // Read reads from the connection, and no more than is left of a response head.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.headLeft == bodyUnlimited {
-		return c.Conn.Read(b)
-	}
 	if c.headLeft == 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := c.Conn.Read(b[:min(len(b), c.headLeft)])
-	c.headLeft -= n
+	isHead := c.headLeft != bodyUnlimited
+	if isHead {
+		b = b[:min(len(b), c.headLeft)]
+	}
+	n, err := c.Conn.Read(b)
+	if isHead {
+		c.headLeft -= n
+		err = cmp.Or(c.held.HoldHead(b[:n]), err)
+	}
+	if err != nil {
+		// A response that has lost its memory has lost its connection, too.
+		err = cmp.Or(c.held.Err(), err)
+	}
 	return n, err
 }
 
@@ -187,12 +202,17 @@
 		c.headLeft = maxHeadBytes
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		c.headLeft = bodyUnlimited
+		if err == nil {
+			err = c.held.EndHead(resp.Header)
+		}
 		if err != nil {
+			// The reader may report a half line instead.
+			err = cmp.Or(c.held.Err(), err)
 			var netErr net.Error
 			if errors.As(err, &netErr) && netErr.Timeout() {
 				return nil, &engine.Silent{After: r.HeadTimeout}
 			}
-			if errors.As(err, &netErr) || isEOF(err) {
+			if errors.As(err, &netErr) || isEOF(err) || errors.Is(err, guard.ErrResponsesFull) {
 				return nil, &engine.Broken{Cause: err}
 			}
 			return nil, &engine.Garbled{Message: fmt.Sprintf("not an HTTP response: %v", err)}
@@ -214,6 +234,7 @@
 // was sent completely and the target keeps it open; the caller must have read the whole
 // body.
 func (r *Response) Close(reuse bool) {
+	r.conn.held.Release()
 	if !r.stopWatch() {
 		reuse = false
 	}
@@ -237,6 +258,13 @@
 	r.client.idle.put(r.conn)
 }
 
+// Events returns a reader of the events in the body.
+func (r *Response) Events() *EventReader {
+	e := NewEventReader(r.Body)
+	e.held = r.conn.held
+	return e
+}
+
 // EndsWithConnection reports whether the body has neither a length nor chunks, so that it ends
 // when the target closes the connection.
 func (r *Response) EndsWithConnection() bool {
--- a/internal/hop/event.go
+++ b/internal/hop/event.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 )
 
 // maxEventBytes bounds one event of a stream.
@@ -31,7 +33,11 @@
 }
 
 // EventReader reads the events of a stream.
-type EventReader struct{ r *bufio.Reader }
+type EventReader struct {
+	r *bufio.Reader
+	// held counts the memory of the current event.
+	held *guard.Response
+}
 
 // NewEventReader returns a reader of the events in a response body.
 func NewEventReader(body io.Reader) *EventReader {
@@ -39,16 +45,22 @@
 }
 
 // Next returns the next event. It returns io.EOF after the last one, io.ErrUnexpectedEOF
-// if the stream ends within an event, ErrInvalidEvent, or the error of the underlying
-// reader. With these errors, but for ErrInvalidEvent, it returns what there is of an event.
+// if the stream ends within an event, ErrInvalidEvent, guard.ErrResponsesFull, or the error of the
+// underlying reader. With these errors, but for ErrInvalidEvent, it returns what there is of an event.
 func (r *EventReader) Next() (Event, error) {
 	var ev Event
 	// hasContent is set once a line was not empty; isContinued is set in the middle of a
 	// line that exceeds the buffer.
 	hasContent, isContinued := false, false
+	if err := r.held.EndEvent(); err != nil {
+		return ev, err
+	}
 	for {
 		line, err := r.r.ReadSlice('\n')
 		ev.Raw = append(ev.Raw, line...)
+		if err := r.held.HoldEvent(cap(ev.Raw), len(line)); err != nil {
+			return ev.partial(), err
+		}
 		isEmpty := !isContinued && len(bytes.TrimRight(line, "\r\n")) == 0
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull) && len(ev.Raw) < maxEventBytes:
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -18,7 +18,8 @@
 	probesDivisor    = 64
 	// minConns is the lowest limit of a port.
 	minConns = 16
-	// headDivisor divides Settings.Memory into the part for large heads of requests.
+	// headDivisor divides Settings.Memory into the part for large heads of requests, and that for large heads and
+	// events of responses.
 	headDivisor = 16
 	// defaultDescriptors is the limit of open files if it can't be read.
 	defaultDescriptors = 1024
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -96,6 +96,7 @@
 	callers    callerConns
 	limits     connLimits
 	heads      guard.Heads
+	responses  *guard.Responses
 	// controlBodies holds the bodies of requests to the control instance.
 	controlBodies guard.Bodies
 }
@@ -140,6 +141,7 @@
 	p.metrics = metrics.NewRegistry()
 	p.limits = newConnLimits(s.Memory<<20, maxDescriptors())
 	p.heads.Limit = s.Memory << 20 / headDivisor
+	p.responses = &guard.Responses{Bodies: guard.Bodies{Limit: s.Memory << 20 / headDivisor}, Log: p.Log, Metrics: p.metrics}
 	p.controlBodies = guard.Bodies{Limit: s.Memory << 20 / bufferDivisor, Weight: configWeight}
 	p.peerServer = &wire.Server{
 		OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") },
@@ -152,7 +154,7 @@
 			Voters: 2*s.Losses + 1, DataDir: s.Data, Regions: s.Regions, Fair: s.Fair, FS: store.OS{}, Clock: sinceBoot, Calls: p.peerPool, Log: p.Log, Metrics: p.metrics,
 		}
 		if p.Handlers.LoadSource != nil {
-			p.hub.LoadReader = p.Handlers.LoadSource(&hop.Client{Dial: p.network.dial})
+			p.hub.LoadReader = p.Handlers.LoadSource(&hop.Client{Dial: p.network.dial, Responses: p.responses})
 		}
 		p.peerServer.Methods, p.peerServer.Streams = p.hub.Setup()
 	}
@@ -160,7 +162,7 @@
 		return
 	}
 	p.dialer = &relay.Dialer{Direct: p.network.dial, Calls: p.peerPool, DataCentre: s.DataCentre, Log: p.Log, Metrics: p.metrics}
-	client := &hop.Client{Dial: p.dialer.Dial}
+	client := &hop.Client{Dial: p.dialer.Dial, Responses: p.responses}
 	p.gate = &gate.Server{
 		Name: s.Name, DataCentre: s.DataCentre, Address: s.Callers, Regions: s.Regions, Fair: s.Fair, HeaderCodec: p.HeaderCodec,
 		TargetClient: client, Log: p.Log, Metrics: p.metrics,
