gate: buffered responses that stand still make room

Responses of plain services are buffered in a quarter of the memory. Targets that send a part of a body and no more kept it until the time limits of their requests, and each further response over 4 KiB, of other targets as well, was answered with 502.

TestBodiesOfAnswersStopShort has 80 callers ask 8 targets for bodies of 10 MB that stop after 1 MB, beside an ordinary answer of 2 MB.

The buffers count with guard.Responses now: the incomplete one that has stood still for longest makes room. Targets are near and send what they have at once, so 0.1 s is enough for responses. One that is closed so counts as a failure of its target; one that finds no room does not, as before.

--- a/internal/crowd/answers_test.go
+++ b/internal/crowd/answers_test.go
@@ -128,6 +128,11 @@
 	return write(c, replyHead(r, http.StatusOK, ""), "id: 1\ndata: ", strings.Repeat("x", 1_000_000))
 }
 
+// stoppedBody begins a body of 10 MB, and doesn't end it.
+func stoppedBody(c net.Conn, r *http.Request) error {
+	return write(c, replyHead(r, http.StatusOK, "Content-Length: 10000000\r\n"), strings.Repeat("x", 1_000_000))
+}
+
 // askAgain returns members that send a request and another one on a new connection when it was answered.
 func askAgain(path string) member {
 	return func(_ context.Context, c net.Conn, i int) error {
@@ -157,6 +162,7 @@
 	time.Sleep(faultyTime)
 	quicktest.Check(t, begun.Load() >= askers/2, quicktest.IsTrue, quicktest.Commentf("%d answers", begun.Load()))
 	s.check()
+	s.await("a large answer is served", func() error { return s.send(largePath) })
 	t.Logf("%d answers without end", begun.Load())
 }
 
@@ -167,3 +173,8 @@
 
 // TestEventsWithoutEnd: engines begin long events and add a byte from time to time.
 func TestEventsWithoutEnd(t *testing.T) { testFaulty(t, enginePool, streamPath+"1", longEvent) }
+
+// TestBodiesOfAnswersStopShort: bodies that stop half-way must leave room for others.
+func TestBodiesOfAnswersStopShort(t *testing.T) {
+	testFaulty(t, faultyPool, faultyPath+"1", stoppedBody)
+}
--- a/internal/gate/buffer.go
+++ b/internal/gate/buffer.go
@@ -2,9 +2,10 @@
 
 import (
 	"io"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 )
 
 const (
@@ -20,79 +21,69 @@
 	chunkBytes      = 64 << 10
 )
 
-// errResponseTooLarge and errBuffersFull report that a response can't be buffered.
-var (
-	errResponseTooLarge = errors.New("response exceeds 32 MiB")
-	errBuffersFull      = errors.New("buffered responses exceed the memory for them")
-)
+// errResponseTooLarge reports that a response can't be buffered.
+var errResponseTooLarge = errors.New("response exceeds 32 MiB")
 
 // bodyBuffers bounds the memory of all buffered responses, so that targets that send without end
 // can't exhaust it.
-type bodyBuffers struct {
-	limit int64
-	used  atomic.Int64
-}
-
-// acquire counts one more chunk of a body, of which counted bytes are counted already. If there is
-// no memory for it, it returns false and releases the whole body at once: bodies that grow in step
-// must leave room for each other.
-func (b *bodyBuffers) acquire(counted *int64) bool {
-	for {
-		used := b.used.Load()
-		hasRoom := used+chunkBytes <= b.limit
-		change := int64(chunkBytes)
-		if !hasRoom {
-			change = -*counted
-		}
-		if b.used.CompareAndSwap(used, used+change) {
-			*counted += change
-			return hasRoom
-		}
-	}
-}
+type bodyBuffers struct{ memory guard.Responses }
 
 // body is a buffered response body.
 type body struct {
 	chunks [][]byte
 	length int
-	// counted is how many bytes are counted in the buffers.
-	counted int64
-	buffers *bodyBuffers
+	held   *guard.Response
 }
 
 // release returns the memory of the body.
 func (b *body) release() {
-	b.buffers.used.Add(-b.counted)
-	b.counted, b.chunks = 0, nil
+	b.held.Release()
+	b.chunks = nil
 }
 
 // read reads a complete body, which must be released. It returns an error rather than a
-// truncated one: that of r, errResponseTooLarge or errBuffersFull.
-func (b *bodyBuffers) read(r io.Reader) (*body, error) {
-	out := &body{buffers: b}
+// truncated one: that of r, errResponseTooLarge or one of guard.Response. A call of interrupt ends a
+// blocked read.
+func (b *bodyBuffers) read(r io.Reader, interrupt func()) (*body, error) {
+	out := &body{held: b.memory.NewResponse(interrupt)}
+	err := out.readFrom(r)
+	if lost := out.held.Finish(); lost != nil {
+		err = lost
+	}
+	if err != nil {
+		out.release()
+		return nil, err
+	}
+	return out, nil
+}
+
+// readFrom reads until the end of r.
+func (b *body) readFrom(r io.Reader) error {
 	chunk := make([]byte, 0, firstChunkBytes)
+	size := 0
 	for {
 		n, err := r.Read(chunk[len(chunk):cap(chunk)])
 		chunk = chunk[:len(chunk)+n]
-		out.length += n
-		if out.length > maxResponseBytes {
+		if b.length += n; b.length > maxResponseBytes {
 			err = errResponseTooLarge
 		}
 		if err != nil {
-			out.chunks = append(out.chunks, chunk)
+			b.chunks = append(b.chunks, chunk)
 			if errors.Is(err, io.EOF) {
-				return out, nil
+				return nil
 			}
-			out.release()
-			return nil, err
+			return err
+		}
+		isFull := len(chunk) == cap(chunk)
+		if isFull {
+			size += chunkBytes
 		}
-		if len(chunk) < cap(chunk) {
-			continue
+		if err := b.held.Hold(size, n); err != nil {
+			return err
 		}
-		out.chunks = append(out.chunks, chunk)
-		if !b.acquire(&out.counted) {
-			return nil, errBuffersFull
+		if isFull {
+			b.chunks = append(b.chunks, chunk)
+			chunk = make([]byte, 0, chunkBytes)
 		}
-		chunk = make([]byte, 0, chunkBytes)
 	}
 }
--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -85,7 +85,8 @@
 
 // readBody reads the whole body of a response of a target.
 func (s *Server) readBody(t site.Target, resp *hop.Response) (*body, error) {
-	b, err := s.buffers.read(resp.Body)
+	// The reader sees the closed connection.
+	b, err := s.buffers.read(resp.Body, func() { _ = resp.NetConn().Close() })
 	if err == nil && s.endedWithProcess(t, resp) {
 		b.release()
 		return nil, io.ErrUnexpectedEOF
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rcrowley/go-metrics"
 
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/relay"
@@ -329,7 +330,7 @@
 	if err != nil {
 		err = sendError(ctx, err, sentAt)
 		failed := send{target: t, at: sentAt, isRecorded: h.hasStarted()}
-		if (ctx.Err() == nil || isSilence(err)) && !errors.Is(err, errBuffersFull) {
+		if (ctx.Err() == nil || isSilence(err)) && !errors.Is(err, guard.ErrResponsesFull) {
 			s.health.recordFailure(t.ID)
 			x.recordIfCrashed(failed, err)
 		} else if ctx.Err() != nil {
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -122,10 +122,11 @@
 	if s.pauses.Clock == nil {
 		s.pauses.Clock = func() time.Duration { return time.Since(s.startedAt) }
 	}
-	if s.buffers.limit = s.BufferBytes; s.buffers.limit == 0 {
-		s.buffers.limit = defaultBufferBytes
+	s.buffers.memory.Name, s.buffers.memory.Log, s.buffers.memory.Metrics = "bodies", s.Log, s.Metrics
+	if s.buffers.memory.Limit = s.BufferBytes; s.buffers.memory.Limit == 0 {
+		s.buffers.memory.Limit = defaultBufferBytes
 	}
-	s.requestBodies.Limit = s.buffers.limit
+	s.requestBodies.Limit = s.buffers.memory.Limit
 }
 
 // Run closes expired idle connections and notes pauses of the process until ctx ends.
--- a/internal/guard/bodies.go
+++ b/internal/guard/bodies.go
@@ -15,7 +15,7 @@
 	growth = 2
 	// secondBytes is the size of the second buffer.
 	secondBytes = 64 << 10
-	// stallTime is how long a body in progress keeps its memory without progress if others need it.
+	// stallTime is how long the body of a request in progress keeps its memory without progress if others need it.
 	stallTime = time.Second
 	// progressBytes is how much of a body has to come within stallTime for it to make progress.
 	progressBytes = 16 << 10
@@ -48,6 +48,8 @@
 	maxLength int64
 	// interrupt ends a blocked read.
 	interrupt func()
+	// stallTime is how long it keeps its memory without progress if others need it.
+	stallTime time.Duration
 	// unnoted is how much has come since progressAt.
 	unnoted int
 
@@ -75,7 +77,7 @@
 	if length >= 0 {
 		maxLength = min(length, maxLength)
 	}
-	return &Body{bodies: b, maxLength: maxLength, interrupt: interrupt, progressAt: time.Now()}
+	return &Body{bodies: b, maxLength: maxLength, interrupt: interrupt, stallTime: stallTime, progressAt: time.Now()}
 }
 
 // ReadFrom reads the whole body from r. It returns the error of r, or ErrBodiesFull.
@@ -121,7 +123,7 @@
 	if x.maxLength >= int64(len(x.Data)) {
 		size = min(size, x.maxLength+1)
 	}
-	if !x.acquire(size) {
+	if !x.acquire(size, true) {
 		return ErrBodiesFull
 	}
 	former := int64(cap(x.Data))
@@ -144,13 +146,14 @@
 }
 
 // acquire counts a buffer of size bytes. If there is no memory for it, it returns false and releases the whole
-// body at once: bodies that grow in step must leave room for each other.
-func (x *Body) acquire(size int64) bool {
+// body at once: bodies that grow in step must leave room for each other. With isCopy the buffer takes the place of a
+// former one.
+func (x *Body) acquire(size int64, isCopy bool) bool {
 	b := x.bodies
 	size *= b.weight()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for !x.evicted && !b.hasRoom(x, size) {
+	for !x.evicted && !b.hasRoom(x, size, isCopy) {
 		if stalled, ok := pickStalledBody(b.inProgress, x, time.Now()); ok {
 			b.remove(stalled)
 			stalled.evicted = true
@@ -174,16 +177,16 @@
 }
 
 // hasRoom reports whether there is memory for a buffer of a body. One that is alone needs it for the new buffer
-// only, so that each body of up to MaxLength is read where nothing else is. The caller holds b.mu.
-func (b *Bodies) hasRoom(x *Body, size int64) bool {
-	return b.used+size <= b.Limit || b.used == x.counted && size <= b.Limit
+// only if that is a copy, so that each body of up to MaxLength is read where nothing else is. The caller holds b.mu.
+func (b *Bodies) hasRoom(x *Body, size int64, isCopy bool) bool {
+	return b.used+size <= b.Limit || isCopy && b.used == x.counted && size <= b.Limit
 }
 
-// pickStalledBody returns the body other than own that has made no progress for longest, and for stallTime at
+// pickStalledBody returns the body other than own that has made no progress for longest, and for its stallTime at
 // least. It returns false if there is none.
 func pickStalledBody(list map[*Body]struct{}, own *Body, now time.Time) (stalled *Body, ok bool) {
 	for x := range list {
-		if x != own && now.Sub(x.progressAt) >= stallTime && (!ok || x.progressAt.Before(stalled.progressAt)) {
+		if x != own && now.Sub(x.progressAt) >= x.stallTime && (!ok || x.progressAt.Before(stalled.progressAt)) {
 			stalled, ok = x, true
 		}
 	}
--- a/internal/guard/responses.go
+++ b/internal/guard/responses.go
@@ -3,21 +3,35 @@
 import (
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 	"github.com/rcrowley/go-metrics"
+
+	"github.com/bambooproxy/bambooproxy/internal/meter"
 )
 
-// ErrResponsesFull reports that there is no memory for what has come of a response.
-var ErrResponsesFull = errors.New("the responses of targets exceed the memory for them")
+// responseStallTime is stallTime of a response. Targets are near and send what they have at once; and the callers of one
+// that stops may return each second.
+const responseStallTime = 100 * time.Millisecond
+
+// ErrResponsesFull reports that there is no memory for what has come of a response, and ErrResponseStalled that it has
+// made room for others.
+var (
+	ErrResponsesFull   = errors.New("the responses of targets exceed the memory for them")
+	ErrResponseStalled = errors.New("the response stood still while others needed its memory")
+)
 
-// Responses bounds the memory of what is held of all responses of targets: their heads, and events that are incomplete or
-// not passed on. Where there is none left, the response makes room that has made no progress for longest, if that is
-// stallTime or more. Nil bounds nothing.
+// Responses bounds the memory of what is held of all responses of targets, such as heads and incomplete events. Where there is none left, the response makes room that has made no progress for longest, if that is
+// responseStallTime or more. Nil bounds nothing.
 type Responses struct {
 	Bodies
+	// Name is what is held, in logs and metrics.
+	Name string
+	// Free is the memory that each response may take without counting.
+	Free    int64
 	Log     *log.Logger
 	Metrics metrics.Registry
 
@@ -31,6 +45,7 @@
 type Response struct {
 	responses *Responses
 	body      *Body
+	stalled   atomic.Bool
 	// head is the memory of the complete head, and cost that of all.
 	head, cost int64
 }
@@ -43,13 +58,16 @@
 	}
 	x := &Response{responses: r}
 	x.body = r.New(-1, 0, func() {
+		x.stalled.Store(true)
 		r.noteFull()
 		interrupt()
 	})
+	x.body.stallTime = responseStallTime
 	return x
 }
 
-// HoldHead counts a piece of a head. It returns ErrResponsesFull if there is no memory for it.
+// HoldHead counts a piece of a head. It returns ErrResponsesFull or ErrResponseStalled if there is
+// no memory for it.
 func (x *Response) HoldHead(b []byte) error {
 	if x == nil {
 		return nil
@@ -67,9 +85,9 @@
 	return x.hold(x.head, progressBytes)
 }
 
-// HoldEvent counts the buffer of an event instead of the former one, now that n more bytes have come. It returns
-// ErrResponsesFull if there is no memory for it.
-func (x *Response) HoldEvent(size, n int) error {
+// Hold counts size bytes for what is held besides the head, now that n more bytes have come, instead of what was
+// counted before. It returns ErrResponsesFull or ErrResponseStalled if there is no memory for it.
+func (x *Response) Hold(size, n int) error {
 	if x == nil {
 		return nil
 	}
@@ -77,39 +95,51 @@
 }
 
 // EndEvent notes that an event was passed on.
-func (x *Response) EndEvent() error { return x.HoldEvent(0, progressBytes) }
+func (x *Response) EndEvent() error { return x.Hold(0, progressBytes) }
+
+// Finish notes that the response is complete, so that it keeps its memory until it is released. It returns an error if
+// the response has lost it.
+func (x *Response) Finish() error {
+	x.body.finish()
+	return x.Err()
+}
 
 // hold changes the memory of the response, of which n more bytes have come.
 func (x *Response) hold(cost int64, n int) error {
 	former := x.cost
 	x.cost = cost
-	if max(former, cost) <= freeHeadBytes {
+	free := x.responses.Free
+	if max(former, cost) <= free {
 		return nil
 	}
-	if former <= freeHeadBytes {
+	if former <= free {
 		n = progressBytes
 	}
 	if err := x.Err(); err != nil {
 		return err
 	}
 	x.body.noteBytes(n)
-	change := max(freeHeadBytes, cost) - max(freeHeadBytes, former)
+	change := max(free, cost) - max(free, former)
 	switch {
 	case change < 0:
 		x.body.give(-change)
-	case change > 0 && !x.body.acquire(change):
+	case change > 0 && !x.body.acquire(change, false):
 		x.responses.noteFull()
 		return ErrResponsesFull
 	}
 	return nil
 }
 
-// Err returns ErrResponsesFull if the response has lost its memory, and otherwise nil.
+// Err returns ErrResponsesFull or ErrResponseStalled if the response has lost its memory, and otherwise nil.
 func (x *Response) Err() error {
-	if x != nil && x.body.isEvicted() {
+	switch {
+	case x == nil || !x.body.isEvicted():
+		return nil
+	case x.stalled.Load():
+		return ErrResponseStalled
+	default:
 		return ErrResponsesFull
 	}
-	return nil
 }
 
 // Release returns the memory of the response.
@@ -123,7 +153,7 @@
 
 // noteFull counts a response that ended for lack of memory.
 func (r *Responses) noteFull() {
-	metrics.GetOrRegisterCounter("guard.responses_closed", r.Metrics).Inc(1)
+	metrics.GetOrRegisterCounter(meter.Label("guard.responses_closed", "part", r.Name), r.Metrics).Inc(1)
 	now := time.Now()
 	r.incidentMu.Lock()
 	defer r.incidentMu.Unlock()
@@ -131,7 +161,7 @@
 		return
 	}
 	r.isFull, r.loggedAt = true, now
-	r.Log.Warn().Int64("limit", r.Limit).Msg("limit of memory for responses of targets reached")
+	r.Log.Warn().Str("part", r.Name).Int64("limit", r.Limit).Msg("limit of memory for responses of targets reached")
 }
 
 // noteRoom notes that the limit is left.
@@ -144,5 +174,5 @@
 		return
 	}
 	r.isFull, r.loggedAt = false, now
-	r.Log.Info().Int64("limit", r.Limit).Msg("limit of memory for responses of targets left")
+	r.Log.Info().Str("part", r.Name).Int64("limit", r.Limit).Msg("limit of memory for responses of targets left")
 }
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -212,7 +212,7 @@
 			if errors.As(err, &netErr) && netErr.Timeout() {
 				return nil, &engine.Silent{After: r.HeadTimeout}
 			}
-			if errors.As(err, &netErr) || isEOF(err) || errors.Is(err, guard.ErrResponsesFull) {
+			if errors.As(err, &netErr) || isEOF(err) || errors.IsAny(err, guard.ErrResponsesFull, guard.ErrResponseStalled) {
 				return nil, &engine.Broken{Cause: err}
 			}
 			return nil, &engine.Garbled{Message: fmt.Sprintf("not an HTTP response: %v", err)}
--- a/internal/hop/event.go
+++ b/internal/hop/event.go
@@ -45,7 +45,7 @@
 }
 
 // Next returns the next event. It returns io.EOF after the last one, io.ErrUnexpectedEOF
-// if the stream ends within an event, ErrInvalidEvent, guard.ErrResponsesFull, or the error of the
+// if the stream ends within an event, ErrInvalidEvent, the error of guard.Response.Hold, or that of the
 // underlying reader. With these errors, but for ErrInvalidEvent, it returns what there is of an event.
 func (r *EventReader) Next() (Event, error) {
 	var ev Event
@@ -58,7 +58,7 @@
 	for {
 		line, err := r.r.ReadSlice('\n')
 		ev.Raw = append(ev.Raw, line...)
-		if err := r.held.HoldEvent(cap(ev.Raw), len(line)); err != nil {
+		if err := r.held.Hold(cap(ev.Raw), len(line)); err != nil {
 			return ev.partial(), err
 		}
 		isEmpty := !isContinued && len(bytes.TrimRight(line, "\r\n")) == 0
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -21,6 +21,8 @@
 	// headDivisor divides Settings.Memory into the part for large heads of requests, and that for large heads and
 	// events of responses.
 	headDivisor = 16
+	// freeResponseBytes is the memory for the head and events of a response that isn't counted there.
+	freeResponseBytes = 16 << 10
 	// defaultDescriptors is the limit of open files if it can't be read.
 	defaultDescriptors = 1024
 )
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -141,7 +141,9 @@
 	p.metrics = metrics.NewRegistry()
 	p.limits = newConnLimits(s.Memory<<20, maxDescriptors())
 	p.heads.Limit = s.Memory << 20 / headDivisor
-	p.responses = &guard.Responses{Bodies: guard.Bodies{Limit: s.Memory << 20 / headDivisor}, Log: p.Log, Metrics: p.metrics}
+	p.responses = &guard.Responses{
+		Bodies: guard.Bodies{Limit: s.Memory << 20 / headDivisor}, Name: "heads", Free: freeResponseBytes, Log: p.Log, Metrics: p.metrics,
+	}
 	p.controlBodies = guard.Bodies{Limit: s.Memory << 20 / bufferDivisor, Weight: configWeight}
 	p.peerServer = &wire.Server{
 		OnAcceptError: func(err error) { p.Log.Error().Err(err).Msg("connections from peers not accepted") },
