gate: a body that made room is freed at once

A body that has made room is no longer counted, but its reader held its chunks until it noticed the closed connection.

--- a/internal/gate/buffer.go
+++ b/internal/gate/buffer.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -33,19 +34,40 @@
 	chunks [][]byte
 	length int
 	held   *guard.Response
+	// mu guards chunks until the body is complete.
+	mu sync.Mutex
 }
 
 // release returns the memory of the body.
 func (b *body) release() {
 	b.held.Release()
+	b.drop()
+}
+
+// drop frees the chunks.
+func (b *body) drop() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	b.chunks = nil
 }
 
+// add adds a chunk.
+func (b *body) add(chunk []byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.chunks = append(b.chunks, chunk)
+}
+
 // read reads a complete body, which must be released. It returns an error rather than a
 // truncated one: that of r, errResponseTooLarge or one of guard.Response. A call of interrupt ends a
 // blocked read.
 func (b *bodyBuffers) read(r io.Reader, interrupt func()) (*body, error) {
-	out := &body{held: b.memory.NewResponse(interrupt)}
+	out := &body{}
+	out.held = b.memory.NewResponse(func() {
+		// The reader may take a while to notice.
+		out.drop()
+		interrupt()
+	})
 	err := out.readFrom(r)
 	if lost := out.held.Finish(); lost != nil {
 		err = lost
@@ -68,7 +90,7 @@
 			err = errResponseTooLarge
 		}
 		if err != nil {
-			b.chunks = append(b.chunks, chunk)
+			b.add(chunk)
 			if errors.Is(err, io.EOF) {
 				return nil
 			}
@@ -82,7 +104,7 @@
 			return err
 		}
 		if isFull {
-			b.chunks = append(b.chunks, chunk)
+			b.add(chunk)
 			chunk = make([]byte, 0, chunkBytes)
 		}
 	}
