node: receive buffers of connections to targets are bounded

The system lets a receive buffer grow to megabytes. Where callers don't read and engines send events without end, it held 70,339,273 bytes for 80 streams of an entry with 96 MB, in which connections may take a quarter:

TestReceiveBuffersOfUnreadAnswers: bytes, wanted 24 MiB at most

Connections to targets now share a quarter of the memory, one for each of the callers, with 128 to 512 KiB each as the system counts it. The lower bound is what connections begin with (tcp_rmem), so calm answers don't meet it.

--- a/internal/crowd/answers_test.go
+++ b/internal/crowd/answers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -133,30 +134,73 @@
 	return write(c, replyHead(r, http.StatusOK, "Content-Length: 10000000\r\n"), strings.Repeat("x", 1_000_000))
 }
 
+// eventsWithoutEnd sends events as fast as they are taken.
+func eventsWithoutEnd(c net.Conn, r *http.Request) error {
+	err := write(c, replyHead(r, http.StatusOK, ""))
+	for i := 1; err == nil; i++ {
+		err = write(c, fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("x", 4000)))
+	}
+	return err
+}
+
+// unreadBytes returns what the system holds of the answers of faulty targets that the entry hasn't read.
+func unreadBytes(t *testing.T) (sum int64) {
+	b, err := os.ReadFile("/proc/net/tcp")
+	quicktest.Assert(t, err, quicktest.IsNil)
+	for line := range strings.Lines(string(b)) {
+		var i, state int
+		var local, remote, rest string
+		var unsent, unread int64
+		if n, _ := fmt.Sscanf(line, "%d: %s %s %X %X:%X %s", &i, &local, &remote, &state, &unsent, &unread, &rest); n < 6 {
+			continue
+		}
+		for i := range faultyTargets {
+			ip := net.ParseIP(hostOf(10 + i)).To4()
+			if remote == fmt.Sprintf("%02X%02X%02X%02X:%04X", ip[3], ip[2], ip[1], ip[0], targetPort) {
+				sum += unread
+			}
+		}
+	}
+	return sum
+}
+
 // askAgain returns members that send a request and another one on a new connection when it was answered.
 func askAgain(path string) member {
+	return func(ctx context.Context, c net.Conn, i int) error {
+		if err := ask(path)(ctx, c, i); err != nil {
+			return err
+		}
+		_, err := io.Copy(io.Discard, c)
+		return err
+	}
+}
+
+// ask returns members that send a request and read nothing.
+func ask(path string) member {
 	return func(_ context.Context, c net.Conn, i int) error {
 		info := gate.CallInfo{ID: fmt.Sprint("ask-", i, "-", time.Now().UnixNano()), TimeLimit: patience, PromptTokens: 100, MaxOutputTokens: 100}
 		var b strings.Builder
 		fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nContent-Length: 0\r\n", path, hostName)
 		// A write to a strings.Builder can't fail.
 		_ = platform.EncodeCall(info).Write(&b)
-		if err := write(c, b.String(), "\r\n"); err != nil {
-			return err
-		}
-		_, err := io.Copy(io.Discard, c)
-		return err
+		return write(c, b.String(), "\r\n")
 	}
 }
 
-// testFaulty has a crowd ask faulty targets.
-func testFaulty(t *testing.T, pool, path string, send answer) {
+// newFaultySite starts a site with the faulty pools.
+func newFaultySite(t *testing.T) *testSite {
 	s := newSite(t)
 	s.lastVersion++
 	doc, err := platform.EncodeTables(faultyTables(s.lastVersion))
 	quicktest.Assert(t, err, quicktest.IsNil)
 	status, err := call(http.MethodPut, "http://"+s.control.settings.Control+platform.ConfigPath, doc)
 	quicktest.Assert(t, wantStatus(status, err), quicktest.IsNil)
+	return s
+}
+
+// testFaulty has a crowd ask faulty targets.
+func testFaulty(t *testing.T, pool, path string, send answer) {
+	s := newFaultySite(t)
 	begun := startFaulty(s, pool, send)
 	startCrowd(t, askers, s.entry.settings.Callers, askAgain(path))
 	time.Sleep(faultyTime)
@@ -178,3 +222,16 @@
 func TestBodiesOfAnswersStopShort(t *testing.T) {
 	testFaulty(t, faultyPool, faultyPath+"1", stoppedBody)
 }
+
+// TestReceiveBuffersOfUnreadAnswers: the system may hold no more of answers that stay unread than connections may take.
+func TestReceiveBuffersOfUnreadAnswers(t *testing.T) {
+	s := newFaultySite(t)
+	startFaulty(s, enginePool, eventsWithoutEnd)
+	time.Sleep(settleTime)
+	startCrowd(t, askers, s.entry.settings.Callers, ask(streamPath+"1"))
+	unread := unreadBytes(t)
+	quicktest.Check(t, unread > memory<<20/32, quicktest.IsTrue, quicktest.Commentf("%d bytes", unread))
+	quicktest.Check(t, unread <= memory<<20/4, quicktest.IsTrue, quicktest.Commentf("%d bytes", unread))
+	t.Logf("%d KB of answers are unread", unread>>10)
+	s.check()
+}
--- a/internal/node/conns.go
+++ b/internal/node/conns.go
@@ -23,6 +23,10 @@
 	headDivisor = 16
 	// freeResponseBytes is the memory for the head and events of a response that isn't counted there.
 	freeResponseBytes = 16 << 10
+	// minReceiveBytes and maxReceiveBytes bound the receive buffer of a connection to a target. Connections begin with the
+	// former; the system takes twice as much memory.
+	minReceiveBytes, maxReceiveBytes = 64 << 10, 256 << 10
+	receiveOverhead                  = 2
 	// defaultDescriptors is the limit of open files if it can't be read.
 	defaultDescriptors = 1024
 )
@@ -42,6 +46,13 @@
 	}
 }
 
+// targetReceiveBytes returns the size of the receive buffers with which the connections to targets take as much of memory
+// as those of callers, one for each of these.
+func (l connLimits) targetReceiveBytes(memory int64) int {
+	share := memory / connMemoryDivisor / receiveOverhead / int64(l.callers)
+	return int(min(maxReceiveBytes, max(minReceiveBytes, share)))
+}
+
 // maxDescriptors returns the limit of open files of this process.
 func maxDescriptors() int64 {
 	var l unix.Rlimit
--- a/internal/node/network.go
+++ b/internal/node/network.go
@@ -32,6 +32,9 @@
 	// bind is the local IP for listeners and outgoing connections. If it is "", listeners
 	// use the IP of their address, and the system chooses that of outgoing connections.
 	bind string
+	// targetReceiveBytes is the size of the receive buffers of connections to targets; 0 leaves it to the system, which
+	// lets them grow to megabytes, too.
+	targetReceiveBytes int
 }
 
 func keepAliveConfig() net.KeepAliveConfig {
@@ -40,7 +43,23 @@
 
 // dial opens a connection to an IP and port.
 func (n network) dial(ctx context.Context, addr string) (net.Conn, error) {
-	d := net.Dialer{KeepAliveConfig: keepAliveConfig(), Control: setUserTimeout}
+	return n.dialWith(ctx, addr, setUserTimeout)
+}
+
+// dialTarget is dial for connections to targets, whose bytes may stay unread.
+func (n network) dialTarget(ctx context.Context, addr string) (net.Conn, error) {
+	return n.dialWith(ctx, addr, func(_, _ string, c syscall.RawConn) error {
+		options := [][3]int{userTimeoutOption()}
+		if n.targetReceiveBytes > 0 {
+			options = append(options, [3]int{unix.SOL_SOCKET, unix.SO_RCVBUF, n.targetReceiveBytes})
+		}
+		return setOptions(c, options...)
+	})
+}
+
+// dialWith opens a connection whose socket options set sets.
+func (n network) dialWith(ctx context.Context, addr string, set func(network, address string, c syscall.RawConn) error) (net.Conn, error) {
+	d := net.Dialer{KeepAliveConfig: keepAliveConfig(), Control: set}
 	if n.bind != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(n.bind)}
 	}
@@ -76,7 +95,11 @@
 
 // setUserTimeout sets TCP_USER_TIMEOUT on a socket.
 func setUserTimeout(_, _ string, c syscall.RawConn) error {
-	return setOptions(c, [3]int{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())})
+	return setOptions(c, userTimeoutOption())
+}
+
+func userTimeoutOption() [3]int {
+	return [3]int{unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout.Milliseconds())}
 }
 
 // setOptions sets options of a socket, each given as level, name and value.
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -140,6 +140,7 @@
 	p.network.bind = s.Bind
 	p.metrics = metrics.NewRegistry()
 	p.limits = newConnLimits(s.Memory<<20, maxDescriptors())
+	p.network.targetReceiveBytes = p.limits.targetReceiveBytes(s.Memory << 20)
 	p.heads.Limit = s.Memory << 20 / headDivisor
 	p.responses = &guard.Responses{
 		Bodies: guard.Bodies{Limit: s.Memory << 20 / headDivisor}, Name: "heads", Free: freeResponseBytes, Log: p.Log, Metrics: p.metrics,
@@ -156,14 +157,14 @@
 			Voters: 2*s.Losses + 1, DataDir: s.Data, Regions: s.Regions, Fair: s.Fair, FS: store.OS{}, Clock: sinceBoot, Calls: p.peerPool, Log: p.Log, Metrics: p.metrics,
 		}
 		if p.Handlers.LoadSource != nil {
-			p.hub.LoadReader = p.Handlers.LoadSource(&hop.Client{Dial: p.network.dial, Responses: p.responses})
+			p.hub.LoadReader = p.Handlers.LoadSource(&hop.Client{Dial: p.network.dialTarget, Responses: p.responses})
 		}
 		p.peerServer.Methods, p.peerServer.Streams = p.hub.Setup()
 	}
 	if s.Callers == "" {
 		return
 	}
-	p.dialer = &relay.Dialer{Direct: p.network.dial, Calls: p.peerPool, DataCentre: s.DataCentre, Log: p.Log, Metrics: p.metrics}
+	p.dialer = &relay.Dialer{Direct: p.network.dialTarget, Calls: p.peerPool, DataCentre: s.DataCentre, Log: p.Log, Metrics: p.metrics}
 	client := &hop.Client{Dial: p.dialer.Dial, Responses: p.responses}
 	p.gate = &gate.Server{
 		Name: s.Name, DataCentre: s.DataCentre, Address: s.Callers, Regions: s.Regions, Fair: s.Fair, HeaderCodec: p.HeaderCodec,
@@ -177,7 +178,7 @@
 	p.gate.Setup()
 	// Idle connections may have been cut silently.
 	p.dialer.Peers, p.dialer.OnCutOff = p.gate.RelayPeers, client.Close
-	p.relay = &relay.Server{Direct: p.network.dial, IsSuspect: p.dialer.IsSuspect, Gate: p.gate, Log: p.Log}
+	p.relay = &relay.Server{Direct: p.network.dialTarget, IsSuspect: p.dialer.IsSuspect, Gate: p.gate, Log: p.Log}
 	p.peerServer.Streams = append(p.peerServer.Streams, p.relay.Method())
 }
 
