--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -10,7 +10,7 @@
 )
 
 // headEnd ends the head of a request.
-var headEnd = []byte("\r\n\r\n")
+const headEnd = "\r\n\r\n"
 
 // conn is a connection of a Port.
 type conn struct {
@@ -53,7 +53,7 @@
 	if c.headCost == 0 {
 		c.port.noteHead(c)
 	}
-	if _, rest, ends := bytes.Cut(b[:n], headEnd); ends {
+	if _, rest, ends := bytes.Cut(b[:n], []byte(headEnd)); ends {
 		c.pastHead = int64(len(rest))
 	}
 	former := max(c.headCost, freeHeadBytes)
