--- a/internal/guard/bodies.go
+++ b/internal/guard/bodies.go
@@ -48,8 +48,10 @@
 	maxLength int64
 	// interrupt ends a blocked read.
 	interrupt func()
-	// stallTime is how long it keeps its memory without progress if others need it.
-	stallTime time.Duration
+	// stallTime is how long it keeps its memory without progress if others need it, and progressBytes how much has to come
+	// within it.
+	stallTime     time.Duration
+	progressBytes int
 	// unnoted is how much has come since progressAt.
 	unnoted int
 
@@ -77,7 +79,7 @@
 	if length >= 0 {
 		maxLength = min(length, maxLength)
 	}
-	return &Body{bodies: b, maxLength: maxLength, interrupt: interrupt, stallTime: stallTime, progressAt: time.Now()}
+	return &Body{bodies: b, maxLength: maxLength, interrupt: interrupt, stallTime: stallTime, progressBytes: progressBytes, progressAt: time.Now()}
 }
 
 // ReadFrom reads the whole body from r. It returns the error of r, or ErrBodiesFull.
@@ -136,7 +138,7 @@
 
 // noteBytes notes that n more bytes have come.
 func (x *Body) noteBytes(n int) {
-	if x.unnoted += n; x.unnoted < progressBytes {
+	if x.unnoted += n; x.unnoted < x.progressBytes {
 		return
 	}
 	x.unnoted = 0
--- a/internal/guard/responses.go
+++ b/internal/guard/responses.go
@@ -13,9 +13,12 @@
 	"github.com/bambooproxy/bambooproxy/internal/meter"
 )
 
-// responseStallTime is stallTime of a response. Targets are near and send what they have at once; and the callers of one
-// that stops may return each second.
-const responseStallTime = 100 * time.Millisecond
+// responseStallTime is stallTime of a response, and responseProgress its progressBytes. Targets are near and send what they have
+// at once; and the callers of one that stops may return each second.
+const (
+	responseStallTime = 100 * time.Millisecond
+	responseProgress  = 1 << 10
+)
 
 // ErrResponsesFull reports that there is no memory for what has come of a response, and ErrResponseStalled that it has
 // made room for others.
@@ -24,8 +27,9 @@
 	ErrResponseStalled = errors.New("the response stood still while others needed its memory")
 )
 
-// Responses bounds the memory of what is held of all responses of targets, such as heads and incomplete events. Where there is none left, the response makes room that has made no progress for longest, if that is
-// responseStallTime or more. Nil bounds nothing.
+// Responses bounds the memory of what is held of all responses of targets, such as heads and incomplete events. Where there
+// is none left, the response makes room that has made no progress for longest, if that is responseStallTime or more. Nil
+// bounds nothing.
 type Responses struct {
 	Bodies
 	// Name is what is held, in logs and metrics.
@@ -62,7 +66,7 @@
 		r.noteFull()
 		interrupt()
 	})
-	x.body.stallTime = responseStallTime
+	x.body.stallTime, x.body.progressBytes = responseStallTime, responseProgress
 	return x
 }
 
