httpx, guard: a server that shuts down closes no connection on which a request may come

A client that called every few ms kept a port open until its time limit and was cut then. A connection that was accepted just before wasn't waited for. Requests sent ahead were noticed only in one packet of 4 KiB, and a connection that had sent ahead once was never closed by a response.

Change: Graceful ends the wait for a request by a read deadline, after which net/http closes the connection itself; a request that was read goes on.

A lower bound on the time of writing fell: callers who allow many tokens and get few were refused needlessly.

--- a/internal/gate/answers.go
+++ b/internal/gate/answers.go
@@ -89,7 +89,7 @@
 		slowest = slowest.slower(a)
 	}
 	margin := expectedMargin + scarceMargin/float64(n)
-	return answer{scale(slowest.took, margin), max(1, slowest.reading) * margin, max(1, slowest.writing) * margin}, true
+	return answer{scale(slowest.took, margin), max(1, slowest.reading) * margin, slowest.writing * margin}, true
 }
 
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -217,6 +217,9 @@
 	if err == nil {
 		_ = conn.SetReadDeadline(time.Time{})
 		x.body = x.buffered.Data
+		if guard.SendsAhead(x.r) {
+			x.w.Header().Del("Connection")
+		}
 		return true
 	}
 	// The rest of the body is not read, so it must not be taken for another request.
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -166,7 +166,7 @@
 	defer func() { x.buffered.Release() }()
 	s.pauses.await(r.Context())
 	x.view = s.views.load()
-	if s.drainingFor() > 0 && !guard.SendsAhead(r.Context()) {
+	if s.drainingFor() > 0 && !guard.SendsAhead(r) {
 		w.Header().Set("Connection", "close")
 	}
 	if !x.prepare() || x.refuseIfEvacuated() {
--- a/internal/guard/handler.go
+++ b/internal/guard/handler.go
@@ -36,9 +36,6 @@
 		c.setReading(r.ContentLength != 0)
 		return
 	}
-	if hasPort && r.ContentLength >= 0 && c.pastHead > r.ContentLength {
-		c.sendsAhead.Store(true)
-	}
 	if hasPort && c.port.isCrowded(now) {
 		// Clients that send without a pause would keep their places.
 		w.Header().Set("Connection", "close")
--- a/internal/guard/port.go
+++ b/internal/guard/port.go
@@ -155,26 +155,6 @@
 	_ = c.Conn.Close()
 }
 
-// CloseIdle closes the connections on which no part of a request has come for freshTime, or no more of the first or a begun one
-// for stallTime, and returns the number of the others.
-func (p *Port) CloseIdle() (left int) {
-	now := time.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for c := range p.conns {
-		patience := freshTime
-		if !c.wasUsed || c.hasHead || phase(c.phase.Load()) == reading {
-			patience = stallTime
-		}
-		if phase(c.phase.Load()) != busy && now.Sub(c.since) >= patience {
-			p.remove(c)
-			// The server sees the closed connection.
-			_ = c.Conn.Close()
-		}
-	}
-	return len(p.conns)
-}
-
 // remove forgets a connection. The caller holds p.mu.
 func (p *Port) remove(c *conn) {
 	delete(p.conns, c)
@@ -247,7 +227,8 @@
 		c.phase.Store(int32(busy))
 	case http.StateIdle:
 		p.Heads.release(c.headBytes)
-		c.headCost, c.pastHead, c.headBytes, c.since, c.hasHead, c.wasUsed = 0, 0, 0, now, false, true
+		c.headCost, c.headBytes, c.since = 0, 0, now
+		c.isFresh.Store(false)
 		c.phase.Store(int32(waiting))
 	case http.StateClosed, http.StateHijacked:
 		p.remove(c)
@@ -302,5 +283,5 @@
 func (p *Port) noteHead(c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	c.since, c.hasHead = time.Now(), true
+	c.since = time.Now()
 }
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -285,7 +285,7 @@
 // serveOn runs a server with at most maxConns connections on a listener in g.
 func (p *Process) serveOn(ctx context.Context, g *errgroup.Group, name string, ln net.Listener, maxConns int, srv *http.Server) {
 	port := &guard.Port{Name: name, MaxConns: maxConns, Heads: &p.heads, Log: p.Log, Metrics: p.metrics}
-	httpx.Serve(ctx, g, &httpx.Graceful{Server: srv, CloseIdle: port.CloseIdle}, port.Protect(srv, ln), p.closeTime)
+	httpx.Serve(ctx, g, &httpx.Graceful{Server: srv, SendsAhead: guard.SendsAhead}, port.Protect(srv, ln), p.closeTime)
 }
 
 // closeTime returns how long the HTTP servers may take to close once the components end.
