guard: no copy of each head that comes in one piece

SendsAhead looked for the end of a head in a copy of what had come; the copy is now only made where a head comes in parts. An answer at a crowded port keeps its close unless the instance is leaving.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -217,7 +217,7 @@
 	if err == nil {
 		_ = conn.SetReadDeadline(time.Time{})
 		x.body = x.buffered.Data
-		if guard.SendsAhead(x.r) {
+		if x.server.drainingFor() > 0 && guard.SendsAhead(x.r) {
 			x.w.Header().Del("Connection")
 		}
 		return true
--- a/internal/guard/conn.go
+++ b/internal/guard/conn.go
@@ -78,7 +78,10 @@
 	if c.headLength > 0 {
 		return
 	}
-	seen := append(c.headTail, b...)
+	seen := b
+	if len(c.headTail) > 0 {
+		seen = append(c.headTail, b...)
+	}
 	if i := bytes.Index(seen, []byte(headEnd)); i >= 0 {
 		c.headLength = before - int64(len(c.headTail)) + int64(i+len(headEnd))
 		return
--- a/internal/httpx/serve.go
+++ b/internal/httpx/serve.go
@@ -28,7 +28,7 @@
 )
 
 // Graceful is an HTTP server that answers what it reads: it refuses requests that come during Shutdown with 503, where
-// http.Server closes their connections without a response. It can be served once.
+// http.Server closes their connections without a response. Serve sets hooks of the server, so it may be called once.
 type Graceful struct {
 	*http.Server
 	// SendsAhead reports whether a further request has come on the connection of a request, so that the response must not
