--- a/internal/httpx/serve.go
+++ b/internal/httpx/serve.go
@@ -48,7 +48,7 @@
 type connState struct {
 	state http.ConnState
 	since time.Time
-	// isEnding is set once it takes no more requests than the one that is coming.
+	// isEnding is set once its wait for a request has been ended.
 	isEnding bool
 }
 
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -53,8 +53,8 @@
 	bufferDivisor = 4
 	// configWeight is the memory for a byte of a configuration while it is decoded.
 	configWeight = 4
-	// closeTimeout bounds the wait for in-flight requests when the HTTP servers close; in a planned stop, it is what the drain
-	// leaves of the grace period for that at least.
+	// closeTimeout bounds the wait for in-flight requests when the HTTP servers close. In a planned stop they have what is left
+	// of the grace period, which is as much if the drain took all its time.
 	closeTimeout = 200 * time.Millisecond
 	// controlCloseTimeout is closeTimeout of a control instance, whose calls end within 0.9 s.
 	controlCloseTimeout = time.Second
