Review: a heartbeat with missing fields makes a runner's acknowledged draining void (case 7)

One such heartbeat is taken for a new process of the runner; the runner's own heartbeats are acknowledged and ignored from then on.

--- a/review/testdata/second/outside.go
+++ b/review/testdata/second/outside.go
@@ -121,6 +121,22 @@
 	mu       sync.Mutex
 	ran      map[string]int
 	acked    bool
+	// draining is set once the runner reports that it leaves, and leftAt is when that was first acknowledged.
+	draining bool
+	leftAt   time.Time
+	// late counts the requests that were run later than drainTime after leftAt.
+	late int
+}
+
+// drainTime is the bound drainMs of the pages.
+const drainTime = 2000 * time.Millisecond
+
+// drain has the runner report from its next heartbeat on that it leaves. It goes on serving.
+func (r *runner) drain() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.draining = true
+	r.rec.logf("runner %s: reports draining from now on", r.id)
 }
 
 func (r *runner) start(ctx context.Context) error {
@@ -143,8 +159,14 @@
 func (r *runner) beat(ctx context.Context) {
 	client := newHTTP(time.Second)
 	for i := rand.IntN(len(r.controls)); ctx.Err() == nil; {
+		state := "ready"
+		r.mu.Lock()
+		if r.draining {
+			state = "draining"
+		}
+		r.mu.Unlock()
 		body, _ := json.Marshal(object{
-			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": "ready", "coldRemainingMs": 0,
+			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, "coldRemainingMs": 0,
 			"sequence": r.sequence.Add(1), "born": r.born,
 		})
 		status, _, _, err := call(client, http.MethodPut, "http://"+r.controls[i%len(r.controls)]+"/instances/"+r.id, http.Header{"Content-Type": {"application/json"}}, body)
@@ -154,6 +176,10 @@
 				r.rec.logf("runner %s: first heartbeat acknowledged", r.id)
 			}
 			r.acked = true
+			if state == "draining" && r.leftAt.IsZero() {
+				r.leftAt = time.Now()
+				r.rec.logf("runner %s: draining acknowledged with %d by %s", r.id, status, r.controls[i%len(r.controls)])
+			}
 			r.mu.Unlock()
 			sleep(ctx, 1200*time.Millisecond)
 			continue
@@ -181,8 +207,13 @@
 	}
 	r.mu.Lock()
 	r.ran[id]++
+	note := ""
+	if after := time.Since(r.leftAt); !r.leftAt.IsZero() && after > drainTime {
+		r.late++
+		note = fmt.Sprintf(", %.3f s after its draining was acknowledged", after.Seconds())
+	}
 	r.mu.Unlock()
-	r.rec.logf("runner %s: ran %s %s id %s", r.id, req.Method, req.URL.Path, id)
+	r.rec.logf("runner %s: ran %s %s id %s%s", r.id, req.Method, req.URL.Path, id, note)
 	time.Sleep(20 * time.Millisecond)
 	w.Header().Set("Bambooproxy-Runner-Seal", fmt.Sprintf("%s.%d", r.id, r.seals.Add(1)))
 	_, _ = io.WriteString(w, strings.Repeat("x", 800))
