--- a/review/testdata/second/founding.go
+++ b/review/testdata/second/founding.go
@@ -13,6 +13,8 @@
 	core, edge []*node
 	runners    []*runner
 	client     *client
+	// more is the number of runners besides one in each zone.
+	more int
 }
 
 func newFirst(s *site) *first {
@@ -29,8 +31,9 @@
 
 // startOutside starts the runners and the operator's first configuration, whose status is sent once it is clear.
 func (f *first) startOutside(ctx context.Context, list []string) (<-chan int, error) {
-	for z := 1; z <= 3; z++ {
-		r := &runner{rec: f.rec, id: fmt.Sprintf("i-%d", z), address: addr(f.ip(z, 9), runnerPort), zone: zoneName(z), service: service, controls: list, slots: 6}
+	for i := range 3 + f.more {
+		z := 1 + i%3
+		r := &runner{rec: f.rec, id: fmt.Sprintf("i-%d", i+1), address: addr(f.ip(z, 9+i/3), runnerPort), zone: zoneName(z), service: service, controls: list, slots: 6}
 		if err := r.start(ctx); err != nil {
 			return nil, err
 		}
--- a/review/testdata/second/main.go
+++ b/review/testdata/second/main.go
@@ -20,7 +20,7 @@
 	template := flag.String("template", "deploy/settings.jsonc", "the template of the settings")
 	out := flag.String("record", "record.txt", "file for what was sent, answered and run")
 	flag.Parse()
-	cases := map[string]func(context.Context, *site, bool) (int, error){"founding": founding, "herd": herd, "writer": writer}
+	cases := map[string]func(context.Context, *site, bool) (int, error){"founding": founding, "herd": herd, "writer": writer, "reborn": reborn, "incomplete": incomplete}
 	play, ok := cases[flag.Arg(0)]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", flag.Arg(0))
--- a/review/testdata/second/outside.go
+++ b/review/testdata/second/outside.go
@@ -126,6 +126,11 @@
 	leftAt   time.Time
 	// late counts the requests that were run later than drainTime after leftAt.
 	late int
+	// cut is set while the runner is partitioned from control: what it sends there doesn't arrive.
+	cut bool
+	// deleted is set once the runner leaves without a word of draining: it sends no more heartbeats.
+	deleted bool
+	srv     *http.Server
 }
 
 // drainTime is the bound drainMs of the pages.
@@ -140,21 +145,71 @@
 }
 
 func (r *runner) start(ctx context.Context) error {
-	r.born, r.ran = time.Now().UnixMilli(), make(map[string]int)
-	ln, err := net.Listen("tcp4", r.address)
-	if err != nil {
+	r.ran = make(map[string]int)
+	if err := r.open(); err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: r}
-	go func() { _ = srv.Serve(ln) }()
 	go func() {
 		<-ctx.Done()
-		srv.Close()
+		r.crash()
 	}()
 	go r.beat(ctx)
 	return nil
 }
 
+// open starts an incarnation of the runner.
+func (r *runner) open() error {
+	ln, err := net.Listen("tcp4", r.address)
+	if err != nil {
+		return err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.born = time.Now().UnixMilli()
+	r.sequence.Store(0)
+	r.srv = &http.Server{Handler: r}
+	go func(srv *http.Server) { _ = srv.Serve(ln) }(r.srv)
+	r.rec.logf("runner %s: started at %s, born %d", r.id, r.address, r.born)
+	return nil
+}
+
+// crash ends the incarnation and its connections.
+func (r *runner) crash() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.srv.Close()
+	r.rec.logf("runner %s: ended", r.id)
+}
+
+// setCut begins or ends a partition of the runner from control.
+func (r *runner) setCut(cut bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cut = cut
+	r.rec.logf("runner %s: partitioned from control: %t", r.id, cut)
+}
+
+// leave deregisters the runner, which goes on serving. It returns once that is acknowledged.
+func (r *runner) leave(ctx context.Context) {
+	client := newHTTP(time.Second)
+	r.mu.Lock()
+	r.deleted = true
+	r.mu.Unlock()
+	for i := rand.IntN(len(r.controls)); ctx.Err() == nil; i++ {
+		body, _ := json.Marshal(object{"born": r.born})
+		to := r.controls[i%len(r.controls)]
+		status, answer, _, err := call(client, http.MethodDelete, "http://"+to+"/instances/"+r.id, http.Header{"Content-Type": {"application/json"}}, body)
+		r.rec.logf("runner %s: DELETE /instances/%s %s to %s: %d %s %v", r.id, r.id, body, to, status, strings.TrimSpace(string(answer)), errText(err))
+		if err == nil && status/100 == 2 {
+			r.mu.Lock()
+			r.leftAt = time.Now()
+			r.mu.Unlock()
+			return
+		}
+		sleep(ctx, 200*time.Millisecond)
+	}
+}
+
 // beat sends heartbeats: to the next daemon after a failure.
 func (r *runner) beat(ctx context.Context) {
 	client := newHTTP(time.Second)
@@ -164,10 +219,15 @@
 		if r.draining {
 			state = "draining"
 		}
+		silent, born := r.cut || r.deleted, r.born
 		r.mu.Unlock()
+		if silent {
+			sleep(ctx, 50*time.Millisecond)
+			continue
+		}
 		body, _ := json.Marshal(object{
 			"service": r.service, "address": r.address, "zone": r.zone, "version": "v1", "slots": r.slots, "state": state, "coldRemainingMs": 0,
-			"sequence": r.sequence.Add(1), "born": r.born,
+			"sequence": r.sequence.Add(1), "born": born,
 		})
 		status, _, _, err := call(client, http.MethodPut, "http://"+r.controls[i%len(r.controls)]+"/instances/"+r.id, http.Header{"Content-Type": {"application/json"}}, body)
 		if err == nil && status/100 == 2 {
@@ -226,6 +286,8 @@
 	zone        string
 
 	sent, served int
+	// answers counts the responses by status; 0 stands for none.
+	answers map[int]int
 }
 
 // run sends a request every interval until ctx ends.
@@ -267,5 +329,9 @@
 	if status == 200 && hd.Get("Bambooproxy-Runner-Seal") != "" && len(b) == 800 {
 		c.served++
 	}
+	if c.answers == nil {
+		c.answers = make(map[int]int)
+	}
+	c.answers[status]++
 	c.rec.logf("client: %s %s id %s to %s: %d, %d bytes %v", method, path, id, to, status, len(b), errText(err))
 }
