--- a/review/testdata/second/founding.go
+++ b/review/testdata/second/founding.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 )
@@ -57,16 +58,34 @@
 	return f.client.sent, f.client.served
 }
 
-// judge returns the exit code: the rule "Fault" is broken if no request is served.
-func (f *first) judge(sent, served int, status <-chan int) int {
+// readBack reads the configuration as the operator does at the end of a day: again and again, at any daemon, for twice
+// contactMs. It reports whether one came.
+func (f *first) readBack(ctx context.Context, list []string) bool {
+	client := newHTTP(time.Second)
+	for end := time.Now().Add(6 * time.Second); time.Now().Before(end); sleep(ctx, 300*time.Millisecond) {
+		for _, to := range list {
+			status, body, _, err := call(client, http.MethodGet, "http://"+to+"/config", nil, nil)
+			f.rec.logf("operator: GET /config from %s: %d, %d bytes %v", to, status, len(body), errText(err))
+			if err == nil && status == http.StatusOK {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// judge returns the exit code: CONFIG is broken if the configuration, read back at the end, doesn't come, and Fault if no
+// request is served.
+func (f *first) judge(ctx context.Context, list []string, sent, served int, status <-chan int) int {
+	came := f.readBack(ctx, list)
 	acked := "none: the operator still sends it"
 	select {
 	case s := <-status:
 		acked = fmt.Sprint(s)
 	default:
 	}
-	f.rec.logf("%d requests sent, %d served; answer to the first configuration: %s", sent, served, acked)
-	if served == 0 {
+	f.rec.logf("%d requests sent, %d served; answer to the first configuration: %s; it was read back: %t", sent, served, acked, came)
+	if !came || served == 0 {
 		return broken
 	}
 	return held
@@ -113,7 +132,7 @@
 	}
 	sleep(ctx, 8*time.Second)
 	sent, served := f.traffic(ctx, append(core, f.edge...), 40*time.Second)
-	return f.judge(sent, served, status), nil
+	return f.judge(ctx, controls(core...), sent, served, status), nil
 }
 
 // herd kills all processes of the core at the same moment during the first start; they are back within a second.
@@ -146,5 +165,5 @@
 	}
 	sleep(ctx, 8*time.Second)
 	sent, served := f.traffic(ctx, append(f.core, f.edge...), 40*time.Second)
-	return f.judge(sent, served, status), nil
+	return f.judge(ctx, controls(f.core...), sent, served, status), nil
 }
