--- a/internal/cmds/tablescheck.go
+++ b/internal/cmds/tablescheck.go
@@ -112,11 +112,14 @@
 
 // checkSite checks tables of a site whose entries and control instances are apart.
 func (r *tablesReport) checkSite(b, former []byte) error {
-	t, err := platform.ParseTables(b)
+	t, gaps, err := platform.ParseTables(b)
 	if err != nil {
 		r.add(b, table.Finding{Severity: table.Error, FieldError: table.FieldError{Field: "file", Message: err.Error()}})
 		return nil
 	}
+	for _, gap := range gaps {
+		r.add(b, table.Finding{Severity: table.Error, FieldError: gap})
+	}
 	for _, f := range t.Findings() {
 		f.Field = platform.FieldName(f.Field)
 		r.add(b, f)
@@ -124,7 +127,8 @@
 	if former == nil {
 		return nil
 	}
-	old, err := platform.ParseTables(former)
+	// Gaps don't count: an earlier build may have accepted the version in force with them.
+	old, _, err := platform.ParseTables(former)
 	if err != nil {
 		return errors.Mark(errors.Wrap(err, r.Against), errBadFile)
 	}
--- a/internal/cmds/tablescheck_test.go
+++ b/internal/cmds/tablescheck_test.go
@@ -44,11 +44,15 @@
 func TestTablesCheckExitCode(t *testing.T) {
 	former, broken := filepath.Join("testdata", "site-former.json"), filepath.Join(t.TempDir(), "broken")
 	quicktest.Assert(t, os.WriteFile(broken, []byte(`{"version": 1, "routes": [`), 0o600), quicktest.IsNil)
+	incomplete := filepath.Join(t.TempDir(), "incomplete")
+	quicktest.Assert(t, os.WriteFile(incomplete, []byte(`{"version": 1, "tenants": null}`), 0o600), quicktest.IsNil)
 	for _, c := range []struct {
 		args []string
 		code Exit
 		out  string
 	}{
+		{[]string{incomplete}, Failed, "4 errors"},
+		{[]string{"--against", incomplete, former}, Success, "8 differences"},
 		{[]string{former}, Success, "0 errors, 0 warnings"},
 		{[]string{"--against", former, former}, Success, "0 differences"},
 		{[]string{filepath.Join("testdata", "tables.json")}, Success, "0 errors, 2 warnings"},
--- a/internal/hub/cluster_test.go
+++ b/internal/hub/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strings"
@@ -529,6 +530,37 @@
 	})
 }
 
+// TestTablesWithoutRoutesAreReplaced: an earlier build accepted documents without routes. A site that holds one on its disks
+// must start, serve, take the next tables, and know a document that it accepted, also once it is replaced.
+func TestTablesWithoutRoutesAreReplaced(t *testing.T) {
+	runCluster(t, 3, 2, func(t *testing.T, cl *cluster) {
+		wantPublished := func(source string, want bool) {
+			for _, c := range cl.controls {
+				got, err := c.HasPublished(t.Context(), []byte(source))
+				quicktest.Check(t, err, quicktest.IsNil)
+				quicktest.Check(t, got, quicktest.Equals, want, quicktest.Commentf("%s", source))
+			}
+		}
+		wantPublished("x", false)
+		cl.publish(1)
+		quicktest.Assert(t, cl.follower().Publish(t.Context(), &site.Tables{Version: 2}, []byte("x")), quicktest.IsNil)
+		for addr, disk := range cl.losePower(rand.New(rand.NewPCG(1, 1))) {
+			cl.startControl(addr, disk, false)
+		}
+		cl.startEntry("fresh", "10.0.1.9:1")
+		time.Sleep(5 * time.Second)
+		wantPublished("x", true)
+		wantPublished("y", false)
+		quicktest.Check(t, cl.allAtVersion(2), quicktest.IsTrue)
+		cl.publish(3)
+		time.Sleep(500 * time.Millisecond)
+		quicktest.Check(t, cl.allAtVersion(3), quicktest.IsTrue)
+		wantPublished("x", true)
+		wantPublished("1", true)
+		wantPublished("2", false)
+	})
+}
+
 // TestIsolatedLeaderServesNoStaleReads cuts the leader off without closing its connections
 // while the others elect a new leader and commit tables: the old leader must not answer reads
 // with its older tables.
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -63,28 +63,45 @@
 // TablesSource returns the source document of the newest committed tables. The read is
 // linearizable: it fails if the leader does not confirm which revision is the newest.
 func (s *Server) TablesSource(ctx context.Context) ([]byte, error) {
+	if err := s.awaitNewest(ctx); err != nil {
+		return nil, err
+	}
+	_, source := s.registry.Tables()
+	if source == nil {
+		return nil, verd.New(verd.NotRun, verd.Unavailable, "no tables have been published")
+	}
+	return source, nil
+}
+
+// HasPublished reports whether source is the document of the newest committed tables or of one of the last before
+// them. It fails like TablesSource, but not before the first tables.
+func (s *Server) HasPublished(ctx context.Context, source []byte) (bool, error) {
+	if err := s.awaitNewest(ctx); err != nil {
+		return false, err
+	}
+	return s.registry.HasPublished(source), nil
+}
+
+// awaitNewest waits until the registry of this instance has the newest committed revision, at most callTimeout.
+// It fails if the leader does not confirm which one that is.
+func (s *Server) awaitNewest(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	index, err := s.readIndex(ctx)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	for {
 		revision, changed := s.registry.Revision()
 		if revision >= index.Revision {
-			break
+			return nil
 		}
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return nil, verd.New(verd.NotRun, verd.Unavailable, "registry of this instance is at revision %d, the read needs %d", revision, index.Revision)
+			return verd.New(verd.NotRun, verd.Unavailable, "registry of this instance is at revision %d, the read needs %d", revision, index.Revision)
 		}
 	}
-	_, source := s.registry.Tables()
-	if source == nil {
-		return nil, verd.New(verd.NotRun, verd.Unavailable, "no tables have been published")
-	}
-	return source, nil
 }
 
 // readIndex returns the read index, the lowest revision at which a read is linearizable. It
--- a/internal/reg/machine.go
+++ b/internal/reg/machine.go
@@ -323,6 +323,14 @@
 	return m.state.Tables, m.state.Source
 }
 
+// HasPublished reports whether source is the document of the current tables or of one of the last that
+// they replaced.
+func (m *Machine) HasPublished(source []byte) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.hasPublished(source)
+}
+
 // Target returns the target with an ID, even if it is gone. It returns false if the registry
 // has no such target.
 func (m *Machine) Target(id string) (site.Target, bool) {
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -3,7 +3,9 @@
 package reg
 
 import (
+	"bytes"
 	"cmp"
+	"crypto/sha256"
 	"slices"
 
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -51,8 +53,14 @@
 	// Unannounced are the departures of processes that may not be the known one of their target, in the order in
 	// which they were received. It is left out while it is empty.
 	Unannounced []Departure `cbor:"7,keyasint,omitempty"`
+	// Replaced are the SHA-256 digests of the documents of the last maxReplaced tables before the current ones, the
+	// oldest first. It tells a document that was accepted and is sent again.
+	Replaced [][]byte `cbor:"8,keyasint,omitempty"`
 }
 
+// maxReplaced bounds State.Replaced. An operator has up to eight changes in progress.
+const maxReplaced = 64
+
 // Command is a change of the state. Exactly one of the pointers is set.
 type Command struct {
 	Publish    *Publish     `cbor:"1,keyasint,omitempty"`
@@ -120,11 +128,25 @@
 	if s.Tables != nil && p.Tables.Version <= s.Tables.Version {
 		return false
 	}
+	if s.Tables != nil {
+		digest := sha256.Sum256(s.Source)
+		s.Replaced = append(s.Replaced[max(0, len(s.Replaced)+1-maxReplaced):], digest[:])
+	}
 	s.Revision++
 	s.Tables, s.Source, s.TablesRevision = &p.Tables, p.Source, s.Revision
 	return true
 }
 
+// hasPublished reports whether source is the document of the current tables or of one of the last that
+// they replaced.
+func (s *State) hasPublished(source []byte) bool {
+	if s.Tables == nil {
+		return false
+	}
+	digest := sha256.Sum256(source)
+	return bytes.Equal(s.Source, source) || slices.ContainsFunc(s.Replaced, func(d []byte) bool { return bytes.Equal(d, digest[:]) })
+}
+
 // announce adds or updates a target and returns whether the state changed. It ignores an
 // announcement that is older than the record of the target, and one of a process whose
 // address belongs to a later process. Other targets with the same address become gone. hasLeft is set if
