--- a/internal/hub/leaving_test.go
+++ b/internal/hub/leaving_test.go
@@ -8,6 +8,7 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/bambooproxy/bambooproxy/internal/link"
+	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
@@ -103,3 +104,45 @@
 		}
 	})
 }
+
+// TestDepartureOfRestartedTarget guards against a target that is used after its departure was acknowledged: it had started again
+// while control didn't hear of it, so that control knows the process before only. Nor may a late heartbeat of that one bring it back,
+// also if it was taken for lost before.
+func TestDepartureOfRestartedTarget(t *testing.T) {
+	runCluster(t, 3, 2, func(t *testing.T, cl *cluster) {
+		cl.publish(1)
+		wantState := func(id string, want site.State) {
+			t.Helper()
+			time.Sleep(time.Second)
+			for _, e := range cl.entries {
+				quicktest.Assert(t, e.state(id), quicktest.Equals, want)
+			}
+		}
+		for i, isLost := range []bool{false, true} {
+			id := fmt.Sprint(i + 1)
+			before := clusterTarget(id, 1, site.Ready)
+			before.StartedMs = time.Now().UnixMilli()
+			quicktest.Assert(t, cl.follower().Announce(t.Context(), before), quicktest.IsNil)
+			wantState(id, site.Ready)
+			if isLost {
+				_, err := cl.leader().propose(t.Context(), reg.Command{Deregister: &reg.Deregister{ID: id, StartedMs: before.StartedMs, TimedOut: true}})
+				quicktest.Assert(t, err, quicktest.IsNil)
+			}
+			quicktest.Assert(t, cl.follower().Deregister(t.Context(), id, before.StartedMs+500), quicktest.IsNil)
+			wantState(id, site.Gone)
+			for _, startedMs := range []int64{before.StartedMs, before.StartedMs + 500} {
+				late := before
+				late.StartedMs, late.Sequence = startedMs, 7
+				quicktest.Assert(t, cl.follower().Announce(t.Context(), late), quicktest.IsNil)
+				wantState(id, site.Gone)
+			}
+			next := clusterTarget(id, 1, site.Ready)
+			next.StartedMs = time.Now().UnixMilli()
+			quicktest.Assert(t, cl.follower().Announce(t.Context(), next), quicktest.IsNil)
+			wantState(id, site.Ready)
+			// A late departure of the process before must not remove it.
+			quicktest.Assert(t, cl.follower().Deregister(t.Context(), id, before.StartedMs+500), quicktest.IsNil)
+			wantState(id, site.Ready)
+		}
+	})
+}
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -281,7 +281,11 @@
 		}
 	}
 	r, err := s.propose(ctx, reg.Command{Deregister: d, ReceivedMs: time.Now().UnixMilli()})
-	s.Log.Info().Str("target", id).Int64("born", startedMs).Bool("changed", r.Changed).Err(err).Msg("deregistration of target handled")
+	earlier := err == nil && r.Earlier != nil
+	if earlier {
+		r, err = s.propose(ctx, reg.Command{Deregister: &reg.Deregister{ID: id, StartedMs: *r.Earlier}})
+	}
+	s.Log.Info().Str("target", id).Int64("born", startedMs).Bool("changed", r.Changed).Bool("earlier", earlier).Err(err).Msg("deregistration of target handled")
 	return err
 }
 
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -102,6 +102,9 @@
 	HasLeft bool `cbor:"4,keyasint,omitempty"`
 	// Outdated is set for a change of the evacuations that came too late; see Evacuate.After.
 	Outdated bool `cbor:"5,keyasint,omitempty"`
+	// Earlier is the start time of the process on record, in Unix milliseconds, if a later process of its target left.
+	// Then it has ended, too, and must be deregistered: replicas of builds that don't know that keep the record.
+	Earlier *int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Apply applies a command.
@@ -114,6 +117,7 @@
 		r.HasLeft = s.hasLeft(c.Announce.ID, c.Announce.StartedMs, c.ReceivedMs)
 		r.Changed = s.announce(*c.Announce, r.HasLeft)
 	case c.Deregister != nil:
+		r.Earlier = s.earlier(*c.Deregister)
 		r.Changed = s.deregister(*c.Deregister, c.ReceivedMs)
 	case c.Evacuate != nil:
 		r.Outdated = c.Evacuate.IsOutdated(s.Evacuations)
@@ -216,6 +220,20 @@
 	return true
 }
 
+// earlier returns the start time of the process on record if that started before the one that left and may still be
+// used, now or after an announcement of it that comes late.
+func (s *State) earlier(d Deregister) *int64 {
+	i, found := s.find(d.ID)
+	if !found || d.TimedOut {
+		return nil
+	}
+	r := s.Targets[i]
+	if d.StartedMs <= r.Target.StartedMs || r.Target.State == site.Gone && !r.TimedOut {
+		return nil
+	}
+	return &r.Target.StartedMs
+}
+
 // setState changes the state of the target at index i.
 func (s *State) setState(i int, to site.State) {
 	s.Revision++
