--- a/internal/hub/leaving_test.go
+++ b/internal/hub/leaving_test.go
@@ -10,6 +10,7 @@
 	"github.com/bambooproxy/bambooproxy/internal/link"
 	"github.com/bambooproxy/bambooproxy/internal/reg"
 	"github.com/bambooproxy/bambooproxy/internal/site"
+	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
 // reportLeaving sends the leader the report of one entry that target "1" is leaving, as part
@@ -146,3 +147,22 @@
 		}
 	})
 }
+
+// TestDrainingInVainIsRefused guards against an acknowledged draining without effect: a target whose record names a later process, by
+// a wrong clock or a foreign call, would be used on and believe the opposite.
+func TestDrainingInVainIsRefused(t *testing.T) {
+	runCluster(t, 3, 1, func(t *testing.T, cl *cluster) {
+		cl.publish(1)
+		later := clusterTarget("1", 1, site.Ready)
+		later.StartedMs = 9
+		quicktest.Assert(t, cl.follower().Announce(t.Context(), later), quicktest.IsNil)
+		quicktest.Check(t, cl.follower().Announce(t.Context(), clusterTarget("1", 5, site.Ready)), quicktest.IsNil)
+		err := cl.follower().Announce(t.Context(), clusterTarget("1", 6, site.Draining))
+		quicktest.Assert(t, err, quicktest.IsNotNil)
+		quicktest.Check(t, verd.From(err).Verdict, quicktest.Equals, verd.NotRun)
+		later.Sequence, later.State = 2, site.Draining
+		quicktest.Check(t, cl.follower().Announce(t.Context(), later), quicktest.IsNil)
+		// No later process is used any more, so it is true now.
+		quicktest.Check(t, cl.follower().Announce(t.Context(), clusterTarget("1", 7, site.Draining)), quicktest.IsNil)
+	})
+}
--- a/internal/hub/registry.go
+++ b/internal/hub/registry.go
@@ -176,6 +176,9 @@
 	}
 	received := time.Now()
 	r, err := s.propose(ctx, reg.Command{Announce: &t, ReceivedMs: received.UnixMilli()})
+	if err == nil && r.Outdated {
+		err = verd.New(verd.NotRun, verd.Unavailable, "target %q drains in a process that started before the one that is used", t.ID)
+	}
 	if err == nil && r.HasLeft {
 		// Its record must state so for replicas of builds that don't remember the departure. The target may announce
 		// itself again, as a departure without a start time may be that of another process.
--- a/internal/reg/state.go
+++ b/internal/reg/state.go
@@ -100,7 +100,8 @@
 	Error string `cbor:"3,keyasint,omitempty"`
 	// HasLeft is set if the command announced a process that had left before.
 	HasLeft bool `cbor:"4,keyasint,omitempty"`
-	// Outdated is set for a change of the evacuations that came too late; see Evacuate.After.
+	// Outdated is set for a change of the evacuations that came too late; see Evacuate.After. It is also set for the
+	// announcement of a process that drains while a later one of its target is used.
 	Outdated bool `cbor:"5,keyasint,omitempty"`
 	// Earlier is the start time of the process on record, in Unix milliseconds, if a later process of its target left.
 	// Then it has ended, too, and must be deregistered: replicas of builds that don't know that keep the record.
@@ -115,6 +116,7 @@
 		r.Changed = s.publish(c.Publish)
 	case c.Announce != nil:
 		r.HasLeft = s.hasLeft(c.Announce.ID, c.Announce.StartedMs, c.ReceivedMs)
+		r.Outdated = s.drainsInVain(*c.Announce)
 		r.Changed = s.announce(*c.Announce, r.HasLeft)
 	case c.Deregister != nil:
 		r.Earlier = s.earlier(*c.Deregister)
@@ -188,6 +190,17 @@
 	return true
 }
 
+// drainsInVain reports whether an announcement says that its process drains while a later process of the target is
+// used.
+func (s *State) drainsInVain(t site.Target) bool {
+	i, found := s.find(t.ID)
+	if !found || t.State == site.Ready {
+		return false
+	}
+	known := s.Targets[i].current()
+	return known.State == site.Ready && t.StartedMs < known.StartedMs
+}
+
 // isSupersededBy reports whether an announcement of the same ID is newer than the record: it
 // comes from a later process, or has a higher sequence number.
 func (r Record) isSupersededBy(t site.Target) bool {
