--- a/internal/admin/tables.go
+++ b/internal/admin/tables.go
@@ -1,6 +1,7 @@
 package admin
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -84,6 +85,10 @@
 		s.writeError(c, e)
 		return
 	}
+	if err := req.Tables.CheckPresent(); err != nil {
+		s.writeError(c, verd.Wrap(err, verd.NotRun, verd.BadRequest, "tables"))
+		return
+	}
 	if req.ID == "" {
 		req.ID = uuid.NewString()
 	}
@@ -144,7 +149,7 @@
 		s.writeError(c, err)
 		return
 	}
-	if err := t.Check(); err != nil {
+	if err := cmp.Or(t.CheckPresent(), t.Check()); err != nil {
 		s.writeError(c, verd.Wrap(err, verd.NotRun, verd.BadRequest, "tables"))
 		return
 	}
--- a/internal/cmds/tablescheck.go
+++ b/internal/cmds/tablescheck.go
@@ -150,6 +150,10 @@
 		r.add(b, table.Finding{Severity: table.Error, FieldError: *fe})
 		return nil
 	}
+	var missing *table.FieldError
+	if errors.As(t.CheckPresent(), &missing) {
+		r.add(b, table.Finding{Severity: table.Error, FieldError: *missing})
+	}
 	r.add(b, t.Findings()...)
 	if former == nil {
 		return nil
--- a/internal/cmds/tablescheck_test.go
+++ b/internal/cmds/tablescheck_test.go
@@ -46,12 +46,15 @@
 	quicktest.Assert(t, os.WriteFile(broken, []byte(`{"version": 1, "routes": [`), 0o600), quicktest.IsNil)
 	incomplete := filepath.Join(t.TempDir(), "incomplete")
 	quicktest.Assert(t, os.WriteFile(incomplete, []byte(`{"version": 1, "tenants": null}`), 0o600), quicktest.IsNil)
+	routesAlone := filepath.Join(t.TempDir(), "routes")
+	quicktest.Assert(t, os.WriteFile(routesAlone, []byte(`{"routes": []}`), 0o600), quicktest.IsNil)
 	for _, c := range []struct {
 		args []string
 		code Exit
 		out  string
 	}{
 		{[]string{incomplete}, Failed, "4 errors"},
+		{[]string{routesAlone}, Failed, "pools: missing"},
 		{[]string{"--against", incomplete, former}, Success, "8 differences"},
 		{[]string{former}, Success, "0 errors, 0 warnings"},
 		{[]string{"--against", former, former}, Success, "0 differences"},
--- a/pkg/table/check.go
+++ b/pkg/table/check.go
@@ -1,6 +1,7 @@
 package table
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"strings"
@@ -24,6 +25,30 @@
 	return fmt.Sprintf("%s: %s", e.Field, e.Message)
 }
 
+// CheckPresent returns a *FieldError for the first list that is nil, as decoding leaves one that is absent or null. Tables that
+// an operator sends replace all rows, so a list that was forgotten would remove them.
+func (t *Tables) CheckPresent() error {
+	switch {
+	case t.Routes == nil:
+		return &FieldError{Field: "routes", Message: "missing"}
+	case t.Pools == nil:
+		return &FieldError{Field: "pools", Message: "missing"}
+	}
+	return nil
+}
+
+// MarshalJSON encodes tables. Lists that are nil are encoded as empty ones.
+func (t Tables) MarshalJSON() ([]byte, error) {
+	type fields Tables
+	if t.Routes == nil {
+		t.Routes = []Route{}
+	}
+	if t.Pools == nil {
+		t.Pools = []Pool{}
+	}
+	return json.Marshal(fields(t))
+}
+
 // Check returns the first invalid value of the tables as a *FieldError, or nil.
 func (t *Tables) Check() error {
 	if len(t.Routes) > MaxRoutes {
--- a/pkg/table/decode.go
+++ b/pkg/table/decode.go
@@ -11,13 +11,16 @@
 	"github.com/tailscale/hujson"
 )
 
-// Decode parses tables from JSON with comments and checks them. Its errors are of type
+// Decode parses tables from JSON with comments and checks them. Routes and pools must be there. Its errors are of type
 // *FieldError and have the line number.
 func Decode(b []byte) (*Tables, error) {
 	var t Tables
 	if err := DecodeFile(b, &t); err != nil {
 		return nil, err
 	}
+	if err := t.CheckPresent(); err != nil {
+		return nil, AtLine(b, err)
+	}
 	if err := t.Check(); err != nil {
 		return nil, AtLine(b, err)
 	}
--- a/pkg/table/decode_test.go
+++ b/pkg/table/decode_test.go
@@ -9,6 +9,24 @@
 	"github.com/bambooproxy/bambooproxy/internal/mutate"
 )
 
+// TestDecodeAbsentLists guards against tables that lack a list and so remove all rows. Empty lists remove them knowingly.
+func TestDecodeAbsentLists(t *testing.T) {
+	for in, want := range map[string]string{
+		`{}`:                               "routes: missing",
+		`null`:                             "routes: missing",
+		`{"pools":[]}`:                     "routes: missing",
+		`{"routes":[]}`:                    "pools: missing",
+		"{\n\"routes\":null,\"pools\":[]}": "line 2: routes: missing",
+	} {
+		_, err := Decode([]byte(in))
+		quicktest.Check(t, err, quicktest.ErrorMatches, "(line 1: )?"+want, quicktest.Commentf("%s", in))
+	}
+	empty, err := Encode(&Tables{})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	_, err = Decode(empty)
+	quicktest.Check(t, err, quicktest.IsNil)
+}
+
 // FuzzDecode guards against panics and untyped errors on malformed input, and against decoded
 // tables that fail their own check or can't be encoded and decoded again.
 func FuzzDecode(f *testing.F) {
