--- a/internal/quorum/core.go
+++ b/internal/quorum/core.go
@@ -212,6 +212,10 @@
 		return
 	}
 	if !c.config.isVoter(c.id) {
+		// The leader may have removed this replica or been replaced without it.
+		if c.leader != 0 && now >= c.timerDue {
+			c.becomeFollower(0)
+		}
 		return
 	}
 	c.probeRestarts()
--- a/internal/quorum/elect_test.go
+++ b/internal/quorum/elect_test.go
@@ -56,6 +56,27 @@
 	}
 }
 
+// TestLearnerForgetsSilentLeader guards against a learner that takes a leader for the current one that has removed it, or was
+// replaced by one that doesn't know it: it would never ask to join again.
+func TestLearnerForgetsSilentLeader(t *testing.T) {
+	cfg := NewConfig(Replica{ID: 1}, Replica{ID: 2})
+	cfg.Replicas = append(cfg.Replicas, Replica{ID: 3})
+	c, err := NewCore(3, testTiming, PersistentState{Snapshot: Snapshot{Index: 1, Term: 1, Config: cfg}}, 0, rand.New(rand.NewPCG(1, 1)))
+	quicktest.Assert(t, err, quicktest.IsNil)
+	now := 5 * testTiming.ElectionTimeout
+	c.Step(now, Message{From: 1, To: 3, Term: 2, Body: Append{PrevIndex: 1, PrevTerm: 1}})
+	for range 9 {
+		now += testTiming.ElectionTimeout / 10
+		c.Tick(now)
+		quicktest.Assert(t, c.Status().Leader, quicktest.Equals, ID(1))
+	}
+	now += testTiming.ElectionTimeout
+	c.Tick(now)
+	quicktest.Assert(t, c.Status().Leader, quicktest.Equals, ID(0))
+	c.Step(now, Message{From: 1, To: 3, Term: 2, Body: Append{PrevIndex: 1, PrevTerm: 1}})
+	quicktest.Assert(t, c.Status().Leader, quicktest.Equals, ID(1))
+}
+
 // TestLostVoteRequestIsRepeated guards against a group without a leader for another election timeout, because the first
 // messages from one voter to another are lost with a connection to a former process.
 func TestLostVoteRequestIsRepeated(t *testing.T) {
--- a/internal/quorum/voters_test.go
+++ b/internal/quorum/voters_test.go
@@ -180,6 +180,32 @@
 	})
 }
 
+// TestRemovedLearnerJoinsAgain guards against a learner that stays out of its group for good: it was cut off for so long that the
+// leader removed it, and took the leader that it heard last for the current one.
+func TestRemovedLearnerJoinsAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newAutoGroup(t, 3, 4)
+		defer g.close()
+		const spare = "10.0.0.4:81"
+		isMember := func(c Config) bool {
+			_, ok := c.FindAddr(spare)
+			return ok
+		}
+		g.waitConfig("four members", func(c Config) bool { return len(c.Replicas) == 4 })
+		lead := g.leader()
+		for _, r := range g.replicas[lead].node.Status().Config.Replicas {
+			if !r.Voter {
+				g.isolate(r.Addr)
+				time.Sleep(20 * time.Second)
+				g.waitConfig("the learner is removed", func(c Config) bool { return len(c.Replicas) == 3 })
+				g.heal(r.Addr)
+			}
+		}
+		g.waitConfig("four members again", func(c Config) bool { return len(c.Replicas) == 4 })
+		g.waitConfig("the spare one is a member", isMember)
+	})
+}
+
 // TestEmptyDiskDoesNotCreateGroup guards against a second group: a founder that lost its
 // disk restarts while it can't reach the others. It must wait for them, and be added to
 // the existing group.
