--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -211,16 +211,18 @@
 		s.refusals++
 		return false, noBudget
 	}
-	return s.sendToLead(ctx, g, lead, helpers, &end)
+	return s.sendToLead(ctx, g, lead, helpers, reserved, &end)
 }
 
-// sendToLead sends the request to the lead engine and relays the response.
-func (s *stream) sendToLead(ctx context.Context, g place.Grant, lead site.Target, helpers []PrefillHelper, end *place.End) (done bool, reason string) {
+// sendToLead sends the request to the lead engine and relays the response. It leaves an engine that doesn't use the memory
+// that is reserved for the request.
+func (s *stream) sendToLead(ctx context.Context, g place.Grant, lead site.Target, helpers []PrefillHelper, reserved *reservations, end *place.End) (done bool, reason string) {
 	defer s.server.health.track(lead.ID)()
-	att := streamAttempt{target: lead, grantID: g.ID, sentAt: time.Now(), resumes: s.hasLastID}
+	att := streamAttempt{target: lead, grantID: g.ID, sentAt: time.Now(), resumes: s.hasLastID, unused: reserved.unused}
 	q := s.buildRequest(lead, SendInfo{Urgency: g.Urgency, Helpers: helpers, LastEventID: s.lastID, HasLastEventID: s.hasLastID})
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	defer context.AfterFunc(reserved.unused, cancel)()
 	if s.canRetryElsewhere(lead) {
 		s.next = newTakeover(ctx, s, &att, cancel)
 		defer s.next.firstEnds()
@@ -228,12 +230,7 @@
 	q.HeadTimeout = s.firstEventLimit()
 	resp, err := s.server.TargetClient.Do(sendCtx, lead.Address, q)
 	if err != nil {
-		if s.next.firstEnds() {
-			err = &engine.Silent{After: time.Since(att.sentAt)}
-		}
-		failed := att.send()
-		failed.isRecorded = s.next.hasStarted()
-		return s.handleSendError(ctx, failed, err, end)
+		return s.handleSendError(ctx, &att, err, end)
 	}
 	reuse := false
 	defer func() { resp.Close(reuse) }()
@@ -269,8 +266,12 @@
 // err of reading them if there is one. It returns the reason for the log.
 func (s *stream) handleBrokenStream(ctx context.Context, lead site.Target, att *streamAttempt, reason string, err error, end *place.End) string {
 	s.mayHaveRun = true
-	if s.next.firstEnds() {
-		reason, err = "an engine was silent, and another one continued its answer", &engine.Silent{After: time.Since(att.send().lastByteAt())}
+	silent := &engine.Silent{After: time.Since(att.send().lastByteAt())}
+	switch {
+	case s.next.firstEnds():
+		reason, err = "an engine was silent, and another one continued its answer", silent
+	case att.unused.Err() != nil:
+		reason, err = "an engine did not use the memory that was reserved for it", silent
 	}
 	failed := att.send()
 	failed.isRecorded = s.next.hasStarted()
@@ -290,7 +291,12 @@
 }
 
 // handleSendError handles a send that returned no response headers.
-func (s *stream) handleSendError(ctx context.Context, failed send, err error, end *place.End) (done bool, reason string) {
+func (s *stream) handleSendError(ctx context.Context, att *streamAttempt, err error, end *place.End) (done bool, reason string) {
+	if s.next.firstEnds() || att.unused.Err() != nil {
+		err = &engine.Silent{After: time.Since(att.sentAt)}
+	}
+	failed := att.send()
+	failed.isRecorded = s.next.hasStarted()
 	if ctx.Err() != nil {
 		s.sends++
 		s.mayHaveRun = true
@@ -388,6 +394,8 @@
 	sentAt  time.Time
 	// resumes is set if the caller has a part of the answer.
 	resumes bool
+	// unused is reservations.unused, with which the attempt ends.
+	unused context.Context
 	// firstEventAt is when the first new event came, and lastEventAt when the last one did;
 	// zero before that.
 	firstEventAt, lastEventAt time.Time
--- a/internal/gate/headercodec.go
+++ b/internal/gate/headercodec.go
@@ -99,4 +99,9 @@
 	// or extends a reservation. Release returns the request that ends it.
 	Reserve(h PrefillHelper, ttl time.Duration) *hop.Request
 	Release(h PrefillHelper) *hop.Request
+	// Report returns the request for the load report of an engine.
+	Report(t site.Target) *hop.Request
+	// IsUnused reports whether no request uses a reservation by the load report of its engine. It
+	// returns an error if the report can't be read.
+	IsUnused(h PrefillHelper, report []byte) (bool, error)
 }
--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -33,6 +33,9 @@
 		return CallInfo{}, err
 	}
 	c := CallInfo{ID: h.Get("Id"), Key: h.Get("Key"), TimeLimit: time.Duration(ms) * time.Millisecond, PromptTokens: 1000, MaxOutputTokens: 100}
+	if n, err := strconv.Atoi(h.Get("Prompt")); err == nil {
+		c.PromptTokens = n
+	}
 	if parts := h.Get("Parts"); parts != "" {
 		c.SharedSegments = strings.Split(parts, ",")
 	}
@@ -82,6 +85,17 @@
 	return orderRequest(h, "release "+h.ReservationID)
 }
 
+func (testCodec) Report(t site.Target) *hop.Request {
+	return &hop.Request{Method: http.MethodGet, URI: reportPath, Host: t.Address, Header: http.Header{}}
+}
+
+func (testCodec) IsUnused(_ PrefillHelper, report []byte) (bool, error) {
+	return string(report) == "unused", nil
+}
+
+// reportPath is the path of the load reports of fake targets.
+const reportPath = "/report"
+
 func orderRequest(h PrefillHelper, text string) *hop.Request {
 	return &hop.Request{Method: http.MethodPost, URI: "/order", Host: h.Target.Address, Header: http.Header{}, Body: []byte(text)}
 }
@@ -97,6 +111,9 @@
 	requests []*http.Request
 	orders   []string
 	closed   []time.Time
+	// report is the load report, and reports the number of times that it was read.
+	report  string
+	reports int
 	// accepted is the number of connections.
 	accepted int
 }
@@ -130,12 +147,20 @@
 			return
 		}
 		f.mu.Lock()
-		if q.URL.Path == "/order" {
+		report := f.report
+		switch q.URL.Path {
+		case "/order":
 			f.orders = append(f.orders, string(body))
-		} else {
+		case reportPath:
+			f.reports++
+		default:
 			f.requests = append(f.requests, q)
 		}
 		f.mu.Unlock()
+		if q.URL.Path == reportPath {
+			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(report), report)
+			continue
+		}
 		if q.URL.Path == "/order" {
 			io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
 			continue
