--- a/internal/httpx/serve.go
+++ b/internal/httpx/serve.go
@@ -34,6 +34,8 @@
 	// SendsAhead reports whether a further request has come on the connection of a request, so that the response must not
 	// close it. Nil means never.
 	SendsAhead func(*http.Request) bool
+	// OnRefuse is called with each request that is refused. Nil means nothing.
+	OnRefuse func(*http.Request)
 
 	isClosing atomic.Bool
 	// accepted is closed once no more connections are accepted.
@@ -84,6 +86,9 @@
 
 // refuse answers a request that hasn't run and won't.
 func (s *Graceful) refuse(w http.ResponseWriter, r *http.Request) {
+	if s.OnRefuse != nil {
+		s.OnRefuse(r)
+	}
 	if s.SendsAhead == nil || !s.SendsAhead(r) {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/httpx/serve_test.go
+++ b/internal/httpx/serve_test.go
@@ -58,7 +58,8 @@
 				ctx, stop := context.WithCancel(t.Context())
 				g, _ := errgroup.WithContext(t.Context())
 				srv := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) })}
-				Serve(ctx, g, &Graceful{Server: srv}, countedListener{ln, &read}, func() time.Duration { return 300 * time.Millisecond })
+				var refused atomic.Int64
+				Serve(ctx, g, &Graceful{Server: srv, OnRefuse: func(*http.Request) { refused.Add(1) }}, countedListener{ln, &read}, func() time.Duration { return 300 * time.Millisecond })
 				conn, err := network.Dialer("10.0.0.2")(ctx, "10.0.0.1:80")
 				quicktest.Assert(t, err, quicktest.IsNil)
 				_, err = io.WriteString(conn, request[:early])
@@ -71,6 +72,7 @@
 				}
 				unread := read.Load() < int64(len(request))
 				quicktest.Check(t, unread || err == nil, quicktest.IsTrue, quicktest.Commentf("%d of %d bytes read, then %v", read.Load(), len(request), fmt.Sprint(err)))
+				quicktest.Check(t, refused.Load() == 1, quicktest.Equals, err == nil)
 				quicktest.Check(t, g.Wait(), quicktest.IsNil)
 			})
 		})
--- a/internal/node/process.go
+++ b/internal/node/process.go
@@ -285,7 +285,16 @@
 // serveOn runs a server with at most maxConns connections on a listener in g.
 func (p *Process) serveOn(ctx context.Context, g *errgroup.Group, name string, ln net.Listener, maxConns int, srv *http.Server) {
 	port := &guard.Port{Name: name, MaxConns: maxConns, Heads: &p.heads, Log: p.Log, Metrics: p.metrics}
-	httpx.Serve(ctx, g, &httpx.Graceful{Server: srv, SendsAhead: guard.SendsAhead}, port.Protect(srv, ln), p.closeTime)
+	onRefuse := func(r *http.Request) {
+		id := ""
+		if p.HeaderCodec != nil {
+			// Headers that can't be decoded leave the ID empty.
+			call, _ := p.HeaderCodec.DecodeCall(r.Header)
+			id = call.ID
+		}
+		p.Log.Info().Str("id", id).Str("port", name).Str("method", r.Method).Str("path", r.URL.Path).Msg("request refused while the servers close")
+	}
+	httpx.Serve(ctx, g, &httpx.Graceful{Server: srv, SendsAhead: guard.SendsAhead, OnRefuse: onRefuse}, port.Protect(srv, ln), p.closeTime)
 }
 
 // closeTime returns how long the HTTP servers may take to close once the components end.
