--- a/internal/place/decide.go
+++ b/internal/place/decide.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/bambooproxy/bambooproxy/internal/site"
@@ -101,8 +102,12 @@
 	return n
 }
 
-// coversPrice reports whether what a request gains covers the price of its engine time.
+// coversPrice reports whether what a request gains covers the price of its engine time. While all engines are
+// idle that time costs nothing, as it would be lost.
 func (c *Core) coversPrice(now time.Time, j *job, p *plan) bool {
+	if c.isIdle(now) {
+		return true
+	}
 	gain := j.value
 	if j.late {
 		gain *= 1 - latePenalty
@@ -110,6 +115,11 @@
 	return gain-p.ownLoss-p.othersLoss >= c.demand.price(now, len(c.engines), j.isLong())*c.engineTime(j).Seconds()
 }
 
+// isIdle reports whether no available engine has a request.
+func (c *Core) isIdle(now time.Time) bool {
+	return !slices.ContainsFunc(c.engines, func(e *engine) bool { return c.available(now, e) && len(e.jobs) > 0 })
+}
+
 // retryAfter returns how long a refused caller should wait before it tries again. It spreads
 // the retries over the time in which the answers being decoded now end, and further if more is
 // wanted than the engines can do: what comes back too soon is refused again.
