--- a/internal/gate/reservation.go
+++ b/internal/gate/reservation.go
@@ -52,7 +52,8 @@
 	helpers   []PrefillHelper
 	// stop ends the renewal; done is closed when no renewal is in flight any more.
 	stop, done chan struct{}
-	// unused ends once a helper has shown that the lead engine doesn't use its reservation. The renewal ends with it.
+	// unused ends once a helper has shown that the lead engine doesn't use its reservation, or with release. The renewal
+	// ends with it.
 	unused     context.Context
 	markUnused context.CancelFunc
 }
--- a/internal/quorum/disk.go
+++ b/internal/quorum/disk.go
@@ -65,7 +65,7 @@
 	}
 	becomesFounder := d.uninitialised && id.Founding == nil && len(initialMembers) > 0
 	if becomesFounder {
-		id.Founding = &Founding{Members: slices.Sorted(slices.Values(initialMembers))}
+		id.Founding = &Founding{Members: slices.Compact(slices.Sorted(slices.Values(initialMembers)))}
 	}
 	if contents.Identity == nil || becomesFounder {
 		if err := d.setIdentity(id); err != nil {
--- a/internal/quorum/founding.go
+++ b/internal/quorum/founding.go
@@ -106,7 +106,10 @@
 	decided chan *FirstGroup
 }
 
-func newFounder(d *disk) *founder { return &founder{disk: d, decided: make(chan *FirstGroup, 1)} }
+// newFounder returns the part of a replica, which is closed if the replica has data.
+func newFounder(d *disk) *founder {
+	return &founder{disk: d, closed: !d.uninitialised, decided: make(chan *FirstGroup, 1)}
+}
 
 // close ends the part: from now on only a decided group is told.
 func (f *founder) close() {
@@ -115,8 +118,8 @@
 	f.closed = true
 }
 
-// enter writes that a group is decided, and takes the ID that this replica has in it. It returns false if the replica has none, so that it has
-// to join the group.
+// enter writes that a group is decided, and takes the ID that this replica has in it. It returns false if the replica has
+// none, so that it has to join the group.
 func (f *founder) enter(g *FirstGroup, addr string) (bool, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/quorum/founding_test.go
+++ b/internal/quorum/founding_test.go
@@ -110,6 +110,23 @@
 	quicktest.Check(t, d.founding.Promised, quicktest.Equals, Ballot{Round: 2, ID: d.id})
 }
 
+// TestMemberWithDataFoundsNothing guards against a member that promises while it starts again: it would take part in a second group, and
+// forget on its disk that it has joined one.
+func TestMemberWithDataFoundsNothing(t *testing.T) {
+	fs, members := &store.Mem{}, []string{"a", "b", "a"}
+	d, _, err := openDisk(fs, "/data", members)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, d.founding.Members, quicktest.DeepEquals, []string{"a", "b"})
+	quicktest.Assert(t, d.saveSnapshot(Snapshot{Index: 1, Term: 1}, true), quicktest.IsNil)
+	quicktest.Assert(t, d.close(), quicktest.IsNil)
+	d, _, err = openDisk(fs, "/data", members)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	reply, err := newFounder(d).answer(&FoundRequest{Members: []string{"a", "b"}, Ballot: Ballot{Round: 1, ID: 1}})
+	quicktest.Assert(t, err, quicktest.IsNil)
+	quicktest.Check(t, reply.Granted, quicktest.IsFalse)
+	quicktest.Check(t, d.founding.Promised, quicktest.Equals, Ballot{})
+}
+
 // TestInvalidFoundingRejected guards against a group that lacks an initial member, or has two replicas for one.
 func TestInvalidFoundingRejected(t *testing.T) {
 	a, b := Replica{ID: 1, Addr: "a"}, Replica{ID: 2, Addr: "b"}
