--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -171,6 +172,20 @@
 	}
 }
 
+// setReport sets the load report.
+func (f *fakeTarget) setReport(report string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.report = report
+}
+
+// received returns how often the load report was read, and the orders.
+func (f *fakeTarget) received() (reports int, orders []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.reports, slices.Clone(f.orders)
+}
+
 // requestCount returns how many requests reached the target.
 func (f *fakeTarget) requestCount() int {
 	f.mu.Lock()
--- a/internal/gate/unused_test.go
+++ b/internal/gate/unused_test.go
@@ -21,22 +21,24 @@
 				}
 				f := s.targets[1]
 				if isUnused {
-					f.report = "unused"
+					f.setReport("unused")
 				}
 				reserved, err := s.gate.reserve(t.Context(), "a1", []PrefillHelper{
 					{Target: s.targets[0].Target, ReservationID: "j", ReservedTokens: 5000}, {Target: f.Target, ReservationID: "k", ReservedTokens: 5000},
 				})
 				quicktest.Assert(t, err, quicktest.IsNil)
 				time.Sleep(unusedLimit - time.Millisecond)
-				quicktest.Check(t, f.reports, quicktest.Equals, 0)
+				reports, _ := f.received()
+				quicktest.Check(t, reports, quicktest.Equals, 0)
 				time.Sleep(9*time.Second - unusedLimit)
 				synctest.Wait()
 				quicktest.Check(t, reserved.unused.Err() != nil, quicktest.Equals, isUnused)
+				reports, orders := f.received()
 				if isUnused {
-					quicktest.Check(t, f.reports, quicktest.Equals, unusedLooks)
+					quicktest.Check(t, reports, quicktest.Equals, unusedLooks)
 				} else {
-					quicktest.Check(t, f.reports, quicktest.Equals, 1)
-					quicktest.Check(t, f.orders, quicktest.HasLen, 8)
+					quicktest.Check(t, reports, quicktest.Equals, 1)
+					quicktest.Check(t, orders, quicktest.HasLen, 8)
 				}
 				reserved.release(t.Context())
 				time.Sleep(time.Second)
@@ -55,7 +57,7 @@
 			s.tables.Routes[i].Aim, s.tables.Routes[i].Limit = 4*time.Second, 20*time.Second
 		}
 		for _, f := range s.targets {
-			f.report = "unused"
+			f.setReport("unused")
 		}
 		s.tables.Version = 2
 		s.publish(2)
@@ -65,8 +67,8 @@
 		quicktest.Check(t, res.took < 9*time.Second, quicktest.IsTrue, quicktest.Commentf("%s", res.took))
 		time.Sleep(9*time.Second - res.took)
 		for _, f := range s.targets {
-			if n := len(f.orders); n > 0 {
-				quicktest.Check(t, strings.HasPrefix(f.orders[n-1], "release "), quicktest.IsTrue, quicktest.Commentf("%v", f.orders))
+			if _, orders := f.received(); len(orders) > 0 {
+				quicktest.Check(t, strings.HasPrefix(orders[len(orders)-1], "release "), quicktest.IsTrue, quicktest.Commentf("%v", orders))
 			}
 		}
 		quicktest.Check(t, s.logs.String(), quicktest.Contains, "reserved memory is not used, leaving the engine")
