hop: an answer that is reset during the upload is not whole

Callers got a part of a target's answer as the complete one: the target answered a long upload at once with a 200 without a length, sent a part of the body and reset the connection while the upload was being written.

Cause: the kernel reports the failure of a socket to one call only, to the write or the read that asks first. With an upload in progress that is often the write. The read then gets io.EOF, as after an orderly close, and a body that ends with its connection looks complete. Do looked at the result of the write only to decide whether to keep the connection, and gate asked only whether the target's process had ended.

Change: strict.Conn, under each connection of hop.Client. When a read gets io.EOF it ends a write that is blocked, waits for it, and returns the error of the write in place of io.EOF if the connection had failed there. EPIPE doesn't count: the kernel reports it after an orderly close, or after the failure was reported. An end in order stays one, also while the target reads nothing of the upload. A write that gets ETIMEDOUT or EHOSTUNREACH had the same effect as a reset, and is covered.

Why it works: a failure has two places to be reported. If the read gets it, the response is broken as before. If a write does, it is recorded under the lock that the read takes before it passes io.EOF on.

memnet plays such resets now: SetLinger(0), and Close reports them like the kernel, to a blocked write first.

--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -107,6 +107,8 @@
 	// script writes a response; it returns false to close the connection.
 	script   func(f *fakeTarget, c net.Conn, q *http.Request) bool
 	listener net.Listener
+	// answersEarly is set if the script runs before the body of the request is read.
+	answersEarly bool
 
 	mu       sync.Mutex
 	requests []*http.Request
@@ -143,9 +145,11 @@
 			f.mu.Unlock()
 			return
 		}
-		body, err := io.ReadAll(q.Body)
-		if err != nil {
-			return
+		var body []byte
+		if !f.answersEarly {
+			if body, err = io.ReadAll(q.Body); err != nil {
+				return
+			}
 		}
 		f.mu.Lock()
 		report := f.report
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/bambooproxy/bambooproxy/internal/guard"
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 )
 
@@ -144,7 +145,7 @@
 
 // conn is one connection to a target.
 type conn struct {
-	net.Conn
+	*strict.Conn
 	addr string
 	r    *bufio.Reader
 	// headLeft is how many bytes of a response head may still be read; -1 while a body is
@@ -246,7 +247,7 @@
 		// connection it would take the rest for the next request.
 		reuse = false
 	}
-	if _, once := r.conn.Conn.(SingleUse); once {
+	if _, once := r.conn.NetConn().(SingleUse); once {
 		reuse = false
 	}
 	if !reuse || r.Response.Close || r.EndsWithConnection() {
@@ -285,7 +286,7 @@
 }
 
 // NetConn returns the connection that the response comes on, as Dial returned it.
-func (r *Response) NetConn() net.Conn { return r.conn.Conn }
+func (r *Response) NetConn() net.Conn { return r.conn.NetConn() }
 
 // SetReadDeadline bounds the wait for the next bytes of the response.
 func (r *Response) SetReadDeadline(t time.Time) {
--- a/internal/hop/idlepool.go
+++ b/internal/hop/idlepool.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 )
 
 const (
@@ -58,7 +60,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cn := &conn{Conn: nc, addr: addr, headLeft: bodyUnlimited}
+	cn := &conn{Conn: strict.NewConn(nc), addr: addr, headLeft: bodyUnlimited}
 	cn.r = bufio.NewReaderSize(cn, readBufferBytes)
 	return cn, nil
 }
@@ -70,7 +72,7 @@
 	if err != nil {
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
-	if _, once := cn.Conn.(SingleUse); once {
+	if _, once := cn.NetConn().(SingleUse); once {
 		cn.Close()
 		return false
 	}
@@ -86,7 +88,7 @@
 		return errors.Is(err, syscall.ECONNREFUSED)
 	}
 	defer cn.Close()
-	if _, once := cn.Conn.(SingleUse); once {
+	if _, once := cn.NetConn().(SingleUse); once {
 		return false
 	}
 	// This fails only on a closed connection.
@@ -184,7 +186,7 @@
 	if !time.Now().Before(c.expiresAt) || c.r.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
+	sc, ok := c.NetConn().(syscall.Conn)
 	if !ok {
 		return true
 	}
--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -16,11 +18,15 @@
 	local, remote address
 	in, out       *pipe
 	peer          *Conn
+	// resets is set if Close resets the connection.
+	resets atomic.Bool
 }
 
 // newConnPair returns the two ends of a connection between a and b.
 func newConnPair(a, b address) (near, far *Conn) {
 	ab, ba := newPipe(), newPipe()
+	var atA, atB reset
+	ab.atWriter, ab.atReader, ba.atWriter, ba.atReader = &atA, &atB, &atB, &atA
 	near = &Conn{local: a, remote: b, in: ba, out: ab}
 	far = &Conn{local: b, remote: a, in: ab, out: ba}
 	near.peer, far.peer = far, near
@@ -33,8 +39,18 @@
 // Write blocks while the buffer is full.
 func (c *Conn) Write(b []byte) (int, error) { return c.out.write(b) }
 
-// Close closes both directions.
+// SetLinger is that of net.TCPConn: with 0, Close resets the connection. Other values change nothing.
+func (c *Conn) SetLinger(sec int) error {
+	c.resets.Store(sec == 0)
+	return nil
+}
+
+// Close closes both directions. A reset is reported to the other end as by the kernel: to one call, which is a write
+// if one is blocked. After that reads end with io.EOF, and writes with EPIPE.
 func (c *Conn) Close() error {
+	if c.resets.Load() {
+		c.in.resetWriter()
+	}
 	// A reader that learns of it can write no more.
 	c.out.closeWrite()
 	c.in.closeRead()
@@ -77,6 +93,40 @@
 	blackholed                 bool
 	readDeadline               deadline
 	writeDeadline              deadline
+	// writers is the number of blocked writes.
+	writers int
+	// atWriter and atReader are the resets of the connection for the end that writes, and the one that reads.
+	atWriter, atReader *reset
+}
+
+// reset is the reset of a connection for one end, which one call reports.
+type reset struct {
+	mu sync.Mutex
+	// isSet is set with the reset, and pending until it is reported. Then forWriter is set if that is left to a write.
+	isSet, pending, forWriter bool
+}
+
+// set resets the connection.
+func (r *reset) set(forWriter bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.isSet, r.pending, r.forWriter = true, true, forWriter
+}
+
+// take returns the error of a read or write after the other end has closed the connection, which is orderly unless there
+// was a reset.
+func (r *reset) take(isWrite bool, orderly error) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	switch {
+	case r.pending && (isWrite || !r.forWriter):
+		r.pending = false
+		return syscall.ECONNRESET
+	case r.isSet && isWrite:
+		return syscall.EPIPE
+	default:
+		return orderly
+	}
 }
 
 // deadline is a point in time and the timer that then wakes blocked calls.
@@ -110,7 +160,7 @@
 			return n, nil
 		}
 		if p.writerClosed && !p.blackholed {
-			return 0, io.EOF
+			return 0, p.atReader.take(false, io.EOF)
 		}
 		p.cond.Wait()
 	}
@@ -125,7 +175,7 @@
 			return n, net.ErrClosed
 		}
 		if p.readerClosed && !p.blackholed {
-			return n, io.ErrClosedPipe
+			return n, p.atWriter.take(true, io.ErrClosedPipe)
 		}
 		if p.writeDeadline.expired() {
 			return n, os.ErrDeadlineExceeded
@@ -135,7 +185,9 @@
 		}
 		free := bufferBytes - len(p.buf)
 		if free <= 0 {
+			p.writers++
 			p.cond.Wait()
+			p.writers--
 			continue
 		}
 		k := min(free, len(b)-n)
@@ -160,6 +212,13 @@
 	p.cond.Broadcast()
 }
 
+// resetWriter resets the connection for the end that writes.
+func (p *pipe) resetWriter() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.atWriter.set(p.writers > 0)
+}
+
 func (p *pipe) blackhole() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -26,7 +26,7 @@
 func layers() [][]string {
 	return [][]string{
 		{"internal/seed", "internal/timing"},
-		{"pkg/verd", "pkg/table", "internal/lease", "internal/certs", "internal/memnet", "internal/meter", "internal/mutate", "internal/red", "internal/store", "internal/trail", "internal/rules"},
+		{"pkg/verd", "pkg/table", "internal/lease", "internal/certs", "internal/memnet", "internal/meter", "internal/mutate", "internal/red", "internal/store", "internal/strict", "internal/trail", "internal/rules"},
 		{"internal/guard"},
 		{"internal/site"},
 		{"pkg/engine", "pkg/caller", "internal/member", "internal/auth", "internal/trace", "internal/wire", "internal/prompt"},
