relay: a reset during the upload is not passed on as an end in order

The write of the relay got the error of the reset, its read io.EOF, and the relay told the other instance that the target had closed the connection in order. Besides, the relay closed the connection as soon as a write failed, so that an answer was lost which the target had sent before.

Change: the relay reads through strict.Conn, and leaves a connection on which a write failed to the side that reads it. Conn.Write returns EPIPE after an end in order, like a socket, so that an early answer without a length that did end in order stays whole.

Why it works: the message that marks the end is sent only for an io.EOF that strict.Conn has let through; without it the other instance sees a reset.

--- a/internal/memnet/conn.go
+++ b/internal/memnet/conn.go
@@ -45,6 +45,12 @@
 	return nil
 }
 
+// CloseWrite closes the direction that this end writes.
+func (c *Conn) CloseWrite() error {
+	c.out.closeWrite()
+	return nil
+}
+
 // Close closes both directions. A reset is reported to the other end as by the kernel: to one call, which is a write
 // if one is blocked. After that reads end with io.EOF, and writes with EPIPE.
 func (c *Conn) Close() error {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -72,6 +72,15 @@
 	return n, err
 }
 
+// Write writes to the target.
+func (c *Conn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	if err == io.ErrClosedPipe && c.closedByTarget.Load() {
+		return n, syscall.EPIPE
+	}
+	return n, err
+}
+
 // RemoteAddr returns the address of the target.
 func (c *Conn) RemoteAddr() net.Addr { return c.target }
 
--- a/internal/relay/main_test.go
+++ b/internal/relay/main_test.go
@@ -16,6 +16,7 @@
 	"github.com/rcrowley/go-metrics"
 
 	"github.com/bambooproxy/bambooproxy/internal/memnet"
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
 
@@ -141,6 +142,42 @@
 	})
 }
 
+// TestEndDuringUpload guards against a part of a response that is taken for the whole one because the target reset the
+// connection to the relay while the relay wrote to it, and against a whole one that is taken for a part.
+func TestEndDuringUpload(t *testing.T) {
+	// The tunnel holds a small upload while the relay writes it.
+	const small, large = 400 << 10, 4 << 20
+	reset := func(far *memnet.Conn) { far.SetLinger(0); far.Close() }
+	resetLater := func(far *memnet.Conn) { time.Sleep(time.Millisecond); reset(far) }
+	endInOrder := func(far *memnet.Conn) { far.CloseWrite() }
+	for name, c := range map[string]struct {
+		upload  int
+		end     func(far *memnet.Conn)
+		wantErr error
+	}{
+		"reset":              {large, reset, syscall.ECONNRESET},
+		"reset later":        {large, resetLater, syscall.ECONNRESET},
+		"reset, small":       {small, reset, syscall.ECONNRESET},
+		"reset later, small": {small, resetLater, syscall.ECONNRESET},
+		"in order":           {large, endInOrder, nil},
+		"in order, small":    {small, endInOrder, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			runTestbed(t, func(s *testbed) {
+				conn, far := s.exchange()
+				near := strict.NewConn(conn)
+				go near.Write(make([]byte, c.upload))
+				synctest.Wait()
+				far.Write([]byte("response"))
+				c.end(far.(*memnet.Conn))
+				got, err := io.ReadAll(near)
+				quicktest.Check(t, string(got), quicktest.Equals, "response")
+				quicktest.Check(t, err, quicktest.ErrorIs, c.wantErr)
+			})
+		})
+	}
+}
+
 // TestClosedTunnelReachesTarget: a target must learn at once that a request was given up.
 func TestClosedTunnelReachesTarget(t *testing.T) {
 	runTestbed(t, func(s *testbed) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/phuslu/log"
 
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 	"github.com/bambooproxy/bambooproxy/internal/wire"
 )
 
@@ -69,7 +70,7 @@
 		return st.Send(&downMessage{Result: unavailable})
 	}
 	dialCtx, cancel := context.WithTimeout(ctx, openTimeout)
-	conn, err := s.Direct(dialCtx, target)
+	direct, err := s.Direct(dialCtx, target)
 	cancel()
 	if err != nil {
 		s.Log.Debug().Str("target", target).Err(err).Msg("tunnel not opened")
@@ -79,26 +80,26 @@
 		}
 		return st.Send(&m)
 	}
-	defer conn.Close()
+	defer direct.Close()
 	if err := st.Send(&downMessage{Result: opened}); err != nil || first.Probe {
 		return err
 	}
-	go func() {
-		// The connection ends with the tunnel, which ends the read below.
-		defer conn.Close()
-		s.copyUp(st, conn, target)
-	}()
+	// The other instance must not take a reset for the end of a response.
+	conn := strict.NewConn(direct)
+	go s.copyUp(st, conn, target)
 	return copyDown(st, conn)
 }
 
 // copyUp passes on what the other instance sends until it closes the tunnel, or sends nothing for
-// requestTimeout at the beginning.
+// requestTimeout at the beginning. Then it closes the connection, which ends copyDown. If a write fails, the connection
+// is left to copyDown: the target may have answered before.
 func (s *Server) copyUp(st *wire.Stream, conn net.Conn, target string) {
 	timer := time.AfterFunc(requestTimeout, func() { conn.Close() })
 	defer timer.Stop()
 	for {
 		var m upMessage
 		if st.Receive(&m) != nil {
+			conn.Close()
 			return
 		}
 		if len(m.Data) > 0 {
