httpx, load: net/http doesn't take a reset during the upload for an end

Its write loop gets the error of the reset and closes the connection, but a read that was woken by the reset has io.EOF already.

Change: strict.NewTransport puts strict.Conn under the connections of an http.Transport; the clients of engines and services and the load tool use it.

Why it works: the read gets the error of the write instead of io.EOF, so the body ends with an error, and entry aborts the response to the caller.

Evidence: the case "reset" of TestEndDuringUpload (httpx) failed in 4 of 4 runs before, one of its up to 20 answers taken for whole; now it passes in 5 of 5. Its other cases, early answers that end in order, passed before, too.

--- a/internal/httpx/engine.go
+++ b/internal/httpx/engine.go
@@ -15,6 +15,7 @@
 	"strings"
 	"time"
 
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
@@ -52,17 +53,19 @@
 )
 
 // DialFunc is the type of http.Transport.DialContext.
-type DialFunc func(ctx context.Context, network, addr string) (net.Conn, error)
+type DialFunc = strict.DialFunc
 
 // PooledTransport returns a transport that reuses connections. Dials time out after Silence.
-func PooledTransport(dial DialFunc) *http.Transport {
-	return &http.Transport{DialContext: withDialTimeout(dial), MaxIdleConnsPerHost: maxIdlePerEngine, IdleConnTimeout: idleTimeout}
+func PooledTransport(dial DialFunc) *strict.Transport {
+	return strict.NewTransport(&http.Transport{
+		DialContext: withDialTimeout(dial), MaxIdleConnsPerHost: maxIdlePerEngine, IdleConnTimeout: idleTimeout,
+	})
 }
 
 // Fresh returns a transport that dials a new connection for each request. Dials time
 // out after Silence.
-func Fresh(dial DialFunc) *http.Transport {
-	return &http.Transport{DialContext: withDialTimeout(dial), DisableKeepAlives: true}
+func Fresh(dial DialFunc) *strict.Transport {
+	return strict.NewTransport(&http.Transport{DialContext: withDialTimeout(dial), DisableKeepAlives: true})
 }
 
 // withDialTimeout makes dials time out after Silence, as net/http doesn't cancel a dial
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 	"github.com/bambooproxy/bambooproxy/internal/timing"
 )
 
@@ -30,7 +31,7 @@
 	if err := r.Plan.Check(); err != nil {
 		return nil, err
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: r.Plan.AtOnce, IdleConnTimeout: 5 * time.Second}
+	transport := strict.NewTransport(&http.Transport{MaxIdleConnsPerHost: r.Plan.AtOnce, IdleConnTimeout: 5 * time.Second})
 	defer transport.CloseIdleConnections()
 	r.http = &http.Client{Transport: transport}
 	r.report = newReport(&r.Plan)
