hop, httpx: a response with an invalid status is no answer

Callers could get a 200 that followed a response with the status 000, 099 or 101 in the same bytes, or an answer with the status 600 or 999. With bamboo serve a 600 was also stored as the outcome of a call that runs once; 000 and 101 made the handler panic, which closed the connection. bamboo apply took a 000 for the acknowledgement of a change.

Cause: net/http accepts every status of three characters that make a number that isn't negative. hop took each one below 200 for informational and read on; the others were passed on as they were. httpx, cmds and pkg/caller compared statuses with an upper limit, if at all.

Change: strict.Check returns ErrMalformed for a status that isn't one of 100 to 599 (RFC 9110, section 15), and for 101: no request asks for another protocol. hop.Client checks each response, informational ones and those to other requests too, strict.Transport each one that net/http returns, and caller.Client that of any transport. A target that sends such a response counts as failed, the request as one that may have run. The operators' commands use strict.Transport.

Why it works: all clients of targets read responses through one of these, before the status is looked at.

TestMalformedResponse (httpx), TestMalformedResponseIsNoAnswer (cmds, "revision 0 is in force"), TestRetriesOnlyNotRun (caller) and TestBrokenResponseIsNotStored (entry) failed without the check.

--- a/internal/cmds/client.go
+++ b/internal/cmds/client.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/bambooproxy/bambooproxy/internal/auth"
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
@@ -52,7 +53,8 @@
 }
 
 func newClient(c *cli.Command) (*client, error) {
-	cl := &client{http: &http.Client{Timeout: clientTimeout}, addrs: c.StringSlice(flagOperators)}
+	transport := strict.NewTransport(http.DefaultTransport.(*http.Transport).Clone())
+	cl := &client{http: &http.Client{Timeout: clientTimeout, Transport: transport}, addrs: c.StringSlice(flagOperators)}
 	for _, addr := range cl.addrs {
 		host, _, err := net.SplitHostPort(addr)
 		if err != nil || net.ParseIP(host) == nil {
@@ -64,7 +66,7 @@
 		if err != nil {
 			return nil, errors.Mark(err, errBadFile)
 		}
-		cl.http.Transport = &auth.BearerTransport{Token: secret, Base: http.DefaultTransport}
+		cl.http.Transport = &auth.BearerTransport{Token: secret, Base: transport}
 	}
 	return cl, nil
 }
--- a/internal/cmds/tables_test.go
+++ b/internal/cmds/tables_test.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -62,3 +63,19 @@
 	quicktest.Check(t, code, quicktest.Equals, Unreachable)
 	quicktest.Check(t, err, quicktest.ErrorMatches, "the change may have been accepted, send it again with --id .*")
 }
+
+// TestMalformedResponseIsNoAnswer guards against a change that is reported as accepted after a response that isn't valid.
+func TestMalformedResponseIsNoAnswer(t *testing.T) {
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		quicktest.Check(t, err, quicktest.IsNil)
+		io.WriteString(c, "HTTP/1.1 000 X\r\nContent-Length: 13\r\n\r\n{\"version\":2}")
+		c.Close()
+	}))
+	defer srv.Close()
+	file := filepath.Join(t.TempDir(), "tables")
+	quicktest.Assert(t, os.WriteFile(file, []byte(`{"routes": [], "pools": []}`), 0o600), quicktest.IsNil)
+	out, code, err := runProgram(t, "apply", "--base", "1", "--operators", strings.TrimPrefix(srv.URL, "http://"), file)
+	quicktest.Check(t, code, quicktest.Equals, Unreachable, quicktest.Commentf("%s", out))
+	quicktest.Check(t, err, quicktest.ErrorMatches, "(?s).*malformed response.*")
+}
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -204,7 +204,7 @@
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		c.headLeft = bodyUnlimited
 		if err == nil {
-			err = c.held.EndHead(resp.Header)
+			err = cmp.Or(c.held.EndHead(resp.Header), strict.Check(resp))
 		}
 		if err != nil {
 			// The reader may report a half line instead.
--- a/internal/httpx/exchange.go
+++ b/internal/httpx/exchange.go
@@ -10,8 +10,10 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.opentelemetry.io/otel/propagation"
 
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 	"github.com/bambooproxy/bambooproxy/pkg/engine"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
@@ -125,6 +127,8 @@
 		return verd.Wrap(&engine.Silent{After: Silence}, verd.MayHaveRun, verd.Target, "wait for target")
 	case ctx.Err() != nil:
 		return verd.From(ctx.Err())
+	case errors.Is(err, strict.ErrMalformed):
+		return verd.Wrap(&engine.Garbled{Message: err.Error()}, verd.MayHaveRun, verd.Target, "exchange with target")
 	default:
 		return verd.Wrap(&engine.Broken{Cause: err}, verd.MayHaveRun, verd.Target, "exchange with target")
 	}
--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooproxy/bambooproxy/internal/strict"
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
@@ -111,6 +112,10 @@
 	if err != nil {
 		return nil, a.wrapError(err)
 	}
+	if err := strict.Check(resp); err != nil {
+		resp.Body.Close()
+		return nil, a.wrapError(err)
+	}
 	return resp, nil
 }
 
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -67,6 +67,18 @@
 
 func respondOK(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "fed") }
 
+// respondRaw writes bytes as they are.
+func respondRaw(text string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			panic(err)
+		}
+		defer c.Close()
+		_, _ = io.WriteString(c, text)
+	}
+}
+
 func respondError(status int, v verd.Verdict, retryAfter string) http.HandlerFunc {
 	return func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set(verd.Header, v.String())
@@ -122,6 +134,7 @@
 		{name: "no use", respond: respondError(404, verd.NotRun, ""), status: "404 Not Found", sent: 1},
 		{name: "unknown", respond: respondError(502, verd.MayHaveRun, "1"), status: "502 Bad Gateway", sent: 1},
 		{name: "cut", respond: func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }, status: "may-have-run", sent: 1},
+		{name: "malformed", respond: respondRaw("HTTP/1.1 000 X\r\nContent-Length: 3\r\n\r\nfed"), status: "may-have-run", sent: 1},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
