hop, httpx: a response with an invalid field name is no answer

Callers got answers in whose head, informational heads or trailer the name of a field held a blank: with that line passed on; with bytes after the body ("Content-Length : 2" before four bytes, where the length was passed over and the body ended with the connection); or with the sizes of chunks as the body ("Transfer-Encoding : chunked").

Cause: net/http refuses the names that aren't tokens, but for those with blanks, which it keeps as they are. A length or a coding with such a name isn't seen, and the body is framed in another way than its sender means.

Change: strict.Check returns ErrMalformed if a name isn't a token (RFC 9110, section 5.1), and the body of a response with chunks ends with it instead of io.EOF if that is so in the trailer. strict.Transport checks informational responses, too.

Why it works: it is checked before anything is read from the fields, for each response that a client reads, and the trailer before the end of the body is passed on.

--- a/internal/entry/broken_test.go
+++ b/internal/entry/broken_test.go
@@ -17,10 +17,12 @@
 // for the outcome of a call: its caller would get it, and all later calls with the same key.
 func TestBrokenResponseIsNotStored(t *testing.T) {
 	for name, text := range map[string]string{
-		"reset": "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
-		"000":   "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\npart",
-		"101":   "HTTP/1.1 101 X\r\n\r\n",
-		"600":   "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\npart",
+		"reset":   "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart",
+		"000":     "HTTP/1.1 000 X\r\nContent-Length: 4\r\n\r\npart",
+		"101":     "HTTP/1.1 101 X\r\n\r\n",
+		"600":     "HTTP/1.1 600 X\r\nContent-Length: 4\r\n\r\npart",
+		"blank":   "HTTP/1.1 200 X\r\nX Y: z\r\nContent-Length: 4\r\n\r\npart",
+		"trailer": "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nX Y: z\r\n\r\n",
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/gate/malformed_test.go
+++ b/internal/gate/malformed_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -29,6 +30,15 @@
 		"101, then 200":   "HTTP/1.1 101 X\r\n\r\nHTTP/1.1 200 OK\r\nIDContent-Length: 4\r\n\r\npart",
 		"600":             "HTTP/1.1 600 X\r\nIDContent-Length: 4\r\n\r\npart",
 		"999":             "HTTP/1.1 999 X\r\nIDContent-Length: 4\r\n\r\npart",
+		"blank":           "HTTP/1.1 200 X\r\nIDX Y: z\r\nContent-Length: 4\r\n\r\npart",
+		"blank at end":    "HTTP/1.1 200 X\r\nIDX : z\r\nContent-Length: 4\r\n\r\npart",
+		"control byte":    "HTTP/1.1 200 X\r\nIDX\x01: z\r\nContent-Length: 4\r\n\r\npart",
+		"length":          "HTTP/1.1 200 X\r\nIDContent-Length : 2\r\n\r\npart",
+		"chunks":          "HTTP/1.1 200 X\r\nIDTransfer-Encoding : chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+		"informational":   "HTTP/1.1 103 X\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nIDContent-Length: 4\r\n\r\npart",
+		"trailer":         "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nX Y: z\r\n\r\n",
+		"error":           "HTTP/1.1 400 X\r\nIDX Y: z\r\nContent-Length: 4\r\n\r\npart",
+		"refusal":         "HTTP/1.1 503 X\r\nIDNot-Run: 1\r\nX Y: z\r\nContent-Length: 4\r\n\r\npart",
 	}
 }
 
@@ -63,3 +73,18 @@
 		}
 	}
 }
+
+// TestMalformedTrailerOfStream guards against a stream that looks complete although its trailer is malformed.
+func TestMalformedTrailerOfStream(t *testing.T) {
+	for path, want := range map[string]string{resumableStreamPath: eventText(1, 4), nonResumableStreamPath: eventText(1, 2)} {
+		synctest.Test(t, func(t *testing.T) {
+			events := fmt.Sprintf("%x\r\n%s\r\n0\r\n", len(eventText(1, 2)), eventText(1, 2))
+			bad := malformed("HTTP/1.1 200 OK\r\nIDTransfer-Encoding: chunked\r\n\r\n" + events + "X Y: z\r\n\r\n")
+			s := newTestbed(t, nil, []script{bad, streamEvents(4, 0)})
+			defer s.gate.health.track("t11")()
+			res := s.call(path, "prompt")
+			quicktest.Check(t, res.body, quicktest.Equals, want)
+			quicktest.Check(t, res.truncated, quicktest.Equals, path == nonResumableStreamPath)
+		})
+	}
+}
--- a/internal/httpx/malformed_test.go
+++ b/internal/httpx/malformed_test.go
@@ -21,6 +21,9 @@
 		"000": "HTTP/1.1 000" + rest, "099": "HTTP/1.1 099" + rest, "101": "HTTP/1.1 101" + rest,
 		"600": "HTTP/1.1 600" + rest, "999": "HTTP/1.1 999" + rest,
 		"000, then 200": "HTTP/1.1 000 X\r\n\r\nHTTP/1.1 200" + rest,
+		"blank":         "HTTP/1.1 200 X\r\nX Y: z" + rest[2:],
+		"length":        "HTTP/1.1 200 X\r\n" + HeaderID + ": r1\r\nContent-Length : 2\r\n\r\n[]",
+		"informational": "HTTP/1.1 103 X\r\nX Y: z\r\n\r\nHTTP/1.1 200" + rest,
 	}
 }
 
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -4,12 +4,15 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/textproto"
 )
 
 // DialFunc is the type of http.Transport.DialContext.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Transport is a transport over connections that are Conns, and with responses that pass Check.
+// Transport is a transport over connections that are Conns, and with responses that pass Check. Of informational
+// responses it checks the names of the fields; net/http checks their status.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns t as a Transport. It changes the DialContext of t.
@@ -31,7 +34,10 @@
 // RoundTrip sends a request once or, as http.Transport does, again. Its errors are those of http.Transport and
 // ErrMalformed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	resp, err := t.Transport.RoundTrip(r)
+	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
+		return checkNames(h)
+	}})
+	resp, err := t.Transport.RoundTrip(r.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
