gate: a request that meets the first tables has them

A caller of an entry that had just started got a reset connection instead of an answer.

Cause: the handler panicked with a nil pointer, which closes the connection. A request loads the view when it comes, and later asks whether there are confirmed tables. If the first ones come between the two, it goes on without a view; also if they come just after the wait for them ended.

The log has "registry update applied" in the same millisecond as the request.

Change: the view is loaded after the tables are known to be usable, from when on there always is one.

--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -171,9 +171,13 @@
 		ctx, cancel := s.untilDrainedFor(x.r.Context(), 0)
 		defer cancel()
 		s.views.await(ctx, wait)
-		x.view = s.views.load()
 	}
-	return s.views.isUsable()
+	if !s.views.isUsable() {
+		return false
+	}
+	// There may have been no tables yet when the request came.
+	x.view = s.views.load()
+	return true
 }
 
 // authorise finds the organisation of the caller's API key. It returns false if it has
