--- a/internal/gate/malformed_test.go
+++ b/internal/gate/malformed_test.go
@@ -12,7 +12,7 @@
 	"github.com/frankban/quicktest"
 )
 
-// malformed returns a script that writes a response with a seal, and with ID as its request has.
+// malformed returns a script that writes a response, with the ID of the request and a seal in place of ID.
 func malformed(text string) script {
 	return func(_ *fakeTarget, c net.Conn, q *http.Request) bool {
 		io.WriteString(c, strings.ReplaceAll(text, "ID", "Id: "+q.Header.Get("Id")+"\r\nSeal: s\r\n"))
@@ -20,7 +20,7 @@
 	}
 }
 
-// malformedResponses are responses that HTTP doesn't have, whole otherwise.
+// malformedResponses are complete responses with an invalid status or field name.
 func malformedResponses() map[string]string {
 	return map[string]string{
 		"000":             "HTTP/1.1 000 X\r\nIDContent-Length: 4\r\n\r\npart",
--- a/internal/httpx/malformed_test.go
+++ b/internal/httpx/malformed_test.go
@@ -14,7 +14,7 @@
 	"github.com/bambooproxy/bambooproxy/pkg/verd"
 )
 
-// malformedResponses are responses that HTTP doesn't have, whole otherwise.
+// malformedResponses are complete responses with an invalid status or field name.
 func malformedResponses() map[string]string {
 	const rest = " X\r\n" + HeaderID + ": r1\r\nContent-Length: 2\r\n\r\n[]"
 	return map[string]string{
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -72,7 +72,7 @@
 	return n, err
 }
 
-// Write writes to the target.
+// Write writes to the target. Like a socket, it returns EPIPE once the target has closed the connection.
 func (c *Conn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	if err == io.ErrClosedPipe && c.closedByTarget.Load() {
--- a/internal/strict/conn.go
+++ b/internal/strict/conn.go
@@ -1,4 +1,4 @@
-// Package strict finds answers of HTTP servers that broke off or are malformed, and that net/http takes for whole ones.
+// Package strict detects HTTP responses that broke off or are malformed, and that net/http takes for complete ones.
 package strict
 
 import (
@@ -14,8 +14,8 @@
 )
 
 // Conn is a connection on which io.EOF means that the peer closed it in order. The kernel reports the failure of a
-// connection, such as a reset, to one system call only. If that is a write, reads end with io.EOF, and an answer that
-// ends with its connection looks complete.
+// connection, such as a reset, to one system call only. If that is a write, reads end with io.EOF, and a response whose
+// body ends with the connection looks complete.
 type Conn struct {
 	net.Conn
 
@@ -48,7 +48,7 @@
 }
 
 // Read reads from the connection. If the connection has failed, it returns the error of the write that failed instead of
-// io.EOF. After io.EOF nothing can be written.
+// io.EOF. After io.EOF, writes fail.
 func (c *Conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err == io.EOF {
@@ -57,8 +57,8 @@
 	return n, err
 }
 
-// writeFailure ends the write in progress, which may just have failed, and returns the error with which the connection
-// failed, or nil.
+// writeFailure returns the error with which the connection failed, if a write got it. It ends a write in progress, which
+// could otherwise block for as long as the peer reads nothing.
 func (c *Conn) writeFailure() error {
 	// This fails only on a closed connection, on which no write is blocked.
 	_ = c.Conn.SetWriteDeadline(time.Unix(1, 0))
--- a/internal/strict/response.go
+++ b/internal/strict/response.go
@@ -19,8 +19,8 @@
 
 // Check returns ErrMalformed for a response, which may be an informational one, if
 //   - its status isn't one of 100 to 599 (RFC 9110, section 15), or is 101, which answers requests for another protocol only;
-//   - the name of a field isn't a token (RFC 9110, section 5.1). net/http accepts blanks in names, and passes over the length
-//     or the coding of the body in such a field.
+//   - the name of a field isn't a token (RFC 9110, section 5.1). net/http accepts blanks in names, and so ignores a
+//     "Content-Length :" or "Transfer-Encoding :".
 //
 // The body, which Check replaces, ends with ErrMalformed instead of io.EOF if that is so in its trailer.
 func Check(resp *http.Response) error {
--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -11,8 +11,8 @@
 // DialFunc is the type of http.Transport.DialContext.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Transport is a transport over connections that are Conns, and with responses that pass Check. Of informational
-// responses it checks the names of the fields; net/http checks their status.
+// Transport is an http.Transport whose connections are Conns and whose responses pass Check. Informational responses, of
+// which net/http passes over those with the statuses 100 and 102 to 199 only, must have valid field names.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns t as a Transport. It changes the DialContext of t.
@@ -31,8 +31,7 @@
 	return &Transport{t}
 }
 
-// RoundTrip sends a request once or, as http.Transport does, again. Its errors are those of http.Transport and
-// ErrMalformed.
+// RoundTrip is that of http.Transport, and also returns ErrMalformed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
 		return checkNames(h)
