caller: a malformed list of entries is not used

A caller's client took a list of entries from a response with an invalid field name.

Cause: the list of entries is fetched past send, where the check was.

Change: both use roundTrip, which checks each response.

Evidence: TestMalformedEntriesAreNotUsed failed before: the request was sent to the entry of such a list, and answered.

--- a/pkg/caller/client.go
+++ b/pkg/caller/client.go
@@ -108,13 +108,22 @@
 		out.GetBody = nil
 	}
 	a := newAttempt(out)
-	resp, err := c.transport().RoundTrip(a.request)
+	resp, err := c.roundTrip(a.request)
 	if err != nil {
 		return nil, a.wrapError(err)
 	}
+	return resp, nil
+}
+
+// roundTrip sends a request over the transport. A malformed response is an error.
+func (c *Client) roundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := c.transport().RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
 	if err := strict.Check(resp); err != nil {
 		resp.Body.Close()
-		return nil, a.wrapError(err)
+		return nil, err
 	}
 	return resp, nil
 }
@@ -201,7 +210,7 @@
 	if c.DataCentre != "" {
 		r.Header.Set(dataCentreHeader, c.DataCentre)
 	}
-	resp, err := c.transport().RoundTrip(r)
+	resp, err := c.roundTrip(r)
 	if err != nil {
 		return nil, errors.Wrapf(err, "fetch entries from %s", addr)
 	}
--- a/pkg/caller/client_test.go
+++ b/pkg/caller/client_test.go
@@ -27,7 +27,9 @@
 	entries         []string
 	handler         http.HandlerFunc
 	entriesRequests int
-	requests        int
+	// rawEntries, if set, is the response with the list of entries, as it is sent.
+	rawEntries string
+	requests   int
 }
 
 // ServeHTTP serves the list of entries and passes other requests to the handler.
@@ -38,6 +40,10 @@
 		return
 	}
 	i.entriesRequests++
+	if i.rawEntries != "" {
+		respondRaw(i.rawEntries)(w, r)
+		return
+	}
 	out := caller.Entries{Lifetime: 10}
 	for _, a := range i.entries {
 		out.Entries = append(out.Entries, caller.Entry{Addr: a})
@@ -118,6 +124,19 @@
 	})
 }
 
+// TestMalformedEntriesAreNotUsed guards against a list of entries from a malformed response.
+func TestMalformedEntriesAreNotUsed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const list = `{"entries":[{"addr":"10.0.0.1:80"}],"lifetime_seconds":10}`
+		instance := &fakeInstance{addr: "10.0.0.1:80", handler: respondOK, rawEntries: "HTTP/1.1 200 OK\r\nX Y: z\r\nConnection: close\r\n\r\n" + list}
+		c := startSite(t, instance)
+		quicktest.Check(t, postStatus(t, c), quicktest.Equals, "not-run")
+		quicktest.Check(t, instance.requests, quicktest.Equals, 0)
+		instance.rawEntries = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + list
+		quicktest.Check(t, postStatus(t, c), quicktest.Equals, "200 OK")
+	})
+}
+
 // TestRetriesOnlyNotRun guards against a retry of a request that may have run: after a response
 // without the verdict not-run, or after a connection that ended early. A request that has not
 // run must be retried, on another entry if one is unreachable.
