--- a/internal/strict/transport.go
+++ b/internal/strict/transport.go
@@ -11,8 +11,7 @@
 // DialFunc is the type of http.Transport.DialContext.
 type DialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// Transport is an http.Transport whose connections are Conns and whose responses pass Check. Informational responses, of
-// which net/http passes over those with the statuses 100 and 102 to 199 only, must have valid field names.
+// Transport is an http.Transport whose connections are Conns and whose responses, informational ones too, pass Check.
 type Transport struct{ *http.Transport }
 
 // NewTransport returns t as a Transport. It changes the DialContext of t.
@@ -33,6 +32,7 @@
 
 // RoundTrip is that of http.Transport, and also returns ErrMalformed.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	// net/http takes only the statuses 100 and 102 to 199 for informational.
 	ctx := httptrace.WithClientTrace(r.Context(), &httptrace.ClientTrace{Got1xxResponse: func(_ int, h textproto.MIMEHeader) error {
 		return checkNames(h)
 	}})
