--- a/review/testdata/stage/main.go
+++ b/review/testdata/stage/main.go
@@ -35,16 +35,18 @@
 		fmt.Fprintln(os.Stderr, "usage: stage SCENE BAMBOO RECORD")
 		return unable
 	}
-	dir, err := os.MkdirTemp("", "stage")
+	mark, err := takeSubnet()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return unable
 	}
-	if os.Getenv("KEEP") == "" {
-		defer os.RemoveAll(dir)
-	} else {
-		fmt.Println(dir)
+	defer mark.Close()
+	dir, err := os.MkdirTemp("", "stage")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return unable
 	}
+	defer os.RemoveAll(dir)
 	out, err := os.Create(os.Args[3])
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/review/testdata/stage/site.go
+++ b/review/testdata/stage/site.go
@@ -6,21 +6,25 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
 )
 
-// subnet is the third part of the addresses 127.0.x.y of a run.
-const subnet = 87
+// subnet is the third part of the addresses 127.0.x.y of a run, as takeSubnet has chosen it.
+var subnet int
 
+// The ports are the same on all machines, as on the platform. The address 127.0.x.1 with peerPort marks a subnet as taken.
 const (
 	frontPort   = 8227
 	readyPort   = 8220
@@ -49,6 +53,33 @@
 	entries  []*process
 }
 
+// takeSubnet chooses a subnet on which the ports are free, until the returned listener is closed.
+func takeSubnet() (net.Listener, error) {
+	for range 50 {
+		subnet = 1 + rand.IntN(250)
+		mark, err := net.Listen("tcp4", net.JoinHostPort(ip(1), strconv.Itoa(peerPort)))
+		if err != nil {
+			continue
+		}
+		if portsAreFree() {
+			return mark, nil
+		}
+		mark.Close()
+	}
+	return nil, errors.New("no free loopback addresses")
+}
+
+func portsAreFree() bool {
+	for _, port := range []int{frontPort, readyPort, controlPort, lookupPort, peerPort, meterPort} {
+		ln, err := net.Listen("tcp4", net.JoinHostPort(ip(10), strconv.Itoa(port)))
+		if err != nil {
+			return false
+		}
+		ln.Close()
+	}
+	return true
+}
+
 func ip(n int) string { return fmt.Sprintf("127.0.%d.%d", subnet, n) }
 
 func newSite(dir, bamboo string, controls, entries int, r *record) *site {
