--- a/review/testdata/stage/added.go
+++ b/review/testdata/stage/added.go
@@ -100,7 +100,7 @@
 
 // watch has a client read a stream, and leave it after a gap of patience. It reports whether the stream came whole.
 func (s *stage) watch(n int, path string) bool {
-	nc, err := net.Dial("tcp4", net.JoinHostPort(s.entries[n%2].ip, strconv.Itoa(frontPort)))
+	nc, err := net.Dial("tcp4", net.JoinHostPort(s.entries[n%2].host, strconv.Itoa(frontPort)))
 	if err != nil {
 		s.record.line("client %d %s: %v", n, path, err)
 		return false
--- a/review/testdata/stage/freeze.go
+++ b/review/testdata/stage/freeze.go
@@ -30,7 +30,7 @@
 	if err := s.setUp(ctx, c); err != nil {
 		return false, err
 	}
-	addr := ip(100) + ":8080"
+	addr := loopback(100) + ":8080"
 	first, err := s.startRunner("i-7f3a0001", "llm", addr, streamEvents)
 	if err != nil {
 		return false, err
@@ -42,7 +42,7 @@
 	var wg sync.WaitGroup
 	for i := range clients {
 		wg.Go(func() {
-			nc, err := net.Dial("tcp4", net.JoinHostPort(s.entries[0].ip, strconv.Itoa(frontPort)))
+			nc, err := net.Dial("tcp4", net.JoinHostPort(s.entries[0].host, strconv.Itoa(frontPort)))
 			if err != nil {
 				results[i].err = err
 				return
@@ -64,7 +64,7 @@
 		}
 	}
 	// The second runner is there for whoever is to go on.
-	second, err := s.startRunner("i-7f3a0002", "llm", ip(101)+":8080", streamEvents)
+	second, err := s.startRunner("i-7f3a0002", "llm", loopback(101)+":8080", streamEvents)
 	if err != nil {
 		return false, err
 	}
--- a/review/testdata/stage/oneshot.go
+++ b/review/testdata/stage/oneshot.go
@@ -80,7 +80,7 @@
 
 // order has a client send a request that may run once, and returns the answer.
 func (s *stage) order(n int, path string) (status int, body string, err error) {
-	nc, err := net.Dial("tcp4", net.JoinHostPort(s.entries[n%2].ip, strconv.Itoa(frontPort)))
+	nc, err := net.Dial("tcp4", net.JoinHostPort(s.entries[n%2].host, strconv.Itoa(frontPort)))
 	if err != nil {
 		return 0, "", err
 	}
--- a/review/testdata/stage/runner.go
+++ b/review/testdata/stage/runner.go
@@ -28,7 +28,7 @@
 	}
 	var controls []string
 	for _, c := range s.controls {
-		controls = append(controls, c.ip)
+		controls = append(controls, c.host)
 	}
 	cmd := exec.Command(self, "runner", id, service, addr, strconv.Itoa(events), strings.Join(controls, ","))
 	cmd.Stdout, cmd.Stderr = os.Stderr, os.Stderr
@@ -60,7 +60,7 @@
 	}
 	s := &site{}
 	for _, c := range strings.Split(args[4], ",") {
-		s.controls = append(s.controls, &process{ip: c})
+		s.controls = append(s.controls, &process{host: c})
 	}
 	ln, err := net.Listen("tcp4", addr)
 	if err != nil {
--- a/review/testdata/stage/site.go
+++ b/review/testdata/stage/site.go
@@ -36,10 +36,10 @@
 
 // process is one process of the site, with its settings.
 type process struct {
-	name, ip  string
-	isControl bool
-	cmd       *exec.Cmd
-	done      chan struct{}
+	name, host string
+	isControl  bool
+	cmd        *exec.Cmd
+	done       chan struct{}
 }
 
 // site is a small site: control instances and entries in zones of one region.
@@ -57,7 +57,7 @@
 func takeSubnet() (net.Listener, error) {
 	for range 50 {
 		subnet = 1 + rand.IntN(250)
-		mark, err := net.Listen("tcp4", net.JoinHostPort(ip(1), strconv.Itoa(peerPort)))
+		mark, err := net.Listen("tcp4", net.JoinHostPort(loopback(1), strconv.Itoa(peerPort)))
 		if err != nil {
 			continue
 		}
@@ -71,7 +71,7 @@
 
 func portsAreFree() bool {
 	for _, port := range []int{frontPort, readyPort, controlPort, lookupPort, peerPort, meterPort} {
-		ln, err := net.Listen("tcp4", net.JoinHostPort(ip(10), strconv.Itoa(port)))
+		ln, err := net.Listen("tcp4", net.JoinHostPort(loopback(10), strconv.Itoa(port)))
 		if err != nil {
 			return false
 		}
@@ -80,15 +80,15 @@
 	return true
 }
 
-func ip(n int) string { return fmt.Sprintf("127.0.%d.%d", subnet, n) }
+func loopback(n int) string { return fmt.Sprintf("127.0.%d.%d", subnet, n) }
 
 func newSite(dir, bamboo string, controls, entries int, r *record) *site {
 	s := &site{dir: dir, bamboo: bamboo, losses: (controls - 1) / 2, record: r}
 	for i := range controls {
-		s.controls = append(s.controls, &process{name: fmt.Sprintf("core-%d", i+1), ip: ip(10 + i), isControl: true})
+		s.controls = append(s.controls, &process{name: fmt.Sprintf("core-%d", i+1), host: loopback(10 + i), isControl: true})
 	}
 	for i := range entries {
-		s.entries = append(s.entries, &process{name: fmt.Sprintf("edge-%d", i+1), ip: ip(40 + i)})
+		s.entries = append(s.entries, &process{name: fmt.Sprintf("edge-%d", i+1), host: loopback(40 + i)})
 	}
 	return s
 }
@@ -97,22 +97,22 @@
 func (s *site) settings(p *process, first bool) map[string]any {
 	var seeds []string
 	for _, c := range s.controls[:min(3, len(s.controls))] {
-		seeds = append(seeds, fmt.Sprintf("%s:%d", c.ip, controlPort))
+		seeds = append(seeds, fmt.Sprintf("%s:%d", c.host, controlPort))
 	}
 	out := map[string]any{
 		"name": p.name, "data_centre": "zone-a", "regions": map[string]string{"zone-a": "region"},
-		"callers": "", "ready": "", "control": "", "directory": fmt.Sprintf("%s:%d", p.ip, lookupPort),
-		"peers": fmt.Sprintf("%s:%d", p.ip, peerPort), "metrics": fmt.Sprintf("%s:%d", p.ip, meterPort),
+		"callers": "", "ready": "", "control": "", "directory": fmt.Sprintf("%s:%d", p.host, lookupPort),
+		"peers": fmt.Sprintf("%s:%d", p.host, peerPort), "metrics": fmt.Sprintf("%s:%d", p.host, meterPort),
 		"seeds": seeds, "first": first, "losses": s.losses, "data": "", "grace": "8s",
 		"repeats": map[string]any{"ratio": 0.2, "slack": 106, "window": "10s"}, "memory": 284, "log": "info",
 	}
 	if p.isControl {
-		out["control"] = fmt.Sprintf("%s:%d", p.ip, controlPort)
+		out["control"] = fmt.Sprintf("%s:%d", p.host, controlPort)
 		out["data"] = filepath.Join(s.dir, p.name)
 		out["memory"] = 280
 	} else {
-		out["callers"] = fmt.Sprintf("%s:%d", p.ip, frontPort)
-		out["ready"] = fmt.Sprintf("%s:%d", p.ip, readyPort)
+		out["callers"] = fmt.Sprintf("%s:%d", p.host, frontPort)
+		out["ready"] = fmt.Sprintf("%s:%d", p.host, readyPort)
 	}
 	return out
 }
@@ -216,7 +216,7 @@
 
 // put makes one call to a control instance. The status is 0 without a response.
 func (s *site) put(ctx context.Context, p *process, path string, body []byte) (status int, answer string) {
-	return call(ctx, http.MethodPut, fmt.Sprintf("http://%s:%d%s", p.ip, controlPort, path), body)
+	return call(ctx, http.MethodPut, fmt.Sprintf("http://%s:%d%s", p.host, controlPort, path), body)
 }
 
 var platformClient = &http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -243,7 +243,7 @@
 func (s *site) awaitReady(ctx context.Context) error {
 	for _, p := range s.entries {
 		for {
-			if status, _ := call(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/ready", p.ip, readyPort), nil); status == http.StatusOK {
+			if status, _ := call(ctx, http.MethodGet, fmt.Sprintf("http://%s:%d/ready", p.host, readyPort), nil); status == http.StatusOK {
 				break
 			}
 			if ctx.Err() != nil {
@@ -267,7 +267,7 @@
 
 func (s *site) newRunner(n int, service string, h http.HandlerFunc) (*runner, error) {
 	r := &runner{id: fmt.Sprintf("i-%08x", 0x7f3a0000+n), service: service, site: s, handler: h, born: time.Now().UnixMilli()}
-	ln, err := net.Listen("tcp4", ip(100+n)+":8080")
+	ln, err := net.Listen("tcp4", loopback(100+n)+":8080")
 	if err != nil {
 		return nil, err
 	}
