--- a/internal/gate/answers.go
+++ b/internal/gate/answers.go
@@ -97,7 +97,7 @@
 // measure returns what is known of a whole answer that began with an attempt.
 func (s *stream) measure(g place.Grant, att *streamAttempt) answer {
 	a := answer{took: time.Since(att.sentAt) - att.blocked}
-	if att.firstEventAt.IsZero() {
+	if att.firstEventAt.IsZero() || !s.hasEvents() {
 		return a
 	}
 	first := att.firstEventAt.Sub(att.sentAt)
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -38,6 +38,13 @@
 	if s.call.ExpectedOutputTokens > 0 {
 		req.Output = min(req.Output, s.call.ExpectedOutputTokens)
 	}
+	if !s.hasEvents() {
+		// The caller gets nothing before the end of the answer, and gives up at its time limit only.
+		req.Whole, req.MaxPause, req.PauseTimeout, req.TimeLeft = true, req.CallerLeft, req.CallerLeft, req.CallerLeft
+		if s.call.ExpectedOutputTokens > 0 {
+			req.TTFTLeft -= place.WriteTime(*s.pool.Engine, req.Prompt, req.Output)
+		}
+	}
 	if s.headSent {
 		// The caller is waiting for the next event: continue as soon as possible.
 		req.TTFTLeft, req.TimeLeft = 0, min(s.timeLeft(), s.eventTimeout())
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -44,7 +44,8 @@
 	slowCallerTime = time.Second
 )
 
-// stream is an exchange whose answer is relayed as events from engines to the caller.
+// stream is an exchange whose answer is relayed from engines to the caller: event by event, or as a whole if
+// the kind of the route says so.
 type stream struct {
 	*exchange
 	received
@@ -60,16 +61,23 @@
 	// standby is the takeover that this stream belongs to, until it continues the answer; nil if
 	// it belongs to none.
 	standby *takeover
+	// fallback is an error response that is passed on if no other engine answers; nil if there is none.
+	fallback *response
 }
 
-// serveEngine sends a request to engines and relays the events to the caller.
+// serveEngine sends a request to engines and relays the answer to the caller.
 func (x *exchange) serveEngine(ctx context.Context) {
 	s := &stream{exchange: x, received: received{lastID: x.call.LastEventID, hasLastID: x.call.HasLastEventID}}
 	x.server.placer.awaitLink(ctx)
 	done, reason, retry := s.run(ctx)
+	defer func() { s.fallback.release() }()
 	if done {
 		return
 	}
+	if s.fallback != nil && x.r.Context().Err() == nil {
+		x.writeResponse(s.fallback)
+		return
+	}
 	if s.headSent {
 		x.reason, x.truncated = reason, x.r.Context().Err() == nil
 		x.abortConnection()
@@ -122,7 +130,7 @@
 // that is reserved for the request.
 func (s *stream) sendToLead(ctx context.Context, g place.Grant, lead site.Target, helpers []PrefillHelper, reserved *reservations, end *place.End) (done bool, reason string) {
 	defer s.server.health.track(lead.ID)()
-	att := streamAttempt{target: lead, grantID: g.ID, sentAt: time.Now(), resumes: s.hasLastID, unused: reserved.unused}
+	att := streamAttempt{target: lead, grant: g, sentAt: time.Now(), resumes: s.hasLastID, unused: reserved.unused}
 	q := s.buildRequest(lead, SendInfo{Urgency: g.Urgency, Helpers: helpers, LastEventID: s.lastID, HasLastEventID: s.hasLastID})
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -148,10 +156,14 @@
 		reuse = refused && keepsConnection(resp)
 		return s.handleFailedAttempt(lead, o)
 	}
-	if resp.StatusCode != http.StatusOK {
+	switch {
+	case !s.hasEvents():
+		reason, err = s.relayWhole(ctx, lead, resp, &att, end)
+	case resp.StatusCode != http.StatusOK:
 		return s.handleErrorResponse(ctx, lead, resp, end)
+	default:
+		reason, err = s.relayEvents(ctx, lead, resp, &att)
 	}
-	reason, err = s.relayEvents(ctx, lead, resp, &att)
 	if reason != "" {
 		return false, s.handleBrokenStream(ctx, lead, &att, reason, err, end)
 	}
@@ -251,9 +263,9 @@
 
 // streamAttempt describes one send while its events are relayed.
 type streamAttempt struct {
-	target  site.Target
-	grantID string
-	sentAt  time.Time
+	target site.Target
+	grant  place.Grant
+	sentAt time.Time
 	// resumes is set if the caller has a part of the answer.
 	resumes bool
 	// unused is reservations.unused, with which the attempt ends.
@@ -342,7 +354,7 @@
 	now := time.Now()
 	if att.firstEventAt.IsZero() {
 		att.firstEventAt, att.lastEventAt = now, now
-		s.server.placer.reportFirstEvent(att.grantID, now.Sub(att.sentAt))
+		s.server.placer.reportFirstEvent(att.grant.ID, now.Sub(att.sentAt))
 	}
 	att.written += min(now.Sub(att.lastEventAt), maxCountedPause)
 	att.lastEventAt = now
@@ -359,9 +371,9 @@
 
 // firstEventLimit is how long the wait for the first event of an engine may last; 0 means until the time
 // limit of the request. If the caller has a part of the answer already and no other engine may be tried,
-// the caller decides how long to wait.
+// the caller decides how long to wait, as it does for a whole answer.
 func (s *stream) firstEventLimit() time.Duration {
-	if s.headSent && s.next == nil {
+	if s.headSent && s.next == nil || !s.hasEvents() {
 		return 0
 	}
 	return s.eventTimeout()
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -23,7 +23,7 @@
 	// of second before the first of them.
 	first, second   *stream
 	sends, refusals int
-	// attempt is the first attempt; only its target and grantID may be read while it goes on.
+	// attempt is the first attempt; only its target and grant may be read while it goes on.
 	attempt *streamAttempt
 	// firstDone is closed when the first attempt relays nothing more.
 	firstDone chan struct{}
@@ -43,6 +43,8 @@
 	ended bool
 	// claimed is set once the second stream continues the answer.
 	claimed bool
+	// left is set if the request ended before the last round.
+	left bool
 	// round is the current or last round; nil before the first one.
 	round *takeoverRound
 }
@@ -84,13 +86,17 @@
 	t.timer = time.AfterFunc(time.Hour, t.run)
 	t.timer.Stop()
 	if first.standby == nil {
-		t.start(first.firstEventSilence())
+		t.start(first.firstSilence(att))
 	}
 	return t
 }
 
-// firstEventSilence is how long an engine may be silent before its first event until another one is tried.
-func (s *stream) firstEventSilence() time.Duration {
+// firstSilence is how long an engine may be silent before its first event, or the head of a whole answer, until another
+// one is tried.
+func (s *stream) firstSilence(att *streamAttempt) time.Duration {
+	if !s.hasEvents() {
+		return s.wholeSilence(att.grant)
+	}
 	return min(s.eventTimeout(), max(time.Duration(firstEventShare*float64(s.eventTimeout())), predictionFactor*s.predicted))
 }
 
@@ -117,7 +123,7 @@
 	ctx, cancel := context.WithCancel(t.ctx)
 	defer cancel()
 	r := &takeoverRound{cancel: cancel, done: make(chan struct{})}
-	defer close(r.done)
+	defer t.endRound(r)
 	t.round = r
 	s := t.second
 	s.received = t.received
@@ -129,7 +135,7 @@
 		return
 	}
 	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.attempt.target.ID).Dur("silence", silence).Msg("engine is silent, trying another one")
-	s.server.placer.reportSilence(t.attempt.grantID)
+	s.server.placer.reportSilence(t.attempt.grant.ID)
 	s.watchSilence(sent)
 	r.complete, r.reason, _ = s.run(ctx)
 	t.recordOutcome(r)
@@ -154,6 +160,16 @@
 		Int("sends", s.sends).Msg("trial of another engine ended")
 }
 
+// endRound ends a round. Nobody else releases what it holds if the request has ended.
+func (t *takeover) endRound(r *takeoverRound) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.left {
+		t.second.fallback.release()
+	}
+	close(r.done)
+}
+
 func (r *takeoverRound) hasEnded() bool {
 	select {
 	case <-r.done:
@@ -250,8 +266,9 @@
 func (t *takeover) finish(done bool, reason string) (bool, string) {
 	t.mu.Lock()
 	r := t.round
+	t.left = r != nil && done && !r.hasEnded()
 	t.mu.Unlock()
-	if r == nil || done && !r.hasEnded() {
+	if r == nil || t.left {
 		return done, reason
 	}
 	<-r.done
@@ -279,6 +296,9 @@
 	}
 	f.sends, f.failedTargets, f.mayHaveRun, f.crashes = sends, failed, mayHaveRun, crashes
 	f.refusals += s.refusals - t.refusals
+	if s.fallback != nil {
+		f.keepFallback(s.fallback)
+	}
 	f.noRetry = cmp.Or(s.noRetry, f.noRetry)
 }
 
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -211,7 +211,7 @@
 	j.lead.Reset()
 	// An answer shows that the engine is alive, even if its heartbeats get lost.
 	j.lead.lastHeartbeat = now
-	if len(j.helpers) == 0 {
+	if len(j.helpers) == 0 && !j.request.Whole {
 		j.lead.observeSlowdown(now, j, e.Elapsed)
 	}
 	c.markPrefilled(now, j)
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -195,7 +195,7 @@
 func (e *engine) overdueSlowdown(now time.Time) float64 {
 	most, overdue := 0.0, 0
 	for _, j := range e.jobs {
-		if j.lead != e || j.started || len(j.helpers) > 0 || now.Sub(j.firstEventAt) < slowdownNoise || j.granted.Before(e.lastStarted) {
+		if j.lead != e || j.started || j.request.Whole || len(j.helpers) > 0 || now.Sub(j.firstEventAt) < slowdownNoise || j.granted.Before(e.lastStarted) {
 			continue
 		}
 		predicted, measured := j.firstEventAt.Sub(j.granted), now.Sub(j.granted)
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -48,6 +48,9 @@
 	Avoid []string `cbor:"11,keyasint,omitempty"`
 	// Regions are the regions to which the request is bound; empty means all regions.
 	Regions []string `cbor:"15,keyasint,omitempty"`
+	// Whole is set if the caller gets the answer as a whole: no event shows its progress, and the first one
+	// is reported with its end.
+	Whole bool `cbor:"18,keyasint,omitempty"`
 	// NoQueue is set if the requesting instance takes a grant at once or none, as it is about to end.
 	NoQueue bool `cbor:"-"`
 	// Instance is the name of the requesting instance. The scheduler sets it.
