place: failed answers eject at most half of the engines

Callers saw: 503 on sound routes of a pool of engines, while another route of the same pool had answers that could not be passed on; 0 of 12 streams were served beside 12 such answers, and 12 of 12 without them.

Cause: each such answer ejected its engine for all requests, and nothing kept the core from ejecting all engines together. Evidence: the engines were idle, took connections and refused nothing; each failed send named its engine in place.End.

Change: the entry tells whether the engine still takes connections (End.Answered). For such answers at most half of the ready engines are ejected at a time. Engines that are unreachable, silent or refuse are ejected as before.

Why it works: an answer that fails shows a fault of the request or of the engine; with half of the engines in use, the other routes are served in both cases.

Before: TestFailuresOnOneRouteLeaveOthers (4 to 26 of 30 streams served) and TestErrorsOfTheLastEngine (503 for 500) fail. After: both pass, and TestFailedAnswersLeaveEngines shows the bound in the core.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -111,14 +111,15 @@
 const minSilence = maxCountedPause
 
 // recordIfCrashed records if a send failed with err because the process of the target ended. If that
-// isn't known yet, the next process of the target may show it.
-func (x *exchange) recordIfCrashed(s send, err error) {
+// isn't known yet, the next process of the target may show it. It reports whether the process has ended.
+func (x *exchange) recordIfCrashed(s send, err error) (crashed bool) {
 	noticedAt := time.Now()
 	t := s.target
 	// The process had ended already when another one replaced it.
-	if !x.server.hasCrashed(t, err) || x.server.blocklist.isReplaced(t) {
+	crashed = x.server.hasCrashed(t, err)
+	if !crashed || x.server.blocklist.isReplaced(t) {
 		x.watchSend(s, err, noticedAt)
-		return
+		return crashed
 	}
 	x.server.Log.Warn().Str("id", x.call.ID).Str("digest", x.requestDigest()).Str("ask", x.grantID).Str("target", t.ID).Str("address", t.Address).
 		Int64("born", t.StartedMs).Strs("prefix", x.call.SharedSegments).Dur("written", s.written).Msg("target process ended during a request")
@@ -126,6 +127,7 @@
 		x.server.blocklist.recordCrash(t, x, poison.Send{Age: noticedAt.Sub(s.at), Repeated: x.crashes > 0}, noticedAt)
 		x.crashes++
 	}
+	return true
 }
 
 // watchSend keeps a send that failed with err at noticedAt until it is known whether another process
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -151,8 +151,8 @@
 	s.server.blocklist.recordResponse(lead, resp.StatusCode)
 	end.Pause = s.recordNotice(lead, resp, att.sentAt)
 	if o := s.classifyAnswer(lead, resp); o != nil {
-		end.FailedTarget = s.faultyTarget(lead, resp)
 		_, refused := o.(notRun)
+		end.FailedTarget, end.Answered = s.faultyTarget(lead, resp), !refused
 		reuse = refused && keepsConnection(resp)
 		return s.handleFailedAttempt(lead, o)
 	}
@@ -202,7 +202,7 @@
 		reason += ", after the caller had not read for a while"
 	}
 	s.logFailedAttempt(lead, reason, nil)
-	s.recordIfCrashed(failed, err)
+	end.Answered = !s.recordIfCrashed(failed, err) && !isSilence(err)
 	return reason
 }
 
@@ -221,7 +221,7 @@
 	}
 	var unreachable *engine.Unreachable
 	end.FailedTarget, end.Unreachable = failed.target.ID, errors.As(err, &unreachable)
-	s.recordIfCrashed(failed, err)
+	end.Answered = !s.recordIfCrashed(failed, err) && !end.Unreachable && !isSilence(err)
 	return s.handleFailedAttempt(failed.target, s.classifySendError(failed.target, err))
 }
 
@@ -243,7 +243,7 @@
 // engine.
 func (s *stream) handleErrorResponse(ctx context.Context, lead site.Target, resp *hop.Response, end *place.End) (done bool, reason string) {
 	s.mayHaveRun = true
-	end.FailedTarget = lead.ID
+	end.FailedTarget, end.Answered = lead.ID, true
 	var err error
 	if !s.headSent && (resp.StatusCode < http.StatusInternalServerError || !s.route.MayRetry()) {
 		resp.SetReadDeadline(time.Now().Add(s.eventTimeout()))
--- a/internal/gate/whole.go
+++ b/internal/gate/whole.go
@@ -37,7 +37,7 @@
 	}
 	whole := &response{status: resp.StatusCode, header: resp.Header, body: b}
 	if resp.StatusCode >= http.StatusInternalServerError {
-		end.FailedTarget = lead.ID
+		end.FailedTarget, end.Answered = lead.ID, true
 		if s.route.MayRetry() {
 			s.keepFallback(whole)
 			return "error response: " + strconv.Itoa(resp.StatusCode), nil
--- a/internal/gate/whole_test.go
+++ b/internal/gate/whole_test.go
@@ -252,3 +252,58 @@
 		time.Sleep(3 * time.Second)
 	})
 }
+
+// TestFailuresOnOneRouteLeaveOthers guards against answers on one route that take the engines away from all others: three
+// engines that take connections were ejected together.
+func TestFailuresOnOneRouteLeaveOthers(t *testing.T) {
+	for name, bad := range map[string]script{
+		"errors": respond(500, "oh", sealHeader), "no seal": respond(200, "done"), "cut": cutResponse, "closes": closeConn,
+		"busy, no promise": respond(503, ""), "no HTTP": func(_ *fakeTarget, c net.Conn, _ *http.Request) bool {
+			fmt.Fprint(c, "failed\r\n\r\n")
+			return false
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				either := func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+					if strings.HasPrefix(q.URL.Path, engineOrderPath) {
+						return bad(f, c, q)
+					}
+					return streamEvents(3, 0)(f, c, q)
+				}
+				s := newKindsTestbed(t, nil, []script{either, either, either})
+				var served atomic.Int64
+				for i := range 60 {
+					go s.call(engineOrderPath, "body", "Id", fmt.Sprint("o", i))
+					if i >= 30 {
+						go func() {
+							if s.call(nonResumableStreamPath, "prompt", "Id", fmt.Sprint("s", i), "Left", "300").body == eventText(1, 3) {
+								served.Add(1)
+							}
+						}()
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				time.Sleep(3 * time.Second)
+				quicktest.Check(t, served.Load(), quicktest.Equals, int64(30))
+			})
+		})
+	}
+}
+
+// TestErrorsOfTheLastEngine guards against errors that make later requests wait for an engine that answers.
+func TestErrorsOfTheLastEngine(t *testing.T) {
+	for _, path := range []string{engineLookPath, engineOrderPath} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newKindsTestbed(t, nil, []script{respond(500, "oh", sealHeader)})
+				for range 12 {
+					res := s.call(path, "body")
+					quicktest.Check(t, res.status, quicktest.Equals, 500)
+					quicktest.Check(t, res.body, quicktest.Equals, "oh")
+				}
+				s.awaitNoGrants()
+			})
+		})
+	}
+}
--- a/internal/link/builds_test.go
+++ b/internal/link/builds_test.go
@@ -68,6 +68,13 @@
 	Evacuates bool `cbor:"7,keyasint"`
 }
 
+// oldEnd is place.End as commit 2fa2628 has it.
+type oldEnd struct {
+	ID, FailedTarget string
+	Unreachable      bool
+	Pause            time.Duration
+}
+
 type oldFollowerMessage struct {
 	Hello        *oldHello          `cbor:"1,keyasint,omitempty"`
 	Entries      []Entry            `cbor:"2,keyasint,omitempty"`
@@ -76,7 +83,7 @@
 	Requests     []oldRequest       `cbor:"5,keyasint,omitempty"`
 	Cancelled    []string           `cbor:"6,keyasint,omitempty"`
 	Started      []place.FirstEvent `cbor:"7,keyasint,omitempty"`
-	Ended        []place.End        `cbor:"8,keyasint,omitempty"`
+	Ended        []oldEnd           `cbor:"8,keyasint,omitempty"`
 	ActiveGrants []oldActiveGrant   `cbor:"9,keyasint,omitempty"`
 	Leaving      []Departure        `cbor:"10,keyasint,omitempty"`
 	Crashes      []poison.Crash     `cbor:"11,keyasint,omitempty"`
@@ -169,7 +176,7 @@
 // laterMessages returns oldMessages with all new fields set.
 func laterMessages() map[string]any {
 	later := func(r place.Request) laterRequest {
-		r.Regions = []string{"eu"}
+		r.Regions, r.Whole = []string{"eu"}, true
 		return laterRequest{Request: r, Organisation: "o", RouteRank: 2}
 	}
 	messages := oldMessages()
@@ -179,6 +186,9 @@
 	for _, r := range up.FollowerMessage.Requests {
 		up.Requests = append(up.Requests, later(r))
 	}
+	for i := range up.Ended {
+		up.Ended[i].Answered = true
+	}
 	for _, g := range up.FollowerMessage.ActiveGrants {
 		up.ActiveGrants = append(up.ActiveGrants, laterActiveGrant{ActiveGrant: g, Request: later(g.Request)})
 	}
--- a/internal/place/core.go
+++ b/internal/place/core.go
@@ -249,7 +249,9 @@
 		j.lead.pause(now, j.request.Instance, e.Pause)
 	}
 	if t := c.byID[e.FailedTarget]; t != nil {
-		t.eject(now, e.Unreachable)
+		if !e.Answered || c.mayEject(now) {
+			t.eject(now, e.Unreachable)
+		}
 	} else if j.started {
 		j.lead.lastHeartbeat = now
 		c.syncPassEnd(now, j.lead)
--- a/internal/place/core_test.go
+++ b/internal/place/core_test.go
@@ -411,3 +411,24 @@
 	quicktest.Assert(t, price(true) > 2*price(false), quicktest.IsTrue)
 	quicktest.Assert(t, price(true) < d.valueDensity(now), quicktest.IsTrue)
 }
+
+// TestFailedAnswersLeaveEngines guards against engines that are ejected together for the answers on one route. While they
+// take connections, half of them stay in use; engines that take none are all ejected.
+func TestFailedAnswersLeaveEngines(t *testing.T) {
+	for _, c := range []struct {
+		engines, wantLeft int
+		unreachable       bool
+	}{{1, 1, false}, {2, 1, false}, {3, 2, false}, {8, 4, false}, {3, 0, true}} {
+		now := time.Unix(0, 0)
+		core := idleCore(now, c.engines)
+		for i := range 4 * c.engines {
+			id := fmt.Sprint("r", i)
+			for _, d := range core.Step(now, Arrive{shortRequest(id)}) {
+				if g, ok := d.(Grant); ok {
+					core.Step(now, End{ID: id, FailedTarget: g.Lead, Answered: !c.unreachable, Unreachable: c.unreachable})
+				}
+			}
+		}
+		quicktest.Check(t, core.availableEngines(now), quicktest.Equals, float64(c.wantLeft), quicktest.Commentf("%+v", c))
+	}
+}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -156,6 +156,25 @@
 	e.Fail(now, first, maxEjection)
 }
 
+// maxEjectedPart is the part of the ready engines beyond which none is ejected for its answers.
+const maxEjectedPart = 0.5
+
+// mayEject reports whether one more engine may be ejected for its answers. If many fail at a time, what they are asked is
+// more likely the cause, and requests of other kinds still need engines.
+func (c *Core) mayEject(now time.Time) bool {
+	ready, ejected := 0, 1
+	for _, e := range c.engines {
+		if e.State != site.Ready {
+			continue
+		}
+		ready++
+		if e.IsEjected(now) {
+			ejected++
+		}
+	}
+	return float64(ejected) <= maxEjectedPart*float64(ready)
+}
+
 // observeSlowdown updates the slowdown from a measured time to the first event of an answer.
 func (e *engine) observeSlowdown(now time.Time, j *job, measured time.Duration) {
 	if j.granted.After(e.lastStarted) {
--- a/internal/place/event.go
+++ b/internal/place/event.go
@@ -86,6 +86,9 @@
 	FailedTarget string
 	// Unreachable is set if that target could not be reached or stopped responding.
 	Unreachable bool
+	// Answered is set if that target still takes connections, so that its answer was at fault rather than its
+	// process.
+	Answered bool `cbor:",omitempty"`
 	// Pause is how long the lead wants no further request from the same instance; 0 if it
 	// does not say.
 	Pause time.Duration
