gate: streams of plain services reach callers as they come

Cause: the pool alone decided how a request was served, and what has no engine was buffered until complete. Evidence: a caller with more patience gets all events of such a stream together, when the last one has been written.

Change: exchange.serve looks at both, the kind of the route for how the answer reaches the caller and the pool for how a target is chosen. The relay of streams takes a placement, which is either granted engines or a service that the entry picks itself with the turns, limits and budget of plain requests. A service that stalls or breaks off is left for another one behind the last event. An answer of a service that isn't a stream, by its media type or, if it states none, by its first bytes, is passed on as a whole. The admission goes by the first event of a stream, and the times that a drain goes by are kept by pool. "request ended" tells the pool.

Why it works: what a caller gets follows from the route, which promises it, on every kind of pool.

TestStreamResumesAtOtherService asked that the second service be told the event that the request names. Now the caller has got one more event from the first service before it was cut, and the check asks for that one, which is as strict; the events that the caller must get are the same.

--- a/internal/gate/admission.go
+++ b/internal/gate/admission.go
@@ -334,15 +334,16 @@
 	a.waiting = slices.DeleteFunc(a.waiting, func(o *ticket) bool { return o == t })
 }
 
-// answered takes in that a target has answered a request after a time; its caller wants it within aim.
-func (a *admission) answered(now time.Time, took, aim time.Duration) {
+// answered takes in that a target has answered a request after a time, and that its caller, who wants that within aim, had
+// the answer or its first event after the time latency.
+func (a *admission) answered(now time.Time, took, latency, aim time.Duration) {
 	a.advance(now)
 	a.answers++
 	if a.answerTime == 0 {
 		a.answerTime = took
 	}
 	a.answerTime += time.Duration(answerWeight * float64(took-a.answerTime))
-	if a.full && aim > 0 && took > time.Duration(lateAim*float64(aim)) {
+	if a.full && aim > 0 && latency > time.Duration(lateAim*float64(aim)) {
 		a.cut(now, lateCut)
 	}
 }
--- a/internal/gate/admission_test.go
+++ b/internal/gate/admission_test.go
@@ -273,7 +273,7 @@
 
 // answer counts an answer.
 func (s *serviceReplay) answer(r *replayRequest, took time.Duration) {
-	r.entry.admission.answered(time.Now(), took, 200*time.Millisecond)
+	r.entry.admission.answered(time.Now(), took, took, 200*time.Millisecond)
 	s.count(r, func(c *replayCounts) {
 		switch {
 		case s.now > r.deadline:
@@ -382,7 +382,7 @@
 func TestAdmissionOrder(t *testing.T) {
 	now := time.Unix(100, 0)
 	a := admission{}
-	a.answered(now, 50*time.Millisecond, time.Second)
+	a.answered(now, 50*time.Millisecond, 50*time.Millisecond, time.Second)
 	a.refused(now, false, 0)
 	a.turns, a.rate = -50, 40
 	for range 20 {
--- a/internal/gate/answers.go
+++ b/internal/gate/answers.go
@@ -25,12 +25,9 @@
 	aim  time.Duration
 }
 
-func kindOf(r *site.Route) answerKind {
-	k := answerKind{kind: r.Kind, aim: r.Aim}
-	if len(r.Split) > 0 {
-		k.pool = r.Split[0].Pool
-	}
-	return k
+// kind returns the kind of the request. Its pool must be known.
+func (x *exchange) kind() answerKind {
+	return answerKind{pool: x.pool.Name, kind: x.route.Kind, aim: x.route.Aim}
 }
 
 // answer is what was measured of an answer.
@@ -95,7 +92,8 @@
 func scale(d time.Duration, f float64) time.Duration { return time.Duration(float64(d) * f) }
 
 // measure returns what is known of a whole answer that began with an attempt.
-func (s *stream) measure(g place.Grant, att *streamAttempt) answer {
+func (s *stream) measure(att *streamAttempt) answer {
+	g := att.grant
 	a := answer{took: time.Since(att.sentAt) - att.blocked}
 	if att.firstEventAt.IsZero() || !s.hasEvents() {
 		return a
@@ -113,7 +111,7 @@
 // writeTime returns the time in which the engines of a grant write the longest answer without other load; 0 if the request
 // doesn't limit it.
 func (s *stream) writeTime(g place.Grant) time.Duration {
-	if s.call.MaxOutputTokens <= 0 {
+	if s.call.MaxOutputTokens <= 0 || s.pool.Engine == nil {
 		return 0
 	}
 	return place.WriteTime(*s.pool.Engine, s.call.PromptTokens/(len(g.Helpers)+1), s.call.MaxOutputTokens)
@@ -122,6 +120,6 @@
 // expectedTimeWith returns the time in which the engines of a grant are expected to answer. It returns false if there is nothing
 // to go by. Requests of one kind may differ in size by orders of magnitude, so the time of others alone is no bound.
 func (s *stream) expectedTimeWith(g place.Grant) (need time.Duration, known bool) {
-	a, known := s.server.answers.expected(kindOf(s.route))
+	a, known := s.server.answers.expected(s.kind())
 	return max(a.took, scale(g.PredictedTTFT, a.reading)+scale(s.writeTime(g), a.writing)), known
 }
--- a/internal/gate/cuthead_test.go
+++ b/internal/gate/cuthead_test.go
@@ -40,7 +40,7 @@
 				for cut := range len(head) {
 					synctest.Test(t, func(t *testing.T) {
 						sc := cutHead(head[:cut], time.Duration(cut%3)*100*time.Millisecond)
-						s := newServiceStreamTestbed(t, []script{sc, sc}, []script{sc, sc})
+						s := newTestbed(t, []script{sc, sc}, []script{sc, sc})
 						res := s.call(path, "body")
 						quicktest.Assert(t, res.status == 200, quicktest.IsFalse, quicktest.Commentf("%q: body %q, truncated %v", head[:cut], res.body, res.truncated))
 						quicktest.Assert(t, s.requestCount() > 0, quicktest.IsTrue)
--- a/internal/gate/drain.go
+++ b/internal/gate/drain.go
@@ -109,7 +109,7 @@
 // expectedTime returns the time that the answer to a request is expected to take once it is sent to a target. It returns
 // false if there is nothing to go by.
 func (x *exchange) expectedTime() (need time.Duration, known bool) {
-	a, known := x.server.answers.expected(kindOf(x.route))
+	a, known := x.server.answers.expected(x.kind())
 	return a.took, known
 }
 
--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -73,9 +73,9 @@
 	return out
 }
 
-// attempt sends the request to the engines of a grant. It returns done if the caller has
+// attemptGranted sends the request to the engines of a grant. It returns done if the caller has
 // a complete response, and otherwise the reason why not.
-func (s *stream) attempt(ctx context.Context, g place.Grant) (done bool, reason string) {
+func (s *stream) attemptGranted(ctx context.Context, g place.Grant) (done bool, reason string) {
 	end := place.End{ID: g.ID}
 	defer func() { s.server.placer.release(end) }()
 	s.server.pauses.await(ctx)
@@ -109,7 +109,7 @@
 		s.refusals++
 		return false, noBudget
 	}
-	return s.sendToLead(ctx, g, lead, helpers, reserved, &end)
+	return s.send(ctx, assignment{lead: lead, urgency: g.Urgency, grant: g, helpers: helpers, unused: reserved.unused}, &end)
 }
 
 // resolve finds the engines of a grant in the current view. An engine that drains, or wants
--- a/internal/gate/exchange.go
+++ b/internal/gate/exchange.go
@@ -126,15 +126,15 @@
 		limit = defaultTimeout
 	}
 	x.deadline = x.start.Add(min(limit, route.Limit))
-	if x.refuseIfTooLate() {
-		return false
-	}
 	pool, ok := x.view.index.Pool(route.PickPool(rand.Float64()))
 	if !ok {
 		x.respondUnavailable("the route's pool is missing", longRetryAfter)
 		return false
 	}
 	x.pool = pool
+	if x.refuseIfTooLate() {
+		return false
+	}
 	// The body may have taken a while.
 	return x.readBody() && !x.refuseIfTooLate() && x.checkRegions()
 }
@@ -307,7 +307,7 @@
 	case x.r.Context().Err() != nil:
 		return "the caller disconnected"
 	case x.timeLeft() > 0:
-		return otherEngineReason
+		return otherTargetReason
 	case time.Until(x.deadline) > 0:
 		return shutdownReason
 	default:
@@ -355,6 +355,9 @@
 	if x.route != nil {
 		e.Str("route", x.route.Name).Str("organisation", x.org).Int("rank", x.rank).Int("route_rank", x.routeRank)
 	}
+	if x.pool != nil {
+		e.Str("pool", x.pool.Name)
+	}
 	if x.isRefused() && !x.deadline.IsZero() {
 		e.Int("output", x.call.MaxOutputTokens).Dur("left", x.timeLeft())
 	}
--- a/internal/gate/foreign_test.go
+++ b/internal/gate/foreign_test.go
@@ -83,7 +83,7 @@
 
 // answerFor returns the script that serves the route of a path.
 func answerFor(path string) script {
-	if path == resumableStreamPath || path == nonResumableStreamPath {
+	if isStreamPath(path) {
 		return streamEvents(2, 0)
 	}
 	return respond(200, "done", sealHeader)
@@ -97,7 +97,7 @@
 			for _, named := range []bool{false, true} {
 				for _, notRun := range []bool{false, true} {
 					r := repeatedRefusal{status: status, named: named, notRun: notRun, when: when}
-					for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath, nonResumableStreamPath} {
+					for _, path := range allPaths() {
 						t.Run(fmt.Sprintf("%+v%s", r, path), func(t *testing.T) { testRepeatedRefusal(t, path, r) })
 					}
 				}
@@ -172,7 +172,7 @@
 // told that it did not run.
 func TestRefusalWithoutID(t *testing.T) {
 	for _, status := range []int{503, 429, 421, 400} {
-		for _, path := range []string{nonIdempotentPath, nonResumableStreamPath} {
+		for _, path := range []string{nonIdempotentPath, nonResumableStreamPath, engineOrderPath, serviceOncePath} {
 			t.Run(fmt.Sprint(status, path), func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					bad := func(f *fakeTarget, c net.Conn, q *http.Request) bool {
@@ -191,7 +191,7 @@
 // TestForeignRefusalOnNewConnection has targets write the refusal of another request before they
 // answer, on a connection that had no other request.
 func TestForeignRefusalOnNewConnection(t *testing.T) {
-	for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath, nonResumableStreamPath} {
+	for _, path := range allPaths() {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				bad := func(f *fakeTarget, c net.Conn, q *http.Request) bool {
@@ -209,7 +209,7 @@
 // TestRepeatedRefusalWithoutRequestIDs: callers' requests without an ID can't be told apart by
 // their responses.
 func TestRepeatedRefusalWithoutRequestIDs(t *testing.T) {
-	for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath, nonResumableStreamPath} {
+	for _, path := range allPaths() {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := repeatedRefusal{status: 503, notRun: true, when: idle}
--- a/internal/gate/kept_test.go
+++ b/internal/gate/kept_test.go
@@ -123,6 +123,6 @@
 		quicktest.Check(t, status, quicktest.Equals, 200)
 		quicktest.Check(t, body, quicktest.Equals, eventText(1, 4))
 		synctest.Wait()
-		quicktest.Check(t, s.logs.String(), quicktest.Contains, "trial of another engine ended")
+		quicktest.Check(t, s.logs.String(), quicktest.Contains, "trial of another target ended")
 	})
 }
--- a/internal/gate/malformed_test.go
+++ b/internal/gate/malformed_test.go
@@ -56,7 +56,7 @@
 			t.Run(strings.Trim(path, "/")+"/"+name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
 					bad := malformed(text)
-					s := newServiceStreamTestbed(t, []script{bad, respond(200, "whole", sealHeader)}, []script{bad, streamEvents(4, 0)})
+					s := newTestbed(t, []script{bad, respond(200, "whole", sealHeader)}, []script{bad, streamEvents(4, 0)})
 					// The target with more requests in flight is tried last.
 					for _, id := range []string{"t1", "t1", "t11", "t11"} {
 						defer s.gate.health.track(id)()
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 	"testing/synctest"
@@ -28,12 +29,29 @@
 // newPathTestbed returns a testbed whose targets for the route of a path run the scripts.
 func newPathTestbed(t *testing.T, path string, scripts ...script) *testbed {
 	t.Helper()
-	if path == resumableStreamPath || path == nonResumableStreamPath {
+	if isEnginePath(path) {
 		return newTestbed(t, nil, scripts)
 	}
 	return newTestbed(t, scripts, nil)
 }
 
+// allPaths returns the paths of a route of each kind to each kind of pool.
+func allPaths() []string {
+	return []string{
+		idempotentPath, nonIdempotentPath, resumableStreamPath, nonResumableStreamPath,
+		serviceStreamPath, serviceOncePath, engineLookPath, engineOrderPath,
+	}
+}
+
+// isEnginePath reports whether the route of a path leads to engines, and isStreamPath whether its answers are streams.
+func isEnginePath(path string) bool {
+	return slices.Contains([]string{resumableStreamPath, nonResumableStreamPath, engineLookPath, engineOrderPath}, path)
+}
+
+func isStreamPath(path string) bool {
+	return slices.Contains([]string{resumableStreamPath, nonResumableStreamPath, serviceStreamPath, serviceOncePath}, path)
+}
+
 // callUntilReached sends requests until a target has received that many.
 func (s *testbed) callUntilReached(f *fakeTarget, path string, count int) {
 	s.t.Helper()
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -36,10 +36,15 @@
 	remoteCost = 0.5
 )
 
-// attempts is the state of a request to a plain service between its sends.
+// noTargetReason is the reason of a refusal because no target accepts the request.
+const noTargetReason = "no target is available"
+
+// attempts is the state of a request between its sends.
 type attempts struct {
 	// hasTurn is set while the request may be sent; see awaitTurn.
 	hasTurn bool
+	// resumes is set if the caller has a part of the answer, which is lost unless it goes on soon.
+	resumes bool
 	// reason and retry are what the caller is told if no further target is tried.
 	reason string
 	retry  time.Duration
@@ -71,7 +76,7 @@
 func (x *exchange) runPlain(ctx context.Context) plainResult {
 	// fallback is an error response that is passed on if no other target succeeds.
 	var fallback *response
-	a := attempts{reason: "no target is available", retry: shortRetryAfter}
+	a := attempts{reason: noTargetReason, retry: shortRetryAfter}
 	for {
 		t, ok := x.nextTarget(ctx, &a)
 		if !ok {
@@ -114,37 +119,50 @@
 		if x.sends > 0 && !x.mayRetry() {
 			break
 		}
-		if !a.hasTurn {
-			var after time.Duration
-			if after, a.hasTurn = x.awaitTurn(ctx); !a.hasTurn {
-				a.reason, a.retry = fullReason, after
-				break
-			}
-		}
-		if x.takesTooLong() {
-			a.reason, a.retry = shutdownReason, 0
+		if !a.resumes && !x.mayStart(ctx, a) {
 			break
 		}
 		if t, ok := x.pickTarget(); ok {
 			return t, x.sends == 0 || x.acquireRetry()
 		}
 		var reopened bool
-		if reopened, a.retry = x.awaitPool(ctx, a.retry); !reopened {
+		if reopened, a.retry = x.awaitPool(ctx, a); !reopened {
 			break
 		}
 	}
 	return site.Target{}, false
 }
 
+// mayStart waits until it is the turn of a request of which the caller has no answer yet. It returns false, with the reason in a, if
+// it is refused or would end too late.
+func (x *exchange) mayStart(ctx context.Context, a *attempts) bool {
+	if !a.hasTurn {
+		var after time.Duration
+		if after, a.hasTurn = x.awaitTurn(ctx); !a.hasTurn {
+			a.reason, a.retry = fullReason, after
+			return false
+		}
+	}
+	if x.takesTooLong() {
+		a.reason, a.retry = shutdownReason, 0
+		return false
+	}
+	return true
+}
+
 // awaitPool waits for a target that accepts requests again if that is soon enough for the answer
-// to be on time. Otherwise it returns false, and when to try again: the time retry if no target
-// says when.
-func (x *exchange) awaitPool(ctx context.Context, retry time.Duration) (reopened bool, retryAfter time.Duration) {
+// to be on time, or before its caller leaves if it has a part already. Otherwise it returns false, and when to try
+// again: as before if no target says when.
+func (x *exchange) awaitPool(ctx context.Context, a *attempts) (reopened bool, retryAfter time.Duration) {
 	reopens, closed := x.poolReopens()
 	if !closed {
-		return false, retry
+		return false, a.retry
+	}
+	wanted := x.route.Aim - time.Since(x.start)
+	if a.resumes {
+		wanted = x.eventTimeout()
 	}
-	maxWait := min(x.timeLeft(), x.route.Aim-time.Since(x.start)) / 2
+	maxWait := min(x.timeLeft(), wanted) / 2
 	return reopens <= maxWait && timing.Sleep(ctx, reopens), reopens
 }
 
@@ -321,9 +339,6 @@
 		reuse = ok && keepsConnection(resp)
 		return nil, o
 	}
-	if x.resumesStream(resp) {
-		resp.Body = newResumedStream(resp, x.call.LastEventID)
-	}
 	// The body may stall as well as the head.
 	h.await(x.timeLeft() / 2)
 	body, err := s.readBody(t, resp)
@@ -340,7 +355,7 @@
 		return nil, mayHaveRun{"the response of a target ended early"}
 	}
 	reuse = true
-	s.answers.add(kindOf(x.route), answer{took: time.Since(sentAt)})
+	s.answers.add(x.kind(), answer{took: time.Since(sentAt)})
 	s.blocklist.recordSurvival(x, sentAt)
 	buffered := &response{status: resp.StatusCode, header: resp.Header, body: body}
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -348,7 +363,8 @@
 		return buffered, serverError{}
 	}
 	s.health.recordSuccess(t.ID)
-	x.recordAnswered(time.Since(sentAt))
+	took := time.Since(sentAt)
+	x.recordAnswered(took, took)
 	return buffered, delivered{}
 }
 
--- a/internal/gate/received.go
+++ b/internal/gate/received.go
@@ -66,7 +66,7 @@
 	case s.source != nil && ev.HasID && s.hasLastID && ev.ID != s.lastID+1:
 		return "an event is missing"
 	case !s.mayRelay(ctx):
-		return otherEngineReason
+		return otherTargetReason
 	}
 	return ""
 }
@@ -102,7 +102,7 @@
 }
 
 // begunEventReason is why an answer without further events isn't the end of the stream.
-const begunEventReason = "the event stream of an engine ended before an event that another one had begun"
+const begunEventReason = "the event stream of a target ended before an event that another one had begun"
 
 // complete ends the response to the caller after the last event. It returns the reason why the answer
 // of this engine isn't complete, or "".
@@ -111,7 +111,7 @@
 		return begunEventReason
 	}
 	if !s.mayRelay(ctx) {
-		return otherEngineReason
+		return otherTargetReason
 	}
 	// Another engine may have fallen silent within an event.
 	if s.hasBegunEvent {
--- a/internal/gate/reset_test.go
+++ b/internal/gate/reset_test.go
@@ -38,7 +38,7 @@
 // uploadBytes.
 func newUploadTestbed(t *testing.T, plain, engines []script) *testbed {
 	t.Helper()
-	s := newServiceStreamTestbed(t, plain, engines)
+	s := newTestbed(t, plain, engines)
 	s.tables.Version, s.tables.Bounds.Body = s.tables.Version+1, uploadBytes
 	for _, f := range s.targets {
 		f.answersEarly = true
--- a/internal/gate/resume_test.go
+++ b/internal/gate/resume_test.go
@@ -5,28 +5,10 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
-	"time"
 
 	"github.com/frankban/quicktest"
-
-	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
-const serviceStreamPath = "/service-stream/"
-
-// newServiceStreamTestbed returns a testbed with a resumable streaming route to plain services.
-func newServiceStreamTestbed(t *testing.T, plain, engines []script) *testbed {
-	t.Helper()
-	s := newTestbed(t, plain, engines)
-	s.tables.Version++
-	s.tables.Routes = append(s.tables.Routes, site.Route{
-		Name: serviceStreamPath, Host: "h", Prefix: serviceStreamPath, Kind: site.Streaming, Limit: 3 * time.Second, Aim: 300 * time.Millisecond,
-		Pause: 250 * time.Millisecond, Attempts: 2, Resumable: true, Split: []site.PoolWeight{{Pool: "plain", Weight: 1}},
-	})
-	s.publish(2)
-	return s
-}
-
 // ignoreLastEvent has a target send a stream from its first event on, whatever the caller has.
 func ignoreLastEvent(sc script) script {
 	return func(f *fakeTarget, c net.Conn, q *http.Request) bool {
@@ -56,7 +38,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newServiceStreamTestbed(t, []script{c.service}, nil)
+				s := newTestbed(t, []script{c.service}, nil)
 				res := s.call(serviceStreamPath, "prompt", c.headers...)
 				quicktest.Assert(t, res.status, quicktest.Equals, 200, quicktest.Commentf("%s", res.body))
 				quicktest.Assert(t, res.body, quicktest.Equals, c.want)
@@ -71,20 +53,25 @@
 
 // TestStreamResumesAtOtherService guards against the same fault where the first service fails or is silent.
 func TestStreamResumesAtOtherService(t *testing.T) {
-	for name, first := range map[string]script{
-		"refuses": respond(503, "", notRunHeader), "closes": closeConn, "silent": neverRespond, "cut in an event": streamEvents(9, 4),
-		"cut in a repeated event": ignoreLastEvent(streamEvents(9, 1)),
-		"no events":               respond(200, "<html>\n\n", sealHeader),
+	for name, c := range map[string]struct {
+		first script
+		// last is the last event that the caller has when the second service is asked.
+		last string
+	}{
+		"refuses": {respond(503, "", notRunHeader), "3"}, "closes": {closeConn, "3"}, "silent": {neverRespond, "3"},
+		"cut in an event":         {streamEvents(9, 4), "4"},
+		"cut in a repeated event": {ignoreLastEvent(streamEvents(9, 1)), "3"},
+		"no events":               {respond(200, "<html>\n\n", sealHeader), "3"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newServiceStreamTestbed(t, []script{first, streamEvents(9, 0)}, nil)
+				s := newTestbed(t, []script{c.first, streamEvents(9, 0)}, nil)
 				// The second service has more requests in flight, so that the first one is tried first.
 				defer s.gate.health.track("t1")()
 				defer s.gate.health.track("t1")()
 				res := s.call(serviceStreamPath, "prompt", "Last", "3")
 				quicktest.Assert(t, res.body, quicktest.Equals, eventText(4, 9))
-				quicktest.Assert(t, s.targets[1].request(0).Header.Get("Last"), quicktest.Equals, "3")
+				quicktest.Assert(t, s.targets[1].request(0).Header.Get("Last"), quicktest.Equals, c.last)
 			})
 		})
 	}
--- a/internal/gate/server.go
+++ b/internal/gate/server.go
@@ -181,11 +181,17 @@
 	_ = http.NewResponseController(w).SetWriteDeadline(x.deadline.Add(writeGrace))
 	defer s.endWithServer(w, cancel)()
 	s.Budget.recordRequest(x.pool.Name)
-	if x.pool.Engine != nil {
-		x.serveEngine(ctx)
+	x.serve(ctx)
+}
+
+// serve sends the request to targets and passes the answer on. The kind of the route alone decides how the answer reaches the
+// caller, see hasEvents, and the pool alone how a target is chosen, see placement.
+func (x *exchange) serve(ctx context.Context) {
+	if x.pool.Engine == nil && !x.hasEvents() {
+		x.servePlain(ctx)
 		return
 	}
-	x.servePlain(ctx)
+	x.serveStream(ctx)
 }
 
 // endWithServer ends a request with EndRequests, and soon after it the writes that its caller holds up. The returned function
--- a/internal/gate/services.go
+++ b/internal/gate/services.go
@@ -98,12 +98,13 @@
 	return t.retryAfter
 }
 
-// recordAnswered tells the admission how long a target took for its answer.
-func (x *exchange) recordAnswered(took time.Duration) {
+// recordAnswered tells the admission how long a target took for its answer, and after which time its caller had what
+// the target latency is about: the answer, or the first event.
+func (x *exchange) recordAnswered(took, latency time.Duration) {
 	s := &x.server.services
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.pool(x.pool.Name).answered(time.Now(), took, x.route.Aim)
+	s.pool(x.pool.Name).answered(time.Now(), took, latency, x.route.Aim)
 }
 
 // recordFull tells the admission that the target has refused the request because it is full.
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -36,45 +36,47 @@
 	maxCountedPause = 250 * time.Millisecond
 	// maxRefusals bounds the number of engines that may refuse one request.
 	maxRefusals = 4
-	// otherEngineReason is why an attempt ends when another engine has gone on with the answer.
-	otherEngineReason = "another engine went on with the answer"
+	// otherTargetReason is why an attempt ends when another target has gone on with the answer.
+	otherTargetReason = "another target went on with the answer"
 	// slowCallerTime is how long a write to the caller must have blocked until the end of an
 	// engine's connection is no failure of the engine: engines cut off responses that stay unread
 	// for some seconds.
 	slowCallerTime = time.Second
 )
 
-// stream is an exchange whose answer is relayed from engines to the caller: event by event, or as a whole if
+// stream is an exchange whose answer is relayed from targets to the caller: event by event, or as a whole if
 // the kind of the route says so.
 type stream struct {
 	*exchange
 	received
 	// pauseCount is the number of pauses of this process when the last grant was requested.
 	pauseCount int
-	// refusals is the number of attempts that did not run because engines refused the
+	// refusals is the number of attempts that did not run because targets refused the
 	// request, could not be reached or were no longer ready.
 	refusals int
 	// callerLost is set once the response could not be written to the caller.
 	callerLost bool
-	// next tries another engine while the current one is silent; nil if there is none to try.
+	// next tries another target while the current one is silent; nil if there is none to try.
 	next *takeover
 	// standby is the takeover that this stream belongs to, until it continues the answer; nil if
 	// it belongs to none.
 	standby *takeover
-	// fallback is an error response that is passed on if no other engine answers; nil if there is none.
+	// fallback is an error response that is passed on if no other target answers; nil if there is none.
 	fallback *response
 }
 
-// serveEngine sends a request to engines and relays the answer to the caller.
-func (x *exchange) serveEngine(ctx context.Context) {
+// serveStream sends a request to targets and relays the answer to the caller.
+func (x *exchange) serveStream(ctx context.Context) {
 	s := &stream{exchange: x, received: received{lastID: x.call.LastEventID, hasLastID: x.call.HasLastEventID}}
-	x.server.placer.awaitLink(ctx)
+	if x.pool.Engine != nil {
+		x.server.placer.awaitLink(ctx)
+	}
 	done, reason, retry := s.run(ctx)
 	defer func() { s.fallback.release() }()
 	if done {
 		return
 	}
-	if s.fallback != nil && x.r.Context().Err() == nil {
+	if s.fallback != nil && !s.headSent && x.r.Context().Err() == nil {
 		x.writeResponse(s.fallback)
 		return
 	}
@@ -85,35 +87,31 @@
 	x.respondFailure(ctx, reason, retry)
 }
 
-// run sends the request to one engine after the other until the caller has a complete response. It
+// run sends the request to one target after the other until the caller has a complete response. It
 // returns done if that is so, and otherwise the reason why not and when to try again.
 func (s *stream) run(ctx context.Context) (done bool, reason string, retry time.Duration) {
-	reason, retry = "no engine was free in time", longRetryAfter
-	for ctx.Err() == nil && !s.callerLost && s.timeLeft() > minAttemptTime && s.refusals < maxRefusals {
+	a := s.newAttempts()
+	for ctx.Err() == nil && !s.callerLost && s.timeLeft() > minAttemptTime && s.mayBeRefused() {
 		if left, blocked := s.server.blocklist.find(s.exchange); blocked {
 			return false, blockedReason, left
 		}
 		if s.sends > 0 && (s.isUnnumbered || s.mayHaveRun && !s.route.MayRetry() || !s.mayRetry()) {
 			break
 		}
-		g, err := s.acquireGrant(ctx)
-		if err != nil {
-			var r *refusedError
-			if errors.As(err, &r) {
-				reason, retry = r.Reason, r.RetryAfter
-			}
+		p, ok := s.acquire(ctx, &a)
+		if !ok {
 			break
 		}
-		done, reason = s.attempt(ctx, g)
+		done, a.reason = s.attempt(ctx, p)
 		if next := s.next; next != nil {
 			s.next = nil
-			done, reason = next.finish(done, reason)
+			done, a.reason = next.finish(done, a.reason)
 		}
 		if done {
 			break
 		}
 	}
-	return done, reason, retry
+	return done, a.reason, a.retry
 }
 
 // firstEventTimeout is how long the caller waits for the first event.
@@ -122,19 +120,20 @@
 }
 
 // eventTimeout is how long the caller waits for the next event.
-func (s *stream) eventTimeout() time.Duration {
-	return max(minEventTimeout, firstEventFactor*s.route.Aim, pauseFactor*s.route.Pause)
+func (x *exchange) eventTimeout() time.Duration {
+	return max(minEventTimeout, firstEventFactor*x.route.Aim, pauseFactor*x.route.Pause)
 }
 
-// sendToLead sends the request to the lead engine and relays the response. It leaves an engine that doesn't use the memory
-// that is reserved for the request.
-func (s *stream) sendToLead(ctx context.Context, g place.Grant, lead site.Target, helpers []PrefillHelper, reserved *reservations, end *place.End) (done bool, reason string) {
+// send sends the request to the lead and relays the response. It leaves an engine that doesn't use the memory that is
+// reserved for the request.
+func (s *stream) send(ctx context.Context, to assignment, end *place.End) (done bool, reason string) {
+	lead := to.lead
 	defer s.server.health.track(lead.ID)()
-	att := streamAttempt{target: lead, grant: g, sentAt: time.Now(), resumes: s.hasLastID, unused: reserved.unused}
-	q := s.buildRequest(lead, SendInfo{Urgency: g.Urgency, Helpers: helpers, LastEventID: s.lastID, HasLastEventID: s.hasLastID})
+	att := streamAttempt{target: lead, grant: to.grant, sentAt: time.Now(), resumes: s.hasLastID, unused: to.unused}
+	q := s.buildRequest(lead, SendInfo{Urgency: to.urgency, Helpers: to.helpers, LastEventID: s.lastID, HasLastEventID: s.hasLastID})
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	defer context.AfterFunc(reserved.unused, cancel)()
+	defer context.AfterFunc(to.unused, cancel)()
 	if s.canRetryElsewhere(lead) {
 		s.next = newTakeover(ctx, s, &att, cancel)
 		defer s.next.firstEnds()
@@ -153,11 +152,12 @@
 	if o := s.classifyAnswer(lead, resp); o != nil {
 		_, refused := o.(notRun)
 		end.FailedTarget, end.Answered = s.faultyTarget(lead, resp), !refused
+		s.recordRefusal(resp, refused)
 		reuse = refused && keepsConnection(resp)
 		return s.handleFailedAttempt(lead, o)
 	}
 	switch {
-	case !s.hasEvents():
+	case !s.relaysEvents(resp):
 		reason, err = s.relayWhole(ctx, lead, resp, &att, end)
 	case resp.StatusCode != http.StatusOK:
 		return s.handleErrorResponse(ctx, lead, resp, end)
@@ -167,29 +167,35 @@
 	if reason != "" {
 		return false, s.handleBrokenStream(ctx, lead, &att, reason, err, end)
 	}
+	reuse = true
+	s.recordComplete(&att)
+	return true, ""
+}
+
+// recordComplete records that an attempt has completed the answer.
+func (s *stream) recordComplete(att *streamAttempt) {
 	if !att.firstEventAt.IsZero() {
 		s.server.blocklist.recordSurvival(s.exchange, att.firstEventAt)
 	}
-	reuse = true
 	if !att.resumes {
-		s.server.answers.add(kindOf(s.route), s.measure(g, &att))
+		s.server.answers.add(s.kind(), s.measure(att))
 	}
-	s.server.health.recordSuccess(lead.ID)
-	return true, ""
+	s.server.health.recordSuccess(att.target.ID)
+	s.recordAnswer(att)
 }
 
 // handleBrokenStream handles an attempt that ended for reason while its events were relayed, with the error
 // err of reading them if there is one. It returns the reason for the log.
 func (s *stream) handleBrokenStream(ctx context.Context, lead site.Target, att *streamAttempt, reason string, err error, end *place.End) string {
 	s.mayHaveRun = true
-	silent := &engine.Silent{After: time.Since(att.send().lastByteAt())}
+	silent := &engine.Silent{After: time.Since(att.record().lastByteAt())}
 	switch {
 	case s.next.firstEnds():
-		reason, err = "an engine was silent, and another one continued its answer", silent
+		reason, err = "a target was silent, and another one continued its answer", silent
 	case att.unused.Err() != nil:
 		reason, err = "an engine did not use the memory that was reserved for it", silent
 	}
-	failed := att.send()
+	failed := att.record()
 	failed.isRecorded = s.next.hasStarted()
 	if ctx.Err() != nil || s.callerLost {
 		s.watchSend(failed, err, time.Now())
@@ -198,6 +204,7 @@
 	if att.maxBlocked < slowCallerTime {
 		end.FailedTarget = lead.ID
 		s.failedTargets = append(s.failedTargets, lead.ID)
+		s.server.health.recordFailure(lead.ID)
 	} else {
 		reason += ", after the caller had not read for a while"
 	}
@@ -211,7 +218,7 @@
 	if s.next.firstEnds() || att.unused.Err() != nil {
 		err = &engine.Silent{After: time.Since(att.sentAt)}
 	}
-	failed := att.send()
+	failed := att.record()
 	failed.isRecorded = s.next.hasStarted()
 	if ctx.Err() != nil {
 		s.sends++
@@ -239,26 +246,38 @@
 	return false, reason
 }
 
-// handleErrorResponse relays the engine's error response, or leaves the request to another
-// engine.
+// handleErrorResponse relays the error response of a target, or leaves the request to another
+// one.
 func (s *stream) handleErrorResponse(ctx context.Context, lead site.Target, resp *hop.Response, end *place.End) (done bool, reason string) {
 	s.mayHaveRun = true
 	end.FailedTarget, end.Answered = lead.ID, true
 	var err error
-	if !s.headSent && (resp.StatusCode < http.StatusInternalServerError || !s.route.MayRetry()) {
-		resp.SetReadDeadline(time.Now().Add(s.eventTimeout()))
+	if !s.headSent {
+		mayRetry := resp.StatusCode >= http.StatusInternalServerError && s.route.MayRetry()
+		limit := s.eventTimeout()
+		if mayRetry {
+			// Another target may answer meanwhile.
+			limit = refusalBodyTimeout
+		}
+		resp.SetReadDeadline(time.Now().Add(limit))
 		var b *body
-		if b, err = s.server.readBody(lead, resp); err == nil {
+		b, err = s.server.readBody(lead, resp)
+		failure := &response{status: resp.StatusCode, header: resp.Header, body: b}
+		switch {
+		case err != nil:
+		case mayRetry:
+			s.keepFallback(failure)
+		default:
 			defer b.release()
-		}
-		if err == nil && s.mayRespond(ctx) {
-			s.writeResponse(&response{status: resp.StatusCode, header: resp.Header, body: b})
-			return true, ""
+			if s.mayRespond(ctx) {
+				s.writeResponse(failure)
+				return true, ""
+			}
 		}
 	}
 	s.failedTargets = append(s.failedTargets, lead.ID)
 	s.logFailedAttempt(lead, "error response: "+http.StatusText(resp.StatusCode), err)
-	return false, "an engine answered with an error"
+	return false, "a target answered with an error"
 }
 
 // streamAttempt describes one send while its events are relayed.
@@ -322,12 +341,12 @@
 			continue
 		}
 		if idleBytes += len(ev.Raw); idleBytes > maxIdleBytes {
-			return "the event stream of an engine has no new event in 64 KiB", nil
+			return "the event stream of a target has no new event in 64 KiB", nil
 		}
 	}
 }
 
-// awaitNext has another engine continue the stream after a stall, if one can.
+// awaitNext has another target continue the stream after a stall, if one can.
 func (s *stream) awaitNext() {
 	if !s.isUnnumbered {
 		s.next.await(time.Duration(stallShare * float64(s.eventTimeout())))
@@ -339,13 +358,13 @@
 func (s *stream) endRelay(ctx context.Context, lead site.Target, resp *hop.Response, err error) (reason string, cause error) {
 	switch {
 	case errors.Is(err, io.EOF) && s.server.endedWithProcess(lead, resp):
-		return "the process of an engine ended with its event stream", io.ErrUnexpectedEOF
+		return "the process of a target ended with its event stream", io.ErrUnexpectedEOF
 	case errors.Is(err, io.EOF):
 		return s.complete(ctx, resp), nil
 	case ctx.Err() != nil:
 		return s.endReason(), nil
 	default:
-		return "the event stream of an engine ended early: " + err.Error(), err
+		return "the event stream of a target ended early: " + err.Error(), err
 	}
 }
 
@@ -354,7 +373,9 @@
 	now := time.Now()
 	if att.firstEventAt.IsZero() {
 		att.firstEventAt, att.lastEventAt = now, now
-		s.server.placer.reportFirstEvent(att.grant.ID, now.Sub(att.sentAt))
+		if att.grant.ID != "" {
+			s.server.placer.reportFirstEvent(att.grant.ID, now.Sub(att.sentAt))
+		}
 	}
 	att.written += min(now.Sub(att.lastEventAt), maxCountedPause)
 	att.lastEventAt = now
@@ -364,8 +385,8 @@
 	}
 }
 
-// send returns the send of the attempt.
-func (a *streamAttempt) send() send {
+// record returns what is recorded of the send if it fails.
+func (a *streamAttempt) record() send {
 	return send{target: a.target, at: a.sentAt, written: a.written, lastEventAt: a.lastEventAt}
 }
 
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -102,7 +102,7 @@
 
 // start starts the next round after the time silence without a new event. The caller holds mu.
 func (t *takeover) start(silence time.Duration) {
-	t.received, t.sent = t.first.received, t.attempt.send()
+	t.received, t.sent = t.first.received, t.attempt.record()
 	t.awaiting, t.silence = true, silence
 	t.timer.Reset(silence)
 }
@@ -134,8 +134,8 @@
 	if ctx.Err() != nil {
 		return
 	}
-	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.attempt.target.ID).Dur("silence", silence).Msg("engine is silent, trying another one")
-	s.server.placer.reportSilence(t.attempt.grant.ID)
+	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.attempt.target.ID).Dur("silence", silence).Msg("target is silent, trying another one")
+	s.recordSilence(t.attempt)
 	s.watchSilence(sent)
 	r.complete, r.reason, _ = s.run(ctx)
 	t.recordOutcome(r)
@@ -157,7 +157,7 @@
 	s := t.second
 	metrics.GetOrRegisterCounter(meter.Label("gate.takeovers", "outcome", outcome), s.server.Metrics).Inc(1)
 	s.server.Log.Info().Str("id", s.call.ID).Str("target", t.attempt.target.ID).Str("other", s.target).Str("outcome", outcome).Str("reason", r.reason).
-		Int("sends", s.sends).Msg("trial of another engine ended")
+		Int("sends", s.sends).Msg("trial of another target ended")
 }
 
 // endRound ends a round. Nobody else releases what it holds if the request has ended.
--- a/internal/gate/takeover_test.go
+++ b/internal/gate/takeover_test.go
@@ -202,7 +202,7 @@
 	}
 }
 
-// stream is the script of an engine.
+// stream is the script of a target that answers with events.
 func (p *playedTargets) stream(f *fakeTarget, c net.Conn, q *http.Request) bool {
 	b, done := p.next(q.Header.Get("Id"))
 	defer done()
@@ -246,7 +246,7 @@
 	return false
 }
 
-// answer is the script of a plain service.
+// answer is the script of a target that answers with a whole body.
 func (p *playedTargets) answer(f *fakeTarget, c net.Conn, q *http.Request) bool {
 	b, done := p.next(q.Header.Get("Id"))
 	defer done()
@@ -306,12 +306,11 @@
 
 // run plays the calls and returns what is wrong, or "". The function check judges the result of one call.
 func (p *play) run(t *testing.T, atOnce int, check func(res callResult) string) (wrong string) {
-	var s *testbed
-	if p.path == resumableStreamPath || p.path == nonResumableStreamPath {
-		s = newTestbed(t, nil, slices.Repeat([]script{p.stream}, p.targets))
-	} else {
-		s = newTestbed(t, slices.Repeat([]script{p.answer}, p.targets), nil)
+	answer := p.answer
+	if isStreamPath(p.path) {
+		answer = p.stream
 	}
+	s := newPathTestbed(t, p.path, slices.Repeat([]script{answer}, p.targets)...)
 	s.tables.Version = 2
 	for i := range s.tables.Routes {
 		s.tables.Routes[i].Attempts, s.tables.Routes[i].Limit = p.attempts, time.Minute
@@ -376,10 +375,15 @@
 
 // TestPlayedStreams: a caller must get a prefix of the events, each one once, as a complete answer only if that
 // is whole, and the whole answer if its engine goes on before the caller gives up and no other one spoils it.
-func TestPlayedStreams(t *testing.T) {
+func TestPlayedStreams(t *testing.T) { testPlayedStreams(t, resumableStreamPath) }
+
+// TestPlayedServiceStreams is TestPlayedStreams at plain services.
+func TestPlayedServiceStreams(t *testing.T) { testPlayedStreams(t, serviceStreamPath) }
+
+func testPlayedStreams(t *testing.T, path string) {
 	const events = 3
 	rapid.Check(t, func(r *rapid.T) {
-		p := drawPlay(r, resumableStreamPath, events)
+		p := drawPlay(r, path, events)
 		// The caller gives up after two seconds without an event.
 		sound := p.leave == 0 && p.limit == time.Minute && p.plan[0].staysWithin(minEventTimeout)
 		for _, b := range p.plan[1:] {
@@ -408,11 +412,16 @@
 	})
 }
 
-// TestPlayedLookups: a request to plain services must be answered, with the whole body of one of them if the
+// TestPlayedLookups: a request that may be repeated must be answered, with the whole body of one of them if the
 // first one goes on within the time limit.
-func TestPlayedLookups(t *testing.T) {
+func TestPlayedLookups(t *testing.T) { testPlayedLookups(t, idempotentPath) }
+
+// TestPlayedEngineLookups is TestPlayedLookups at engines.
+func TestPlayedEngineLookups(t *testing.T) { testPlayedLookups(t, engineLookPath) }
+
+func testPlayedLookups(t *testing.T, path string) {
 	rapid.Check(t, func(r *rapid.T) {
-		p := drawPlay(r, idempotentPath, 1)
+		p := drawPlay(r, path, 1)
 		b := p.plan[0]
 		sound := p.leave == 0 && b.end == completes && b.head+b.pauses[0] < p.limit
 		for _, b := range p.plan[1:] {
@@ -440,9 +449,14 @@
 }
 
 // TestPlayedOnce: a request that must not be repeated may run once, and not at all if it is refused.
-func TestPlayedOnce(t *testing.T) {
+func TestPlayedOnce(t *testing.T) { testPlayedOnce(t, nonIdempotentPath, nonResumableStreamPath) }
+
+// TestPlayedOnceElsewhere is TestPlayedOnce with the other kind of pool for each route.
+func TestPlayedOnceElsewhere(t *testing.T) { testPlayedOnce(t, engineOrderPath, serviceOncePath) }
+
+func testPlayedOnce(t *testing.T, paths ...string) {
 	rapid.Check(t, func(r *rapid.T) {
-		p := drawPlay(r, rapid.SampledFrom([]string{nonIdempotentPath, nonResumableStreamPath}).Draw(r, "path"), 2)
+		p := drawPlay(r, rapid.SampledFrom(paths).Draw(r, "path"), 2)
 		p.calls = 1
 		wrong, refused := "not played", false
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/gate/testbed_test.go
+++ b/internal/gate/testbed_test.go
@@ -286,6 +286,10 @@
 	nonIdempotentPath      = "/order-it/"
 	resumableStreamPath    = "/stream/"
 	nonResumableStreamPath = "/once/"
+	serviceStreamPath      = "/service-stream/"
+	serviceOncePath        = "/service-once/"
+	engineLookPath         = "/engine-look/"
+	engineOrderPath        = "/engine-order/"
 	publicPath             = "/public/"
 	gateAddress            = "10.0.0.1:80"
 )
@@ -296,7 +300,7 @@
 	route := func(path string, kind site.Kind, pool string) site.Route {
 		return site.Route{
 			Name: path, Host: "h", Prefix: path, Kind: kind, Limit: 3 * time.Second, Aim: 300 * time.Millisecond,
-			Pause: 250 * time.Millisecond, Attempts: 2, Resumable: path == resumableStreamPath, Public: path == publicPath,
+			Pause: 250 * time.Millisecond, Attempts: 2, Resumable: path == resumableStreamPath || path == serviceStreamPath, Public: path == publicPath,
 			Split: []site.PoolWeight{{Pool: pool, Weight: 1}},
 		}
 	}
@@ -309,6 +313,8 @@
 		Routes: []site.Route{
 			route(idempotentPath, site.Idempotent, "plain"), route(nonIdempotentPath, site.NonIdempotent, "plain"), route(publicPath, site.Idempotent, "plain"),
 			route(resumableStreamPath, site.Streaming, "engines"), route(nonResumableStreamPath, site.Streaming, "engines"),
+			route(serviceStreamPath, site.Streaming, "plain"), route(serviceOncePath, site.Streaming, "plain"),
+			route(engineLookPath, site.Idempotent, "engines"), route(engineOrderPath, site.NonIdempotent, "engines"),
 		},
 	}
 	for i, script := range plain {
--- a/internal/gate/whole.go
+++ b/internal/gate/whole.go
@@ -11,10 +11,6 @@
 	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
-// hasEvents reports whether the answer is a stream of events, which reach the caller as they come. Any other answer is
-// passed on as a whole.
-func (x *exchange) hasEvents() bool { return x.route.Kind == site.Streaming }
-
 // wholeSilence is how long the engines of a grant may be silent before a whole answer until another one is tried.
 func (s *stream) wholeSilence(g place.Grant) time.Duration {
 	expected := predictionFactor*s.predicted + s.writeTime(g)
@@ -22,18 +18,19 @@
 	return min(max(latencyFactor*s.route.Aim, minHeadTimeout, expected), s.timeLeft()/2)
 }
 
-// relayWhole passes the whole response of an engine on to the caller. It returns "" if the caller has it, and otherwise
+// relayWhole passes the whole response of a target on to the caller. It returns "" if the caller has it, and otherwise
 // the reason why not, with the error of reading the response if there is one. An error response to a request that may
-// go to another engine is kept as the fallback.
+// go to another target is kept as the fallback.
 func (s *stream) relayWhole(ctx context.Context, lead site.Target, resp *hop.Response, att *streamAttempt, end *place.End) (reason string, err error) {
 	// The body may stall as well as the head.
 	s.next.await(s.timeLeft() / 2)
+	resp.SetReadDeadline(time.Time{})
 	b, err := s.server.readBody(lead, resp)
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return s.endReason(), err
 	case err != nil:
-		return "the response of an engine ended early: " + err.Error(), err
+		return "the response of a target ended early: " + err.Error(), err
 	}
 	whole := &response{status: resp.StatusCode, header: resp.Header, body: b}
 	if resp.StatusCode >= http.StatusInternalServerError {
@@ -44,8 +41,8 @@
 		}
 	}
 	defer b.release()
-	if !s.mayRelay(ctx) {
-		return otherEngineReason, nil
+	if !s.mayRelay(ctx) || s.headSent {
+		return otherTargetReason, nil
 	}
 	s.recordProgress(att)
 	began := time.Now()
--- a/internal/gate/whole_test.go
+++ b/internal/gate/whole_test.go
@@ -14,31 +14,8 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/bambooproxy/bambooproxy/internal/place"
-	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
-// Paths of the routes that newKindsTestbed adds.
-const (
-	engineLookPath  = "/engine-look/"
-	engineOrderPath = "/engine-order/"
-)
-
-// newKindsTestbed returns a testbed with routes of kinds that newTestbed has for the other kind of pool only.
-func newKindsTestbed(t *testing.T, plain, engines []script) *testbed {
-	t.Helper()
-	s := newTestbed(t, plain, engines)
-	for path, r := range map[string]site.Route{
-		engineLookPath:  {Kind: site.Idempotent, Split: []site.PoolWeight{{Pool: "engines", Weight: 1}}},
-		engineOrderPath: {Kind: site.NonIdempotent, Split: []site.PoolWeight{{Pool: "engines", Weight: 1}}},
-	} {
-		r.Name, r.Host, r.Prefix, r.Limit, r.Aim, r.Attempts = path, "h", path, 3*time.Second, 300*time.Millisecond, 2
-		s.tables.Routes = append(s.tables.Routes, r)
-	}
-	s.tables.Version++
-	s.publish(2)
-	return s
-}
-
 // awaitNoGrants fails the test if engines are still in use after a while.
 func (s *testbed) awaitNoGrants() {
 	s.t.Helper()
@@ -92,7 +69,7 @@
 		for _, path := range []string{engineLookPath, engineOrderPath} {
 			t.Run(name+path, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					s := newKindsTestbed(t, nil, []script{c.answer})
+					s := newTestbed(t, nil, []script{c.answer})
 					for i := range 12 {
 						res := s.call(path, "body", "Id", fmt.Sprint("a", i))
 						quicktest.Assert(t, res.status, quicktest.Equals, c.status, quicktest.Commentf("%s", res.body))
@@ -140,15 +117,8 @@
 		for path, want := range map[string]int{engineLookPath: c.repeated, engineOrderPath: c.once} {
 			t.Run(name+path, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					var s *testbed
-					// The first engine that is asked fails.
-					either := func(f *fakeTarget, n net.Conn, q *http.Request) bool {
-						if s.requestCount() == 1 {
-							return c.bad(f, n, q)
-						}
-						return respond(200, "done", sealHeader)(f, n, q)
-					}
-					s = newKindsTestbed(t, nil, []script{either, either})
+					s := newTestbed(t, nil, nil)
+					s.addFailingFirst(path, c.bad, respond(200, "done", sealHeader))
 					res := s.call(path, "body")
 					quicktest.Assert(t, res.status, quicktest.Equals, want, quicktest.Commentf("%s", res.body))
 					quicktest.Check(t, res.status == 200 && res.body != "done", quicktest.IsFalse)
@@ -166,7 +136,7 @@
 func TestErrorOfEngineIsPassedOn(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		bad := respond(500, "oh", sealHeader)
-		s := newKindsTestbed(t, nil, []script{bad, bad})
+		s := newTestbed(t, nil, []script{bad, bad})
 		res := s.call(engineLookPath, "body")
 		quicktest.Check(t, res.status, quicktest.Equals, 500)
 		quicktest.Check(t, res.body, quicktest.Equals, "oh")
@@ -189,14 +159,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				var s *testbed
-				either := func(f *fakeTarget, n net.Conn, q *http.Request) bool {
-					if s.requestCount() == 1 {
-						return c.first(f, n, q)
-					}
-					return c.second(f, n, q)
-				}
-				s = newKindsTestbed(t, nil, []script{either, either})
+				s := newTestbed(t, nil, nil)
+				s.addFailingFirst(engineLookPath, c.first, c.second)
 				res := s.call(engineLookPath, "body")
 				quicktest.Check(t, res.status, quicktest.Equals, 200)
 				quicktest.Check(t, res.body, quicktest.Equals, c.want)
@@ -213,7 +177,7 @@
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				var closed atomic.Bool
-				s := newKindsTestbed(t, nil, []script{func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+				s := newTestbed(t, nil, []script{func(f *fakeTarget, c net.Conn, q *http.Request) bool {
 					closed.Store(!neverRespond(f, c, q))
 					return false
 				}})
@@ -231,8 +195,7 @@
 // their answers comes before the end, and no pause is wanted.
 func TestWholeAnswerLeavesStreamsOnTime(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		var s *testbed
-		s = newKindsTestbed(t, nil, []script{func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+		s := newTestbed(t, nil, []script{func(f *fakeTarget, c net.Conn, q *http.Request) bool {
 			if strings.HasPrefix(q.URL.Path, engineLookPath) {
 				return after(1500*time.Millisecond, respond(200, "done", sealHeader))(f, c, q)
 			}
@@ -264,39 +227,41 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				either := func(f *fakeTarget, c net.Conn, q *http.Request) bool {
-					if strings.HasPrefix(q.URL.Path, engineOrderPath) {
-						return bad(f, c, q)
-					}
-					return streamEvents(3, 0)(f, c, q)
-				}
-				s := newKindsTestbed(t, nil, []script{either, either, either})
-				var served atomic.Int64
-				for i := range 60 {
-					go s.call(engineOrderPath, "body", "Id", fmt.Sprint("o", i))
-					if i >= 30 {
-						go func() {
-							if s.call(nonResumableStreamPath, "prompt", "Id", fmt.Sprint("s", i), "Left", "300").body == eventText(1, 3) {
-								served.Add(1)
-							}
-						}()
-					}
-					time.Sleep(50 * time.Millisecond)
-				}
-				time.Sleep(3 * time.Second)
-				quicktest.Check(t, served.Load(), quicktest.Equals, int64(30))
-			})
+			synctest.Test(t, func(t *testing.T) { testFailuresOnOneRoute(t, bad) })
 		})
 	}
 }
 
+func testFailuresOnOneRoute(t *testing.T, bad script) {
+	either := func(f *fakeTarget, c net.Conn, q *http.Request) bool {
+		if strings.HasPrefix(q.URL.Path, engineOrderPath) {
+			return bad(f, c, q)
+		}
+		return streamEvents(3, 0)(f, c, q)
+	}
+	s := newTestbed(t, nil, []script{either, either, either})
+	var served atomic.Int64
+	for i := range 60 {
+		go s.call(engineOrderPath, "body", "Id", fmt.Sprint("o", i))
+		if i >= 30 {
+			go func() {
+				if s.call(nonResumableStreamPath, "prompt", "Id", fmt.Sprint("s", i), "Left", "300").body == eventText(1, 3) {
+					served.Add(1)
+				}
+			}()
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	time.Sleep(3 * time.Second)
+	quicktest.Check(t, served.Load(), quicktest.Equals, int64(30))
+}
+
 // TestErrorsOfTheLastEngine guards against errors that make later requests wait for an engine that answers.
 func TestErrorsOfTheLastEngine(t *testing.T) {
 	for _, path := range []string{engineLookPath, engineOrderPath} {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newKindsTestbed(t, nil, []script{respond(500, "oh", sealHeader)})
+				s := newTestbed(t, nil, []script{respond(500, "oh", sealHeader)})
 				for range 12 {
 					res := s.call(path, "body")
 					quicktest.Check(t, res.status, quicktest.Equals, 500)
--- a/internal/hop/event.go
+++ b/internal/hop/event.go
@@ -90,7 +90,7 @@
 		switch {
 		case len(line) == 0, len(name) == 0, string(name) == "retry":
 			continue // The end of the event, a comment, or a field that holds for the connection.
-		case !hasColon && !isFieldName(name):
+		case !hasColon && !IsFieldName(name):
 			return errors.Wrap(ErrInvalidEvent, "a line is neither a field nor a comment")
 		case string(name) == "data":
 			hasData = true
@@ -125,8 +125,8 @@
 	return out
 }
 
-// isFieldName reports whether a line that consists of name is a field without a value.
-func isFieldName(name []byte) bool {
+// IsFieldName reports whether a line that consists of name is a field without a value.
+func IsFieldName(name []byte) bool {
 	switch string(name) {
 	case "data", "id", "event":
 		return true
