--- a/internal/soak/tables.go
+++ b/internal/soak/tables.go
@@ -19,16 +19,16 @@
 	keptVersions = 30
 )
 
-// routes returns the routes that callers use.
+// routes returns the routes that callers use. A quarter of the requests of each goes to the other kind of pool.
 func routes() []site.Route {
-	share := func(pool string) []site.PoolWeight { return []site.PoolWeight{{Pool: pool, Weight: 1}} }
+	share := func(most, few string) []site.PoolWeight { return []site.PoolWeight{{Pool: most, Weight: 3}, {Pool: few, Weight: 1}} }
 	return []site.Route{
 		{
 			Name: "ask", Host: hostName, Prefix: "/ask/", Kind: site.Streaming, Limit: requestTimeout, Aim: 500 * time.Millisecond, Pause: 250 * time.Millisecond,
-			Attempts: 3, Resumable: true, Split: share(enginePool),
+			Attempts: 3, Resumable: true, Split: share(enginePool, plainPool),
 		},
-		{Name: "file", Host: hostName, Prefix: "/file/", Kind: site.NonIdempotent, Limit: requestTimeout, Aim: 300 * time.Millisecond, Attempts: 2, Split: share(plainPool)},
-		{Name: "look", Host: hostName, Prefix: "/look/", Kind: site.Idempotent, Limit: requestTimeout, Aim: 300 * time.Millisecond, Attempts: 2, Split: share(plainPool)},
+		{Name: "file", Host: hostName, Prefix: "/file/", Kind: site.NonIdempotent, Limit: requestTimeout, Aim: 300 * time.Millisecond, Attempts: 2, Split: share(plainPool, enginePool)},
+		{Name: "look", Host: hostName, Prefix: "/look/", Kind: site.Idempotent, Limit: requestTimeout, Aim: 300 * time.Millisecond, Attempts: 2, Split: share(plainPool, enginePool)},
 	}
 }
 
