node: streams of services, and other answers of engines, beside silence, stops and new tables

Each kind of route on each kind of pool, and routes that change their kind of pool with each second version of the tables.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -191,6 +191,18 @@
 	}
 }
 
+// crossPools leads each route to the other kind of pool.
+func crossPools(t *site.Tables) {
+	for i := range t.Routes {
+		s := &t.Routes[i].Split[0]
+		if s.Pool == enginePool {
+			s.Pool = servicePool
+		} else {
+			s.Pool = enginePool
+		}
+	}
+}
+
 // startTarget starts the process of a target at an address of its own, and announces it until it ends.
 func (f *fleet) startTarget(ctx context.Context, pool string) { f.startTargetAt(ctx, pool, "") }
 
--- a/internal/node/silent_test.go
+++ b/internal/node/silent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
 	"sync"
 	"testing"
@@ -22,21 +23,29 @@
 		silence time.Duration
 		// share is the number of silent targets of eight.
 		share int
+		// crossed leads each route to the other kind of pool, and moved does so with each second version of the tables.
+		crossed, moved bool
 	}{
-		"streams, all":   {chatPath, 1800 * time.Millisecond, 8},
-		"streams, half":  {chatPath, 1800 * time.Millisecond, 4},
-		"streams, short": {chatPath, 1200 * time.Millisecond, 6},
-		"look-ups":       {lookupPath, 700 * time.Millisecond, 6},
-		"orders":         {orderPath, 700 * time.Millisecond, 8},
+		"streams, all":        {path: chatPath, silence: 1800 * time.Millisecond, share: 8},
+		"streams, half":       {path: chatPath, silence: 1800 * time.Millisecond, share: 4},
+		"streams, short":      {path: chatPath, silence: 1200 * time.Millisecond, share: 6},
+		"look-ups":            {path: lookupPath, silence: 700 * time.Millisecond, share: 6},
+		"orders":              {path: orderPath, silence: 700 * time.Millisecond, share: 8},
+		"streams of services": {path: chatPath, silence: 1800 * time.Millisecond, share: 4, crossed: true},
+		"look-ups at engines": {path: lookupPath, silence: 700 * time.Millisecond, share: 6, crossed: true},
+		"orders at engines":   {path: orderPath, silence: 700 * time.Millisecond, share: 8, crossed: true},
+		"streams that move":   {path: chatPath, silence: 1200 * time.Millisecond, share: 2, moved: true},
+		"look-ups that move":  {path: lookupPath, silence: 400 * time.Millisecond, share: 2, moved: true},
+		"orders that move":    {path: orderPath, silence: 400 * time.Millisecond, share: 2, moved: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playSilence(t, c.path, c.silence, c.share) })
+			synctest.Test(t, func(t *testing.T) { playSilence(t, c.path, c.silence, c.share, c.crossed, c.moved) })
 		})
 	}
 }
 
 // playSilence has a number of eight targets fall silent every five seconds, and changes the tables every 0.4 s.
-func playSilence(t *testing.T, path string, silence time.Duration, share int) {
+func playSilence(t *testing.T, path string, silence time.Duration, share int, crossed, moved bool) {
 	const entries, targets, end = 6, 8, 24 * time.Second
 	ctx, cancel := context.WithCancel(context.Background())
 	var mu sync.Mutex
@@ -48,9 +57,12 @@
 		time.Sleep(time.Until(until))
 	}
 	engines, services := targets, 0
-	if path != chatPath {
+	if (path != chatPath) != crossed {
 		engines, services = 0, targets
 	}
+	if moved {
+		engines, services = targets/2, targets/2
+	}
 	f := newFleet(ctx, t, entries, engines, services, func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
 		pause(e)
 		writeHead(w, gate.ReplyInfo{RequestID: c.ID})
@@ -60,6 +72,13 @@
 			writeStream(w, c, i)
 		}
 		pause(e)
+		if path != chatPath {
+			_, _ = io.WriteString(w, "done")
+		}
+	}, func(f *fleet) {
+		if crossed {
+			f.bind = crossPools
+		}
 	})
 	defer f.close(cancel)
 	start := time.Now()
@@ -67,6 +86,9 @@
 		tables := fleetTables()
 		for time.Since(start) < end {
 			tables.Version++
+			if crossed && tables.Version == 2 || moved {
+				crossPools(tables)
+			}
 			quicktest.Check(t, f.controls[0].Publish(ctx, tables, []byte("{}")), quicktest.IsNil)
 			time.Sleep(400 * time.Millisecond)
 		}
--- a/internal/node/stop_stream_test.go
+++ b/internal/node/stop_stream_test.go
@@ -22,8 +22,13 @@
 
 // newStreamPlay returns a play whose engines write an event every 400 ms.
 func newStreamPlay(ctx context.Context, t *testing.T, events int64) *stopPlay {
+	return newStreamPlayAt(ctx, t, events, 4, 0, withLongLimits)
+}
+
+// newStreamPlayAt is newStreamPlay with that many engines and services, and other tables.
+func newStreamPlayAt(ctx context.Context, t *testing.T, events int64, engines, services int, bind func(t *site.Tables)) *stopPlay {
 	p := &stopPlay{wantsWhole: true, reached: make(map[string]int), statuses: make(map[int]int)}
-	p.fleet = newFleet(ctx, t, 1, 4, 0, func(_ *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+	p.fleet = newFleet(ctx, t, 1, engines, services, func(_ *testTarget, w http.ResponseWriter, c gate.CallInfo) {
 		p.mu.Lock()
 		p.reached[c.ID]++
 		p.mu.Unlock()
@@ -34,7 +39,7 @@
 				return
 			}
 		}
-	}, func(f *fleet) { f.bind = withLongLimits })
+	}, func(f *fleet) { f.bind = bind })
 	return p
 }
 
@@ -49,6 +54,16 @@
 	})
 }
 
+// TestPlannedStopCompletesServiceStreams is the same for streams of plain services.
+func TestPlannedStopCompletesServiceStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		p := newStreamPlayAt(ctx, t, 18, 0, 4, func(t *site.Tables) { withLongLimits(t); crossPools(t) })
+		defer p.close(cancel)
+		p.play(ctx, 23, chatPath, []time.Duration{10 * time.Second})
+	})
+}
+
 // TestPlannedStopRefusesLateBodies guards against requests whose headers come while a draining entry takes all requests,
 // and whose bodies end so late that the answer can't end before the entry does.
 func TestPlannedStopRefusesLateBodies(t *testing.T) {
