gate: IDs of events need not be consecutive

Callers saw: streams of sound targets whose IDs increase by more than one, such as 34, 68, 102, ended after the first event with a closed connection. Streams of plain services were spared while they were buffered.

Cause: an event whose ID was not that of the last one plus 1 was taken for a sign that an event is missing, also in the response that the last one came in. Evidence: the reason "an event is missing" for each second event of such a stream, at each target.

Change: within a response every higher ID is the next event. In a continuation an event is missing only if the IDs so far show that they are counted.

Why it works: a connection keeps the order of its bytes, so that only another response can lack an event.

--- a/internal/gate/received.go
+++ b/internal/gate/received.go
@@ -20,8 +20,12 @@
 	// what they state; "" if nothing.
 	headSent  bool
 	mediaType string
-	// source is the response that the first event came from; nil before that.
-	source *hop.Response
+	// source is the response that the first event came from, and latest the one that the last event did; nil before
+	// that.
+	source, latest *hop.Response
+	// hasUnitStep is set once an ID was one more than the last one, and hasOtherStep once it was another one in the
+	// same response. Without the latter, a gap between two responses is a missing event.
+	hasUnitStep, hasOtherStep bool
 	// isUnnumbered is set once the caller has an event without an ID, which another engine would send
 	// again.
 	isUnnumbered bool
@@ -63,7 +67,7 @@
 	switch {
 	case s.source != nil && !ev.HasID && resp != s.source:
 		return "an event has no ID"
-	case s.source != nil && ev.HasID && s.hasLastID && ev.ID != s.lastID+1:
+	case s.latest != nil && resp != s.latest && ev.HasID && s.hasLastID && ev.ID != s.lastID+1 && s.hasUnitStep && !s.hasOtherStep:
 		return "an event is missing"
 	case !s.mayRelay(ctx):
 		return otherTargetReason
@@ -83,12 +87,10 @@
 	if !s.headSent {
 		s.writeHead(resp)
 	}
-	if ev.HasID {
-		s.lastID, s.hasLastID = ev.ID, true
-	}
+	s.noteID(resp, ev)
 	if !ev.IsComment {
 		s.countEvent()
-		s.source, s.isUnnumbered = cmp.Or(s.source, resp), s.isUnnumbered || !ev.HasID
+		s.source, s.latest, s.isUnnumbered = cmp.Or(s.source, resp), resp, s.isUnnumbered || !ev.HasID
 		s.hasBegunEvent = false
 	}
 	_, err := s.w.Write(ev.Raw)
@@ -101,6 +103,23 @@
 	return ""
 }
 
+// noteID notes the ID of an event of a response, and how much it is higher than the last one.
+func (r *received) noteID(resp *hop.Response, ev hop.Event) {
+	if !ev.HasID {
+		return
+	}
+	switch {
+	case !r.hasLastID:
+		// The first event of all is counted.
+		r.hasUnitStep = ev.ID == 0 || ev.ID == 1
+	case ev.ID == r.lastID+1:
+		r.hasUnitStep = true
+	case r.latest == resp:
+		r.hasOtherStep = true
+	}
+	r.lastID, r.hasLastID = ev.ID, true
+}
+
 // begunEventReason is why an answer without further events isn't the end of the stream.
 const begunEventReason = "the event stream of a target ended before an event that another one had begun"
 
