gate: ends of responses are judged with the news after a pause

Cause: such a response is whole if its process is still there, and the entry asked who listens at the address now: by then that was the next process, with another ID, and the view of the targets was as old as the pause. Evidence: the dial after the end of the connection succeeds, and the registry has the new process before the entry goes on.

Why it works: who listens, and since when, is known before the end is taken for the end of the answer.

--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -37,7 +37,7 @@
 // hasEnded reports whether the process of a target has ended, expectedly or not: nothing listens on its address any
 // more, or a later process has replaced it. With confirmed, it takes another instance to tell that nothing listens.
 func (s *Server) hasEnded(t site.Target, confirmed bool) bool {
-	if current, ok := s.views.load().targets[t.ID]; s.blocklist.isReplaced(t) || ok && current.StartedMs > t.StartedMs {
+	if s.blocklist.isReplaced(t) || s.views.load().hasLaterProcess(t) {
 		return true
 	}
 	isGone, ctx := s.TargetClient.IsClosed, relay.ProbeAlone(context.Background())
@@ -76,18 +76,23 @@
 	return false
 }
 
-// endedWithProcess reports whether a response ended with its connection because the process of
-// the target ended, so that it may not be complete. A target that drains may be taken away before it has answered. Taking a
+// endedWithProcess reports whether a response to a request that was sent at sentAt ended with its connection because the process of
+// the target ended, so that it may not be complete. After a pause of this process another one may listen at the address by now,
+// so that it takes news of the targets to tell; without any the response isn't complete. A target that drains may be taken away before it has answered. Taking a
 // whole answer for a truncated one does less harm than the reverse, so other instances need not confirm the end.
-func (s *Server) endedWithProcess(t site.Target, resp *hop.Response) bool {
-	return resp.EndsWithConnection() && s.hasEnded(t, false)
+func (s *Server) endedWithProcess(t site.Target, resp *hop.Response, sentAt time.Time) bool {
+	if !resp.EndsWithConnection() {
+		return false
+	}
+	s.pauses.await(context.Background())
+	return s.pauses.lacksNewsSince(sentAt) || s.hasEnded(t, false)
 }
 
-// readBody reads the whole body of a response of a target.
-func (s *Server) readBody(t site.Target, resp *hop.Response) (*body, error) {
+// readBody reads the whole body of a response of a target to a request that was sent at sentAt.
+func (s *Server) readBody(t site.Target, resp *hop.Response, sentAt time.Time) (*body, error) {
 	// The reader sees the closed connection.
 	b, err := s.buffers.read(resp.Body, func() { _ = resp.NetConn().Close() })
-	if err == nil && s.endedWithProcess(t, resp) {
+	if err == nil && s.endedWithProcess(t, resp, sentAt) {
 		b.release()
 		return nil, io.ErrUnexpectedEOF
 	}
--- a/internal/gate/pause.go
+++ b/internal/gate/pause.go
@@ -72,6 +72,12 @@
 	return p.refreshedCount == count
 }
 
+// lacksNewsSince reports whether this process was paused after a time and has had no news of control since.
+func (p *pauseGuard) lacksNewsSince(at time.Time) bool {
+	count, ended := p.detector.Last()
+	return count > 0 && ended < time.Since(at) && !p.IsLinked()
+}
+
 // await waits after a pause until a new link has brought what was missed, until
 // refreshTimeout, or until ctx ends.
 func (p *pauseGuard) await(ctx context.Context) {
--- a/internal/gate/plain.go
+++ b/internal/gate/plain.go
@@ -341,7 +341,7 @@
 	}
 	// The body may stall as well as the head.
 	h.await(x.timeLeft() / 2)
-	body, err := s.readBody(t, resp)
+	body, err := s.readBody(t, resp, sentAt)
 	if err != nil {
 		err = sendError(ctx, err, sentAt)
 		failed := send{target: t, at: sentAt, isRecorded: h.hasStarted()}
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -160,7 +160,7 @@
 	case !s.relaysEvents(resp):
 		reason, err = s.relayWhole(ctx, lead, resp, &att, end)
 	case resp.StatusCode != http.StatusOK:
-		return s.handleErrorResponse(ctx, lead, resp, end)
+		return s.handleErrorResponse(ctx, lead, resp, &att, end)
 	default:
 		reason, err = s.relayEvents(ctx, lead, resp, &att)
 	}
@@ -248,7 +248,7 @@
 
 // handleErrorResponse relays the error response of a target, or leaves the request to another
 // one.
-func (s *stream) handleErrorResponse(ctx context.Context, lead site.Target, resp *hop.Response, end *place.End) (done bool, reason string) {
+func (s *stream) handleErrorResponse(ctx context.Context, lead site.Target, resp *hop.Response, att *streamAttempt, end *place.End) (done bool, reason string) {
 	s.mayHaveRun = true
 	end.FailedTarget, end.Answered = lead.ID, true
 	var err error
@@ -261,7 +261,7 @@
 		}
 		resp.SetReadDeadline(time.Now().Add(limit))
 		var b *body
-		b, err = s.server.readBody(lead, resp)
+		b, err = s.server.readBody(lead, resp, att.sentAt)
 		failure := &response{status: resp.StatusCode, header: resp.Header, body: b}
 		switch {
 		case err != nil:
@@ -314,7 +314,7 @@
 		ev, err := events.Next()
 		if err != nil {
 			s.hasBegunEvent = s.hasBegunEvent || ev.IsPartial && !s.isRepeated(ev)
-			return s.endRelay(ctx, lead, resp, err)
+			return s.endRelay(ctx, resp, att, err)
 		}
 		isNew := !ev.IsComment && !s.isRepeated(ev)
 		if isNew {
@@ -355,9 +355,9 @@
 
 // endRelay returns the results of relayEvents after an error of the event reader, which is io.EOF
 // after the last event.
-func (s *stream) endRelay(ctx context.Context, lead site.Target, resp *hop.Response, err error) (reason string, cause error) {
+func (s *stream) endRelay(ctx context.Context, resp *hop.Response, att *streamAttempt, err error) (reason string, cause error) {
 	switch {
-	case errors.Is(err, io.EOF) && s.server.endedWithProcess(lead, resp):
+	case errors.Is(err, io.EOF) && s.server.endedWithProcess(att.target, resp, att.sentAt):
 		return "the process of a target ended with its event stream", io.ErrUnexpectedEOF
 	case errors.Is(err, io.EOF):
 		return s.complete(ctx, resp), nil
--- a/internal/gate/view.go
+++ b/internal/gate/view.go
@@ -138,3 +138,16 @@
 	t, ok := v.targets[id]
 	return t, ok && v.isReady(t) && t.Pool == pool
 }
+
+// hasLaterProcess reports whether a later process has the ID or the address of a target.
+func (v *view) hasLaterProcess(t site.Target) bool {
+	if current, ok := v.targets[t.ID]; ok && current.StartedMs > t.StartedMs {
+		return true
+	}
+	for _, o := range v.targets {
+		if o.Address == t.Address && o.StartedMs > t.StartedMs {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/gate/whole.go
+++ b/internal/gate/whole.go
@@ -25,7 +25,7 @@
 	// The body may stall as well as the head.
 	s.next.await(s.timeLeft() / 2)
 	resp.SetReadDeadline(time.Time{})
-	b, err := s.server.readBody(lead, resp)
+	b, err := s.server.readBody(lead, resp, att.sentAt)
 	switch {
 	case err != nil && ctx.Err() != nil:
 		return s.endReason(), err
--- a/internal/node/silent_test.go
+++ b/internal/node/silent_test.go
@@ -13,19 +13,13 @@
 	"github.com/frankban/quicktest"
 
 	"github.com/bambooproxy/bambooproxy/internal/gate"
+	"github.com/bambooproxy/bambooproxy/internal/site"
 )
 
 // TestSilentTargetsBesideTableChanges guards against requests that end without a whole answer or a refusal while the
 // tables change, because sound targets are silent for a second or two and go on before their callers give up.
 func TestSilentTargetsBesideTableChanges(t *testing.T) {
-	for name, c := range map[string]struct {
-		path    string
-		silence time.Duration
-		// share is the number of silent targets of eight.
-		share int
-		// crossed leads each route to the other kind of pool, and moved does so with each second version of the tables.
-		crossed, moved bool
-	}{
+	for name, p := range map[string]silencePlay{
 		"streams, all":        {path: chatPath, silence: 1800 * time.Millisecond, share: 8},
 		"streams, half":       {path: chatPath, silence: 1800 * time.Millisecond, share: 4},
 		"streams, short":      {path: chatPath, silence: 1200 * time.Millisecond, share: 6},
@@ -39,13 +33,42 @@
 		"orders that move":    {path: orderPath, silence: 400 * time.Millisecond, share: 2, moved: true},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) { playSilence(t, c.path, c.silence, c.share, c.crossed, c.moved) })
+			synctest.Test(t, func(t *testing.T) { p.run(t) })
 		})
 	}
 }
 
-// playSilence has a number of eight targets fall silent every five seconds, and changes the tables every 0.4 s.
-func playSilence(t *testing.T, path string, silence time.Duration, share int, crossed, moved bool) {
+// silencePlay has a number of eight targets fall silent every five seconds, and changes the tables every 0.4 s.
+type silencePlay struct {
+	path    string
+	silence time.Duration
+	// share is the number of silent targets of eight.
+	share int
+	// crossed leads each route to the other kind of pool, and moved does so with each second version of the tables.
+	crossed, moved bool
+}
+
+// targets returns how many of a number of targets are engines, and how many services.
+func (p silencePlay) targets(n int) (engines, services int) {
+	switch {
+	case p.moved:
+		return n / 2, n / 2
+	case (p.path == chatPath) != p.crossed:
+		return n, 0
+	default:
+		return 0, n
+	}
+}
+
+// change makes the next version of the tables.
+func (p silencePlay) change(t *site.Tables) {
+	t.Version++
+	if p.crossed && t.Version == 2 || p.moved {
+		crossPools(t)
+	}
+}
+
+func (p silencePlay) run(t *testing.T) {
 	const entries, targets, end = 6, 8, 24 * time.Second
 	ctx, cancel := context.WithCancel(context.Background())
 	var mu sync.Mutex
@@ -56,27 +79,21 @@
 		mu.Unlock()
 		time.Sleep(time.Until(until))
 	}
-	engines, services := targets, 0
-	if (path != chatPath) != crossed {
-		engines, services = 0, targets
-	}
-	if moved {
-		engines, services = targets/2, targets/2
-	}
+	engines, services := p.targets(targets)
 	f := newFleet(ctx, t, entries, engines, services, func(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
 		pause(e)
 		writeHead(w, gate.ReplyInfo{RequestID: c.ID})
-		for i := c.LastEventID + 1; path == chatPath && i <= 30; i++ {
+		for i := c.LastEventID + 1; p.path == chatPath && i <= 30; i++ {
 			pause(e)
 			c.LastEventID = i - 1
 			writeStream(w, c, i)
 		}
 		pause(e)
-		if path != chatPath {
+		if p.path != chatPath {
 			_, _ = io.WriteString(w, "done")
 		}
 	}, func(f *fleet) {
-		if crossed {
+		if p.crossed {
 			f.bind = crossPools
 		}
 	})
@@ -85,10 +102,7 @@
 	f.wait.Go(func() {
 		tables := fleetTables()
 		for time.Since(start) < end {
-			tables.Version++
-			if crossed && tables.Version == 2 || moved {
-				crossPools(tables)
-			}
+			p.change(tables)
 			quicktest.Check(t, f.controls[0].Publish(ctx, tables, []byte("{}")), quicktest.IsNil)
 			time.Sleep(400 * time.Millisecond)
 		}
@@ -97,8 +111,8 @@
 		for round := 0; time.Since(start) < end; round++ {
 			time.Sleep(5 * time.Second)
 			mu.Lock()
-			for i := range share {
-				silentUntil[1+(i+3*round)%targets] = time.Now().Add(silence)
+			for i := range p.share {
+				silentUntil[1+(i+3*round)%targets] = time.Now().Add(p.silence)
 			}
 			mu.Unlock()
 		}
@@ -108,7 +122,7 @@
 	for i := 0; time.Since(start) < end; i++ {
 		calls++
 		callers.Go(func() {
-			status, whole := f.call(ctx, i%entries, path, gate.CallInfo{ID: fmt.Sprintf("%x", i+1), SharedSegments: []string{"5e1f"}})
+			status, whole := f.call(ctx, i%entries, p.path, gate.CallInfo{ID: fmt.Sprintf("%x", i+1), SharedSegments: []string{"5e1f"}})
 			mu.Lock()
 			defer mu.Unlock()
 			if !whole && status != http.StatusServiceUnavailable {
--- a/internal/soak/tables.go
+++ b/internal/soak/tables.go
@@ -21,7 +21,9 @@
 
 // routes returns the routes that callers use. A quarter of the requests of each goes to the other kind of pool.
 func routes() []site.Route {
-	share := func(most, few string) []site.PoolWeight { return []site.PoolWeight{{Pool: most, Weight: 3}, {Pool: few, Weight: 1}} }
+	share := func(most, few string) []site.PoolWeight {
+		return []site.PoolWeight{{Pool: most, Weight: 3}, {Pool: few, Weight: 1}}
+	}
 	return []site.Route{
 		{
 			Name: "ask", Host: hostName, Prefix: "/ask/", Kind: site.Streaming, Limit: requestTimeout, Aim: 500 * time.Millisecond, Pause: 250 * time.Millisecond,
