strict: heads are checked as their bytes come

Callers saw: bodies with the chunk lines in them, from HTTP/1.0 responses with Transfer-Encoding: chunked; and answers of unknown framing as sound ones: Content-Length beside chunks or in a folded line, HTTP/2.0 in a status line.

Cause: net/http drops from a response what shows these faults, and the check came after it. Evidence: the parsed response of each such head has neither the field nor the fold.

Change: strict.Head checks the bytes of a head as hop reads them, keeping the beginning of one line.

Why it works: the check sees what was sent, in informational responses, too.

Responses that hop does not read are not covered.

--- a/internal/gate/malformed_test.go
+++ b/internal/gate/malformed_test.go
@@ -38,6 +38,11 @@
 		"informational":   "HTTP/1.1 103 X\r\nX Y: z\r\n\r\nHTTP/1.1 200 OK\r\nIDContent-Length: 4\r\n\r\npart",
 		"trailer":         "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\nX Y: z\r\n\r\n",
 		"error":           "HTTP/1.1 400 X\r\nIDX Y: z\r\nContent-Length: 4\r\n\r\npart",
+		"HTTP/2.0":        "HTTP/2.0 200 OK\r\nIDContent-Length: 4\r\n\r\npart",
+		"chunks in 1.0":   "HTTP/1.0 200 OK\r\nIDTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+		"chunks, length":  "HTTP/1.1 200 OK\r\nIDTransfer-Encoding: chunked\r\nContent-Length: 4\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+		"folded length":   "HTTP/1.1 200 OK\r\nIDContent-Length:\r\n 4\r\n\r\npart",
+		"informational 2": "HTTP/2.0 103 X\r\n\r\nHTTP/1.1 200 OK\r\nIDContent-Length: 4\r\n\r\npart",
 		"refusal":         "HTTP/1.1 503 X\r\nIDNot-Run: 1\r\nX Y: z\r\nContent-Length: 4\r\n\r\npart",
 	}
 }
--- a/internal/hop/client.go
+++ b/internal/hop/client.go
@@ -151,6 +151,8 @@
 	// headLeft is how many bytes of a response head may still be read; -1 while a body is
 	// read.
 	headLeft int
+	// head checks the response head that is read.
+	head strict.Head
 	// expiresAt is when the target may close the connection.
 	expiresAt time.Time
 	// held is the memory of the response to the current request.
@@ -179,6 +181,7 @@
 	n, err := c.Conn.Read(b)
 	if isHead {
 		c.headLeft -= n
+		c.head.Add(b[:n])
 		err = cmp.Or(c.held.HoldHead(b[:n]), err)
 	}
 	if err != nil {
@@ -201,10 +204,14 @@
 func (c *conn) readHead(r *Request) (*http.Response, error) {
 	for range maxStaleResponses {
 		c.headLeft = maxHeadBytes
+		c.head = strict.Head{}
+		// What has been read ahead is in the buffer, so that this can't fail.
+		ahead, _ := c.r.Peek(c.r.Buffered())
+		c.head.Add(ahead)
 		resp, err := http.ReadResponse(c.r, &http.Request{Method: r.Method})
 		c.headLeft = bodyUnlimited
 		if err == nil {
-			err = cmp.Or(c.held.EndHead(resp.Header), strict.Check(resp))
+			err = cmp.Or(c.held.EndHead(resp.Header), c.head.Err(), strict.Check(resp))
 		}
 		if err != nil {
 			// The reader may report a half line instead.
