Tests of notices, limits, cold targets, cut heads and regions on each kind of pool

Each kind of route now meets them on engines and on plain services; the play of bound requests, with an entry that needs relays, broken answers and a lost leader, also runs with routes split over both.

--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -43,7 +43,7 @@
 
 // scriptFor returns a sound answer for the route of a path.
 func scriptFor(path string) script {
-	if path == resumableStreamPath || path == nonResumableStreamPath {
+	if isEnginePath(path) {
 		return streamEvents(2, 0)
 	}
 	return respond(200, "done", sealHeader)
@@ -52,7 +52,7 @@
 // TestNewTargetIsCold: a process that is announced as cold must get no more than a part of the rate from
 // an instance without a scheduler, from the first request on, until the time is over.
 func TestNewTargetIsCold(t *testing.T) {
-	for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath} {
+	for _, path := range allPaths() {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newColdTestbed(t, path, scriptFor(path))
@@ -74,7 +74,7 @@
 // for cold which were announced as cold long ago: after a power loss of a whole site, 27 of 45 engines
 // stayed without requests until the next leader had told that they are warm.
 func TestStartedInstanceUsesWarmTargets(t *testing.T) {
-	for _, path := range []string{idempotentPath, resumableStreamPath} {
+	for _, path := range allPaths() {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newColdTestbed(t, path, scriptFor(path))
@@ -168,7 +168,7 @@
 
 // TestColdWithoutRate: in pools whose tables name no rate, cold targets must get requests as before.
 func TestColdWithoutRate(t *testing.T) {
-	for _, path := range []string{idempotentPath, resumableStreamPath} {
+	for _, path := range allPaths() {
 		synctest.Test(t, func(t *testing.T) {
 			s := newPathTestbed(t, path, scriptFor(path))
 			before := s.play(s.targets[0], path, 2*time.Second)
--- a/internal/gate/cuthead_test.go
+++ b/internal/gate/cuthead_test.go
@@ -34,7 +34,7 @@
 // TestHeadCutAnywhere guards against a response that a caller takes for a whole one although all targets stopped in
 // its head and closed the connection, after any byte.
 func TestHeadCutAnywhere(t *testing.T) {
-	for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath, nonResumableStreamPath, serviceStreamPath} {
+	for _, path := range allPaths() {
 		for i, head := range heads() {
 			t.Run(fmt.Sprintf("%s%d", strings.Trim(path, "/"), i), func(t *testing.T) {
 				for cut := range len(head) {
--- a/internal/gate/limit_test.go
+++ b/internal/gate/limit_test.go
@@ -36,7 +36,7 @@
 // TestLimitedServiceGetsItsShare: a service that names a limit must get no more than that, and
 // the other one the rest, until a response to a later request names none any more.
 func TestLimitedServiceGetsItsShare(t *testing.T) {
-	for _, path := range []string{idempotentPath, nonIdempotentPath} {
+	for _, path := range []string{idempotentPath, nonIdempotentPath, serviceStreamPath, serviceOncePath} {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				good := respond(200, "done", sealHeader)
--- a/internal/gate/notice_test.go
+++ b/internal/gate/notice_test.go
@@ -43,6 +43,11 @@
 	}
 }
 
+// repeatablePaths returns those whose requests may be repeated, so that they use kept connections.
+func repeatablePaths() []string {
+	return []string{idempotentPath, resumableStreamPath, serviceStreamPath, engineLookPath}
+}
+
 // isEnginePath reports whether the route of a path leads to engines, and isStreamPath whether its answers are streams.
 func isEnginePath(path string) bool {
 	return slices.Contains([]string{resumableStreamPath, nonResumableStreamPath, engineLookPath, engineOrderPath}, path)
@@ -152,7 +157,7 @@
 // TestAllTargetsPaused: while every target wants a pause, the caller must be refused at once
 // and told when the first of them accepts requests again.
 func TestAllTargetsPaused(t *testing.T) {
-	for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath, nonResumableStreamPath} {
+	for _, path := range allPaths() {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				s := newPathTestbed(t, path, respond(503, "", notRunHeader, "Pause: 9s\r\n"), respond(503, "", notRunHeader, "Pause: 5s\r\n"))
@@ -176,11 +181,11 @@
 // TestReplacedTargetGetsNewConnection: when another process has replaced that of a target, requests must not be
 // sent on connections to the former one.
 func TestReplacedTargetGetsNewConnection(t *testing.T) {
-	for _, path := range []string{idempotentPath, resumableStreamPath} {
+	for _, path := range repeatablePaths() {
 		synctest.Test(t, func(t *testing.T) {
 			s := newTestbed(t, []script{respond(200, "done", sealHeader)}, []script{streamEvents(2, 0)})
 			f := s.targets[0]
-			if path == resumableStreamPath {
+			if isEnginePath(path) {
 				f = s.targets[1]
 			}
 			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 200)
@@ -206,11 +211,11 @@
 // TestMisdirectedRequestEndsConnection: a connection that leads to another process than the one wanted must not get
 // the next request, too.
 func TestMisdirectedRequestEndsConnection(t *testing.T) {
-	for _, path := range []string{idempotentPath, resumableStreamPath} {
+	for _, path := range repeatablePaths() {
 		synctest.Test(t, func(t *testing.T) {
 			s := newTestbed(t, []script{respond(421, "")}, []script{respond(421, "")})
 			f := s.targets[0]
-			if path == resumableStreamPath {
+			if isEnginePath(path) {
 				f = s.targets[1]
 			}
 			quicktest.Assert(t, s.call(path, "").status, quicktest.Equals, 503)
--- a/internal/gate/odd_test.go
+++ b/internal/gate/odd_test.go
@@ -34,7 +34,7 @@
 				}
 				s.publish(2)
 				quicktest.Check(t, s.gate.views.load().targets, quicktest.HasLen, 2)
-				for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath, nonResumableStreamPath} {
+				for _, path := range allPaths() {
 					for range 5 {
 						quicktest.Check(t, s.call(path, "body").status, quicktest.Equals, 200, quicktest.Commentf("%s", path))
 					}
--- a/internal/gate/replaced_test.go
+++ b/internal/gate/replaced_test.go
@@ -19,7 +19,7 @@
 // be reported once a later process has the ID of the target, unless the former one had left, and not
 // before. The address accepts connections all the time, as a frozen process or the next one would.
 func TestReplacementIsEvidence(t *testing.T) {
-	for _, path := range []string{idempotentPath, nonIdempotentPath, resumableStreamPath, nonResumableStreamPath} {
+	for _, path := range allPaths() {
 		for _, fate := range []string{replaced, drained, departed, stays} {
 			t.Run(path+"closed/"+fate, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) { playReplacement(t, path, closeConn, fate, 0) })
--- a/internal/node/region_test.go
+++ b/internal/node/region_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -21,7 +23,12 @@
 // regions, with targets in both. Some engines break answers off, services refuse, long prompts need
 // helpers, an entry of region a is cut off from all targets of region b, and the leader is lost.
 // Nothing may reach a target of region a, and the requests must be served.
-func TestRequestsStayInTheirRegions(t *testing.T) {
+func TestRequestsStayInTheirRegions(t *testing.T) { testRequestsStay(t, false) }
+
+// TestSplitRequestsStayInTheirRegions is the same with routes that are split over both kinds of pools.
+func TestSplitRequestsStayInTheirRegions(t *testing.T) { testRequestsStay(t, true) }
+
+func testRequestsStay(t *testing.T, split bool) {
 	synctest.Test(t, func(t *testing.T) {
 		const (
 			engines, services = 12, 6
@@ -30,7 +37,17 @@
 		)
 		ctx, cancel := context.WithCancel(context.Background())
 		p := &regionPlay{attempts: make(map[string]int)}
-		f := newFleet(ctx, t, regionEntries, engines, services, p.serve, bindToRegionB)
+		f := newFleet(ctx, t, regionEntries, engines, services, p.serve, bindToRegionB, func(f *fleet) {
+			bind := f.bind
+			f.bind = func(t *site.Tables) {
+				bind(t)
+				for i := range t.Routes {
+					if split {
+						t.Routes[i].Split = []site.PoolWeight{{Pool: enginePool, Weight: 1}, {Pool: servicePool, Weight: 1}}
+					}
+				}
+			}
+		})
 		defer f.close(cancel)
 
 		start := time.Now()
@@ -74,12 +91,12 @@
 }
 
 // countAttempt counts a request at a target, and reports whether it fails there.
-func (p *regionPlay) countAttempt(e *testTarget, c gate.CallInfo) (fails bool) {
+func (p *regionPlay) countAttempt(c gate.CallInfo) (fails bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.attempts[c.ID]++
 	isFirst := p.attempts[c.ID] == 1
-	if !isFirst && e.Pool == servicePool {
+	if !isFirst && !isStreamCall(c.ID) {
 		p.retried++
 	}
 	if c.HasLastEventID {
@@ -89,13 +106,14 @@
 }
 
 // serve answers a request at a target.
-func (p *regionPlay) serve(e *testTarget, w http.ResponseWriter, c gate.CallInfo) {
-	fails := p.countAttempt(e, c)
-	if e.Pool == servicePool {
+func (p *regionPlay) serve(_ *testTarget, w http.ResponseWriter, c gate.CallInfo) {
+	fails := p.countAttempt(c)
+	if !isStreamCall(c.ID) {
 		writeHead(w, gate.ReplyInfo{RequestID: c.ID, NotRun: fails})
 		if fails {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
+		_, _ = io.WriteString(w, "done")
 		return
 	}
 	writeHead(w, gate.ReplyInfo{RequestID: c.ID})
@@ -112,7 +130,7 @@
 	if i%16 == 0 {
 		call.PromptTokens = 300_000
 	}
-	_, whole := f.call(ctx, i%regionEntries, []string{chatPath, lookupPath, orderPath}[i/regionEntries%3], call)
+	_, whole := f.call(ctx, i%regionEntries, regionPaths()[i/regionEntries%3], call)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.calls++
@@ -121,6 +139,15 @@
 	}
 }
 
+// regionPaths returns the paths that are called in turn.
+func regionPaths() []string { return []string{chatPath, lookupPath, orderPath} }
+
+// isStreamCall reports whether the request with an ID wants a stream.
+func isStreamCall(id string) bool {
+	i, err := strconv.Atoi(strings.TrimPrefix(id, "a"))
+	return err == nil && regionPaths()[i/regionEntries%3] == chatPath
+}
+
 // injectFaults cuts an entry off from all targets, and later stops the leader.
 func (p *regionPlay) injectFaults(f *fleet) {
 	const cutAt, lossAt = 5 * time.Second, 10 * time.Second
