Tests of endless bytes and slow callers on streams of plain services

TestStreamWithoutProgress, TestSlowStreamIsKept, TestUnreadStreamStopsEngine and TestSlowCallerIsNoFaultOfEngine also run on a route to plain services; they found no further fault.

--- a/internal/gate/endless_test.go
+++ b/internal/gate/endless_test.go
@@ -147,6 +147,12 @@
 // TestStreamWithoutProgress has an engine send bytes without end that are no new event. The
 // other engine must continue the stream once the wait for the next event is over.
 func TestStreamWithoutProgress(t *testing.T) {
+	for _, path := range []string{resumableStreamPath, serviceStreamPath} {
+		t.Run(path, func(t *testing.T) { testStreamWithoutProgress(t, path) })
+	}
+}
+
+func testStreamWithoutProgress(t *testing.T, path string) {
 	for name, bad := range map[string]script{
 		"comments":              withoutEnd(streamHead, eventText(1, 2), ": still here\n\n", 100*time.Millisecond),
 		"comments, full speed":  withoutEnd(streamHead, eventText(1, 2), ": still here\n\n", 0),
@@ -161,7 +167,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newTestbed(t, nil, []script{nil, nil})
+				s := newPathTestbed(t, path, nil, nil)
 				for _, f := range s.targets {
 					f.script = func(f *fakeTarget, c net.Conn, q *http.Request) bool {
 						if s.requestCount() == 1 {
@@ -170,7 +176,7 @@
 						return streamEvents(5, 0)(f, c, q)
 					}
 				}
-				res := s.call(resumableStreamPath, "prompt", "Left", "3000")
+				res := s.call(path, "prompt", "Left", "3000")
 				quicktest.Assert(t, res.truncated, quicktest.IsFalse)
 				events := strings.ReplaceAll(res.body, ": still here\n\n", "")
 				quicktest.Assert(t, events, quicktest.Equals, eventText(1, 5))
@@ -184,6 +190,12 @@
 // TestSlowStreamIsKept: a stream whose events come slowly, but within the time that callers
 // wait, must stay on its engine, also if comments and parts of events come between.
 func TestSlowStreamIsKept(t *testing.T) {
+	for _, path := range []string{resumableStreamPath, serviceStreamPath} {
+		t.Run(path, func(t *testing.T) { testSlowStreamIsKept(t, path) })
+	}
+}
+
+func testSlowStreamIsKept(t *testing.T, path string) {
 	synctest.Test(t, func(t *testing.T) {
 		slow := func(_ *fakeTarget, c net.Conn, q *http.Request) bool {
 			fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\n%sTransfer-Encoding: chunked\r\n\r\n", q.Header.Get("Id"), sealHeader)
@@ -198,8 +210,8 @@
 			_, err := io.WriteString(c, "0\r\n\r\n")
 			return err == nil
 		}
-		s := newTestbed(t, nil, []script{slow, slow})
-		res := s.call(resumableStreamPath, "prompt", "Left", "3000")
+		s := newPathTestbed(t, path, slow, slow)
+		res := s.call(path, "prompt", "Left", "3000")
 		quicktest.Assert(t, res.truncated, quicktest.IsFalse)
 		quicktest.Assert(t, strings.ReplaceAll(res.body, ": wait\n\n", ""), quicktest.Equals, eventText(1, 3))
 		quicktest.Assert(t, s.requestCount(), quicktest.Equals, 1)
--- a/internal/gate/slow_test.go
+++ b/internal/gate/slow_test.go
@@ -88,10 +88,16 @@
 // the engine must be held up through the connection. Once the request's time is over, the
 // engine's connection must end at once, and the grant soon after.
 func TestUnreadStreamStopsEngine(t *testing.T) {
+	for _, path := range []string{resumableStreamPath, serviceStreamPath} {
+		t.Run(path, func(t *testing.T) { testUnreadStreamStopsEngine(t, path) })
+	}
+}
+
+func testUnreadStreamStopsEngine(t *testing.T, path string) {
 	synctest.Test(t, func(t *testing.T) {
 		var written atomic.Int64
-		s := newTestbed(t, nil, []script{streamWithoutEnd(&written)})
-		c := s.slowCall(resumableStreamPath)
+		s := newPathTestbed(t, path, streamWithoutEnd(&written))
+		c := s.slowCall(path)
 		defer c.Close()
 		time.Sleep(time.Second)
 		held := written.Load()
@@ -111,6 +117,12 @@
 // engine that cuts off a response which stays unread must keep its other requests, and the caller
 // gets the rest of its answer.
 func TestSlowCallerIsNoFaultOfEngine(t *testing.T) {
+	for _, path := range []string{resumableStreamPath, serviceStreamPath} {
+		t.Run(path, func(t *testing.T) { testSlowCallerIsNoFaultOfEngine(t, path) })
+	}
+}
+
+func testSlowCallerIsNoFaultOfEngine(t *testing.T, path string) {
 	synctest.Test(t, func(t *testing.T) {
 		const last = 700
 		event := func(i int) string { return fmt.Sprintf("id: %d\ndata: %s\n\n", i, strings.Repeat("e", 1000)) }
@@ -127,8 +139,8 @@
 			io.WriteString(c, "0\r\n\r\n")
 			return true
 		}
-		s := newTestbed(t, nil, []script{impatient})
-		c := s.slowCall(resumableStreamPath)
+		s := newPathTestbed(t, path, impatient)
+		c := s.slowCall(path)
 		defer c.Close()
 		time.Sleep(1200 * time.Millisecond)
 		quicktest.Assert(t, s.requestCount(), quicktest.Equals, 1)
