gate: what is the caller's or our own fault ejects no engine

Callers saw: after responses with a status below 500 on a streaming route, or after an answer for which the entry had no memory, the engine was ejected for all requests.

Cause: each response of an engine but 200, and each body that could not be read, ended the grant with the engine as the failed one. Plain services were not treated so.

Change: only statuses from 500 on are failures, and guard.ErrResponsesFull is none. The part of ejected engines is taken of those that are alive, so that engines without heartbeats leave no room to eject the others.

Before: TestComplaintsAreNoFailures (both streaming routes) and TestFullBuffersAreNoFailureOfTargets (engines) fail. After: both pass.

--- a/internal/gate/engine.go
+++ b/internal/gate/engine.go
@@ -109,7 +109,7 @@
 		s.refusals++
 		return false, noBudget
 	}
-	return s.send(ctx, assignment{lead: lead, urgency: g.Urgency, grant: g, helpers: helpers, unused: reserved.unused}, &end)
+	return s.sendTo(ctx, assignment{lead: lead, urgency: g.Urgency, grant: g, helpers: helpers, unused: reserved.unused}, &end)
 }
 
 // resolve finds the engines of a grant in the current view. An engine that drains, or wants
--- a/internal/gate/placement.go
+++ b/internal/gate/placement.go
@@ -77,7 +77,7 @@
 		done, reason = s.attemptGranted(ctx, p.Grant)
 	case picked:
 		s.target = p.ID
-		done, reason = s.send(ctx, assignment{lead: p.Target, urgency: noUrgency, unused: context.Background()}, &place.End{})
+		done, reason = s.sendTo(ctx, assignment{lead: p.Target, urgency: noUrgency, unused: context.Background()}, &place.End{})
 	}
 	return done, reason
 }
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/bambooproxy/bambooproxy/internal/guard"
 	"github.com/bambooproxy/bambooproxy/internal/hop"
 	"github.com/bambooproxy/bambooproxy/internal/place"
 	"github.com/bambooproxy/bambooproxy/internal/poison"
@@ -124,9 +125,9 @@
 	return max(minEventTimeout, firstEventFactor*x.route.Aim, pauseFactor*x.route.Pause)
 }
 
-// send sends the request to the lead and relays the response. It leaves an engine that doesn't use the memory that is
+// sendTo sends the request to the lead and relays the response. It leaves an engine that doesn't use the memory that is
 // reserved for the request.
-func (s *stream) send(ctx context.Context, to assignment, end *place.End) (done bool, reason string) {
+func (s *stream) sendTo(ctx context.Context, to assignment, end *place.End) (done bool, reason string) {
 	lead := to.lead
 	defer s.server.health.track(lead.ID)()
 	att := streamAttempt{target: lead, grant: to.grant, sentAt: time.Now(), resumes: s.hasLastID, unused: to.unused}
@@ -201,12 +202,15 @@
 		s.watchSend(failed, err, time.Now())
 		return reason
 	}
-	if att.maxBlocked < slowCallerTime {
+	switch {
+	case att.maxBlocked >= slowCallerTime:
+		reason += ", after the caller had not read for a while"
+	case errors.Is(err, guard.ErrResponsesFull):
+		s.failedTargets = append(s.failedTargets, lead.ID)
+	default:
 		end.FailedTarget = lead.ID
 		s.failedTargets = append(s.failedTargets, lead.ID)
 		s.server.health.recordFailure(lead.ID)
-	} else {
-		reason += ", after the caller had not read for a while"
 	}
 	s.logFailedAttempt(lead, reason, nil)
 	end.Answered = !s.recordIfCrashed(failed, err) && !isSilence(err)
@@ -250,10 +254,13 @@
 // one.
 func (s *stream) handleErrorResponse(ctx context.Context, lead site.Target, resp *hop.Response, att *streamAttempt, end *place.End) (done bool, reason string) {
 	s.mayHaveRun = true
-	end.FailedTarget, end.Answered = lead.ID, true
+	isFailure := resp.StatusCode >= http.StatusInternalServerError
+	if isFailure {
+		end.FailedTarget, end.Answered = lead.ID, true
+	}
 	var err error
 	if !s.headSent {
-		mayRetry := resp.StatusCode >= http.StatusInternalServerError && s.route.MayRetry()
+		mayRetry := isFailure && s.route.MayRetry()
 		limit := s.eventTimeout()
 		if mayRetry {
 			// Another target may answer meanwhile.
--- a/internal/gate/whole_test.go
+++ b/internal/gate/whole_test.go
@@ -272,3 +272,56 @@
 		})
 	}
 }
+
+// TestComplaintsAreNoFailures guards against engines that are ejected since a caller's request has an error.
+func TestComplaintsAreNoFailures(t *testing.T) {
+	for _, path := range []string{engineLookPath, engineOrderPath, resumableStreamPath, nonResumableStreamPath} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				complaint := respond(404, "none", sealHeader)
+				s := newTestbed(t, nil, []script{complaint, complaint})
+				for range 8 {
+					quicktest.Check(t, s.call(path, "body").status, quicktest.Equals, 404)
+				}
+				s.checkNoneEjected()
+			})
+		})
+	}
+}
+
+// TestFullBuffersAreNoFailureOfTargets guards against targets that are ejected because this instance has no memory for their answers.
+func TestFullBuffersAreNoFailureOfTargets(t *testing.T) {
+	for _, path := range []string{nonIdempotentPath, engineOrderPath} {
+		t.Run(path, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newPathTestbed(t, path, respond(200, strings.Repeat("x", 1<<20), sealHeader))
+				s.gate.buffers.memory.Limit = 256 << 10
+				quicktest.Check(t, s.call(path, "body").status, quicktest.Equals, 502)
+				s.checkNoneEjected()
+			})
+		})
+	}
+}
+
+// checkNoneEjected checks that no target is ejected. The local core must grant each engine to a request that avoids all others.
+func (s *testbed) checkNoneEjected() {
+	s.t.Helper()
+	s.gate.placer.mu.Lock()
+	defer s.gate.placer.mu.Unlock()
+	for _, f := range s.targets {
+		_, ejected := s.gate.health.state(f.ID)
+		quicktest.Check(s.t, ejected, quicktest.IsFalse, quicktest.Commentf("%s", f.ID))
+		if f.Pool != "engines" {
+			continue
+		}
+		req := place.Request{ID: "probe " + f.ID, Pool: f.Pool, Prompt: 1, TTFTLeft: time.Second, TTFTTarget: time.Second, MaxPause: time.Second, TimeLeft: time.Second}
+		for _, o := range s.targets {
+			if o.ID != f.ID {
+				req.Avoid = append(req.Avoid, o.ID)
+			}
+		}
+		core := s.gate.placer.localCores[f.Pool]
+		quicktest.Check(s.t, core.Step(time.Now(), place.Arrive{Request: req}), quicktest.HasLen, 1, quicktest.Commentf("%s", f.ID))
+		core.Step(time.Now(), place.Withdraw{ID: req.ID})
+	}
+}
--- a/internal/place/engine.go
+++ b/internal/place/engine.go
@@ -93,7 +93,12 @@
 // available reports whether an engine takes work. A standalone core receives no heartbeats,
 // so it does not apply the heartbeat timeout.
 func (c *Core) available(now time.Time, e *engine) bool {
-	return e.State == site.Ready && !e.IsEjected(now) && (c.Standalone || now.Sub(e.lastHeartbeat) < heartbeatTimeout)
+	return !e.IsEjected(now) && c.isAlive(now, e)
+}
+
+// isAlive reports whether an engine takes work unless it is ejected.
+func (c *Core) isAlive(now time.Time, e *engine) bool {
+	return e.State == site.Ready && (c.Standalone || now.Sub(e.lastHeartbeat) < heartbeatTimeout)
 }
 
 // allows reports whether the request may use an engine in that region.
@@ -156,23 +161,23 @@
 	e.Fail(now, first, maxEjection)
 }
 
-// maxEjectedPart is the part of the ready engines beyond which none is ejected for its answers.
+// maxEjectedPart is the part of the engines that are alive beyond which none is ejected for its answers.
 const maxEjectedPart = 0.5
 
 // mayEject reports whether one more engine may be ejected for its answers. If many fail at a time, what they are asked is
 // more likely the cause, and requests of other kinds still need engines.
 func (c *Core) mayEject(now time.Time) bool {
-	ready, ejected := 0, 1
+	alive, ejected := 0, 1
 	for _, e := range c.engines {
-		if e.State != site.Ready {
+		if !c.isAlive(now, e) {
 			continue
 		}
-		ready++
+		alive++
 		if e.IsEjected(now) {
 			ejected++
 		}
 	}
-	return float64(ejected) <= maxEjectedPart*float64(ready)
+	return float64(ejected) <= maxEjectedPart*float64(alive)
 }
 
 // observeSlowdown updates the slowdown from a measured time to the first event of an answer.
