gate: times to the first event by the kind of pool, and waits of all engine requests

gate_first_event held the events of engines only, and would mix those of plain services with them; gate_wait lacked requests to engines that aren't streams.

--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -26,8 +26,10 @@
 	if x.truncated {
 		metrics.GetOrRegisterCounter(meter.Label("gate.truncated", "kind", kind), s.Metrics).Inc(1)
 	}
-	if x.firstEvent > 0 {
-		meter.Times("gate.first_event", s.Metrics).Update(int64(x.firstEvent))
+	if x.eventCount > 0 {
+		meter.Times(meter.Label("gate.first_event", "kind", kind), s.Metrics).Update(int64(x.firstEvent))
+	}
+	if x.engineCount > 0 {
 		meter.Times("gate.wait", s.Metrics).Update(int64(x.queueTime))
 	}
 	if x.sends > 1 {
