--- a/internal/gate/crash.go
+++ b/internal/gate/crash.go
@@ -76,10 +76,11 @@
 	return false
 }
 
-// endedWithProcess reports whether a response to a request that was sent at sentAt ended with its connection because the process of
-// the target ended, so that it may not be complete. After a pause of this process another one may listen at the address by now,
-// so that it takes news of the targets to tell; without any the response isn't complete. A target that drains may be taken away before it has answered. Taking a
-// whole answer for a truncated one does less harm than the reverse, so other instances need not confirm the end.
+// endedWithProcess reports whether a response ended with its connection because the process of the target ended, so that it
+// may not be complete. The request was sent at sentAt. A target that drains may be taken away before it has answered. Taking a
+// whole answer for a truncated one does less harm than the reverse, so other instances need not confirm the end. After a pause
+// of this instance another process may listen at the address by now: only news of the targets can tell, and without any the
+// response isn't complete.
 func (s *Server) endedWithProcess(t site.Target, resp *hop.Response, sentAt time.Time) bool {
 	if !resp.EndsWithConnection() {
 		return false
--- a/internal/gate/received.go
+++ b/internal/gate/received.go
@@ -26,10 +26,10 @@
 	// hasUnitStep is set once an ID was one more than the last one, and hasOtherStep once it was another one in the
 	// same response. Without the latter, a gap between two responses is a missing event.
 	hasUnitStep, hasOtherStep bool
-	// isUnnumbered is set once the caller has an event without an ID, which another engine would send
+	// isUnnumbered is set once the caller has an event without an ID, which another target would send
 	// again.
 	isUnnumbered bool
-	// hasBegunEvent is set while an engine has begun an event that the caller lacks.
+	// hasBegunEvent is set while a target has begun an event that the caller lacks.
 	hasBegunEvent bool
 	// lastID is the number of the last event that the caller has, if hasLastID is set.
 	lastID    int64
@@ -110,7 +110,7 @@
 	}
 	switch {
 	case !r.hasLastID:
-		// The first event of all is counted.
+		// IDs that begin at 0 or 1 count the events.
 		r.hasUnitStep = ev.ID == 0 || ev.ID == 1
 	case ev.ID == r.lastID+1:
 		r.hasUnitStep = true
@@ -124,7 +124,7 @@
 const begunEventReason = "the event stream of a target ended before an event that another one had begun"
 
 // complete ends the response to the caller after the last event. It returns the reason why the answer
-// of this engine isn't complete, or "".
+// of this target isn't complete, or "".
 func (s *stream) complete(ctx context.Context, resp *hop.Response) (reason string) {
 	if s.hasBegunEvent {
 		return begunEventReason
@@ -132,7 +132,7 @@
 	if !s.mayRelay(ctx) {
 		return otherTargetReason
 	}
-	// Another engine may have fallen silent within an event.
+	// Another target may have fallen silent within an event.
 	if s.hasBegunEvent {
 		return begunEventReason
 	}
--- a/internal/gate/stream.go
+++ b/internal/gate/stream.go
@@ -23,13 +23,13 @@
 	minEventTimeout  = 2 * time.Second
 	firstEventFactor = 4
 	pauseFactor      = 8
-	// firstEventShare is the fraction of that timeout after which another engine is tried
+	// firstEventShare is the fraction of that timeout after which another target is tried
 	// if the first event is missing. An engine gets at least predictionFactor times the
 	// predicted time.
 	firstEventShare  = 0.4
 	predictionFactor = 4
-	// stallShare is the fraction of that timeout for which an engine may be silent in the
-	// middle of an answer before another engine is tried.
+	// stallShare is the fraction of that timeout for which a target may be silent in the
+	// middle of an answer before another target is tried.
 	stallShare = 0.8
 	// maxIdleBytes bounds the comments and repeated events between two new events.
 	maxIdleBytes = 64 << 10
@@ -40,7 +40,7 @@
 	// otherTargetReason is why an attempt ends when another target has gone on with the answer.
 	otherTargetReason = "another target went on with the answer"
 	// slowCallerTime is how long a write to the caller must have blocked until the end of an
-	// engine's connection is no failure of the engine: engines cut off responses that stay unread
+	// target's connection is no failure of the target: targets cut off responses that stay unread
 	// for some seconds.
 	slowCallerTime = time.Second
 )
@@ -299,10 +299,10 @@
 	// firstEventAt is when the first new event came, and lastEventAt when the last one did;
 	// zero before that.
 	firstEventAt, lastEventAt time.Time
-	// written is how long the engine has been writing the answer, at least. A pause counts for
+	// written is how long the target has been writing the answer, at least. A pause counts for
 	// maxCountedPause at most: what comes after a pause of this process was written before.
 	written time.Duration
-	// survived is set once the engine has written for poison.SurvivalTime.
+	// survived is set once the target has written for poison.SurvivalTime.
 	survived bool
 	// maxBlocked is the longest time for which a write to the caller has blocked, and blocked the sum of all.
 	maxBlocked, blocked time.Duration
@@ -397,8 +397,8 @@
 	return send{target: a.target, at: a.sentAt, written: a.written, lastEventAt: a.lastEventAt}
 }
 
-// firstEventLimit is how long the wait for the first event of an engine may last; 0 means until the time
-// limit of the request. If the caller has a part of the answer already and no other engine may be tried,
+// firstEventLimit is how long the wait for the first event of a target may last; 0 means until the time
+// limit of the request. If the caller has a part of the answer already and no other target may be tried,
 // the caller decides how long to wait, as it does for a whole answer.
 func (s *stream) firstEventLimit() time.Duration {
 	if s.headSent && s.next == nil || !s.hasEvents() {
--- a/internal/gate/takeover.go
+++ b/internal/gate/takeover.go
@@ -12,8 +12,8 @@
 	"github.com/bambooproxy/bambooproxy/internal/meter"
 )
 
-// takeover tries another engine while the first one is silent, and leaves the connection to the first
-// one open: the retry budget, the scheduler or the other engine may refuse, and the first one may go on.
+// takeover tries another target while the first one is silent, and leaves the connection to the first
+// one open: the retry budget, the scheduler or the other target may refuse, and the first one may go on.
 // Whichever sends the next event first continues the answer.
 type takeover struct {
 	// ctx is the context of the request, and endFirst ends the first attempt.
@@ -31,9 +31,9 @@
 	mu sync.Mutex
 	// timer starts a round; it is stopped while an event is written to the caller.
 	timer *time.Timer
-	// awaiting is set while the first engine is waited for: the timer may expire as an event comes.
+	// awaiting is set while the first target is waited for: the timer may expire as an event comes.
 	awaiting bool
-	// silence is how long the first engine may be silent before the next round, and sent its send as it was
+	// silence is how long the first target may be silent before the next round, and sent its send as it was
 	// when that time began.
 	silence time.Duration
 	sent    send
@@ -49,10 +49,10 @@
 	round *takeoverRound
 }
 
-// takeoverRound is a series of attempts while the first engine is silent.
+// takeoverRound is a series of attempts while the first target is silent.
 type takeoverRound struct {
 	cancel context.CancelFunc
-	// cancelled is set once the first engine has gone on.
+	// cancelled is set once the first target has gone on.
 	cancelled bool
 	// done is closed at the end of the round, after which complete and reason are set as by run.
 	done     chan struct{}
@@ -62,13 +62,13 @@
 
 // Values of the label outcome of the metric gate.takeovers.
 const (
-	// movedOutcome: another engine continued the answer.
+	// movedOutcome: another target continued the answer.
 	movedOutcome = "moved"
-	// keptOutcome: the first engine went on before another one did.
+	// keptOutcome: the first target went on before another one did.
 	keptOutcome = "kept"
 	// endedOutcome: the caller left, or the time limit of the request was reached.
 	endedOutcome = "ended"
-	// failedOutcome: no other engine could be used.
+	// failedOutcome: no other target could be used.
 	failedOutcome = "failed"
 )
 
@@ -91,7 +91,7 @@
 	return t
 }
 
-// firstSilence is how long an engine may be silent before its first event, or the head of a whole answer, until another
+// firstSilence is how long a target may be silent before its first event, or the head of a whole answer, until another
 // one is tried.
 func (s *stream) firstSilence(att *streamAttempt) time.Duration {
 	if !s.hasEvents() {
@@ -179,8 +179,8 @@
 	}
 }
 
-// goesOn records that the first engine goes on, which ends the current round. It returns false if
-// another engine has already continued the answer. A nil takeover has no other engine.
+// goesOn records that the first target goes on, which ends the current round. It returns false if
+// another target has already continued the answer. A nil takeover has no other target.
 func (t *takeover) goesOn() bool {
 	if t == nil {
 		return true
@@ -212,7 +212,7 @@
 }
 
 // firstEnds records that the first attempt relays nothing more, and reports whether that is because
-// another engine continues the answer.
+// another target continues the answer.
 func (t *takeover) firstEnds() (claimed bool) {
 	if t == nil {
 		return false
@@ -227,8 +227,8 @@
 	return t.claimed
 }
 
-// hasStarted reports whether a round has started, and so the silence of the first engine was recorded, without an event
-// of that engine since. A nil takeover has no rounds.
+// hasStarted reports whether a round has started, and so the silence of the first target was recorded, without an event
+// of that target since. A nil takeover has no rounds.
 func (t *takeover) hasStarted() bool {
 	if t == nil {
 		return false
@@ -246,7 +246,7 @@
 }
 
 // claim ends the first attempt, so that the second stream continues the answer. It returns false if the
-// first engine has gone on, or the request has ended. The parameter ctx is the context of the round.
+// first target has gone on, or the request has ended. The parameter ctx is the context of the round.
 func (t *takeover) claim(ctx context.Context) bool {
 	t.mu.Lock()
 	if ctx.Err() != nil {
@@ -303,7 +303,7 @@
 }
 
 // claim makes the stream the one that continues the answer. It returns false if it is the second
-// stream of a takeover and the first engine has gone on.
+// stream of a takeover and the first target has gone on.
 func (s *stream) claim(ctx context.Context) bool {
 	t := s.standby
 	if t == nil {
@@ -320,11 +320,11 @@
 	return true
 }
 
-// mayRelay reports whether the engine of this stream is the one that continues the answer.
+// mayRelay reports whether the target of this stream is the one that continues the answer.
 func (s *stream) mayRelay(ctx context.Context) bool { return s.claim(ctx) && s.next.goesOn() }
 
-// mayRespond reports whether the caller can get a whole response from the engine of this stream: it has
-// no part of an answer yet, and no other engine may send one.
+// mayRespond reports whether the caller can get a whole response from the target of this stream: it has
+// no part of an answer yet, and no other target may send one.
 func (s *stream) mayRespond(ctx context.Context) bool {
 	if s.standby != nil && !s.standby.firstHasEnded() {
 		return false
