--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -68,12 +68,7 @@
 // TestPlannedStopAnswersAll guards against requests that an entry takes during its grace period, passes on and cuts off
 // at the end without a response: callers can't know whether they ran. Only a stream that has begun may be truncated.
 func TestPlannedStopAnswersAll(t *testing.T) {
-	for name, c := range map[string]struct {
-		path string
-		// hold is how long a target works on a request, and limits the time limits of the callers.
-		hold   time.Duration
-		limits []time.Duration
-	}{
+	for name, c := range map[string]answersPlay{
 		"orders":              {orderPath, 150 * time.Millisecond, []time.Duration{time.Second, 3 * time.Second, 10 * time.Second}},
 		"slow orders":         {orderPath, 4 * time.Second, []time.Duration{3 * time.Second, 10 * time.Second}},
 		"orders without end":  {orderPath, time.Hour, []time.Duration{time.Second, 3 * time.Second, 10 * time.Second}},
@@ -83,28 +78,43 @@
 		"streams, slow start": {chatPath, 5 * time.Second, []time.Duration{3 * time.Second, 10 * time.Second}},
 	} {
 		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { c.run(t, withLongLimits) })
+		})
+		t.Run(name+", other pool", func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				ctx, cancel := context.WithCancel(t.Context())
-				p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int)}
-				p.fleet = newFleet(ctx, t, 1, 4, 4, func(_ *testTarget, w http.ResponseWriter, i gate.CallInfo) {
-					p.mu.Lock()
-					p.reached[i.ID]++
-					p.mu.Unlock()
-					if !timing.Sleep(w.(*silenceWriter).ctx, c.hold) {
-						return
-					}
-					writeHead(w, gate.ReplyInfo{RequestID: i.ID})
-					if c.path == chatPath {
-						writeStream(w, i, 10)
-					}
-				}, func(f *fleet) { f.bind = withLongLimits })
-				defer p.close(cancel)
-				p.play(ctx, 40, c.path, c.limits)
+				c.run(t, func(t *site.Tables) { withLongLimits(t); crossPools(t) })
 			})
 		})
 	}
 }
 
+// answersPlay is a planned stop under requests to a path.
+type answersPlay struct {
+	path string
+	// hold is how long a target works on a request, and limits the time limits of the callers.
+	hold   time.Duration
+	limits []time.Duration
+}
+
+func (c answersPlay) run(t *testing.T, bind func(t *site.Tables)) {
+	ctx, cancel := context.WithCancel(t.Context())
+	p := &stopPlay{reached: make(map[string]int), statuses: make(map[int]int)}
+	p.fleet = newFleet(ctx, t, 1, 4, 4, func(_ *testTarget, w http.ResponseWriter, i gate.CallInfo) {
+		p.mu.Lock()
+		p.reached[i.ID]++
+		p.mu.Unlock()
+		if !timing.Sleep(w.(*silenceWriter).ctx, c.hold) {
+			return
+		}
+		writeHead(w, gate.ReplyInfo{RequestID: i.ID})
+		if c.path == chatPath {
+			writeStream(w, i, 10)
+		}
+	}, func(f *fleet) { f.bind = bind })
+	defer p.close(cancel)
+	p.play(ctx, 40, c.path, c.limits)
+}
+
 // withLongLimits gives all routes the time limit of streams, and their callers patience.
 func withLongLimits(t *site.Tables) {
 	for i := range t.Routes {
