--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -41,21 +41,13 @@
 	return f.requestCount() - before
 }
 
-// scriptFor returns a sound answer for the route of a path.
-func scriptFor(path string) script {
-	if isEnginePath(path) {
-		return streamEvents(2, 0)
-	}
-	return respond(200, "done", sealHeader)
-}
-
 // TestNewTargetIsCold: a process that is announced as cold must get no more than a part of the rate from
 // an instance without a scheduler, from the first request on, until the time is over.
 func TestNewTargetIsCold(t *testing.T) {
 	for _, path := range allPaths() {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newColdTestbed(t, path, scriptFor(path))
+				s := newColdTestbed(t, path, answerFor(path))
 				reborn := s.targets[0]
 				reborn.StartedMs, reborn.Cold = 7, 10*time.Second
 				s.publish(3)
@@ -77,7 +69,7 @@
 	for _, path := range allPaths() {
 		t.Run(path, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				s := newColdTestbed(t, path, scriptFor(path))
+				s := newColdTestbed(t, path, answerFor(path))
 				known := s.targets[0]
 				known.StartedMs, known.Cold = 7, 20*time.Second
 				known.ColdUntilMs = time.Now().Add(-10 * time.Second).UnixMilli()
@@ -170,7 +162,7 @@
 func TestColdWithoutRate(t *testing.T) {
 	for _, path := range allPaths() {
 		synctest.Test(t, func(t *testing.T) {
-			s := newPathTestbed(t, path, scriptFor(path))
+			s := newPathTestbed(t, path, answerFor(path))
 			before := s.play(s.targets[0], path, 2*time.Second)
 			s.targets[0].StartedMs, s.targets[0].Cold = 7, time.Minute
 			s.publish(2)
@@ -188,7 +180,7 @@
 // entries logged 19,512 lines within a minute.
 func TestColdNoticesAreLoggedTogether(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newColdTestbed(t, idempotentPath, scriptFor(idempotentPath), scriptFor(idempotentPath), scriptFor(idempotentPath))
+		s := newColdTestbed(t, idempotentPath, answerFor(idempotentPath), answerFor(idempotentPath), answerFor(idempotentPath))
 		before := len(s.logs.String())
 		var list []place.Cold
 		for _, target := range s.targets {
